Build: set up the workspace, the base library and the wire messages

Cause: nothing exists yet; the interfaces between the libraries have to be settled before work on them can go on side by side.

The base library holds time, result codes, events, the time line, random numbers and rendezvous hashing.

--- /dev/null
+++ b/Source/Base/Events.cpp
@@ -0,0 +1,120 @@
+#include "Base/Events.h"
+
+#include <algorithm>
+#include <array>
+
+namespace corneldeck::base {
+
+namespace {
+
+constexpr std::array Table{
+    EventInfo{EventId::ProcessStarted, "process-started",
+              "The process serves its ports."},
+    EventInfo{EventId::ProcessStopping, "process-stopping",
+              "A planned stop began."},
+    EventInfo{EventId::ProcessStopped, "process-stopped",
+              "The process ends; nothing is in flight."},
+    EventInfo{EventId::SettingsRejected, "settings-rejected",
+              "The settings file is wrong."},
+    EventInfo{EventId::RequestAccepted, "request-accepted",
+              "An entry admitted a request."},
+    EventInfo{EventId::RequestRefused, "request-refused",
+              "An entry refused a request; it did not run."},
+    EventInfo{EventId::RequestAnswered, "request-answered",
+              "The caller got the whole answer."},
+    EventInfo{EventId::RequestFailed, "request-failed",
+              "The caller got an error after admission."},
+    EventInfo{EventId::AttemptSent, "attempt-sent",
+              "An entry sent an attempt to an agent."},
+    EventInfo{EventId::AttemptRetried, "attempt-retried",
+              "An attempt goes to another agent."},
+    EventInfo{EventId::AttemptAttached, "attempt-attached",
+              "An entry asked again for a running answer."},
+    EventInfo{EventId::AttemptResumed, "attempt-resumed",
+              "A stream goes on at another replica."},
+    EventInfo{EventId::AttemptCancelled, "attempt-cancelled",
+              "An entry cancelled an attempt."},
+    EventInfo{EventId::RunStarted, "run-started",
+              "An agent handed a request to its backend server."},
+    EventInfo{EventId::RunEnded, "run-ended", "The backend server is done."},
+    EventInfo{EventId::RunRefused, "run-refused",
+              "An agent refused an attempt; it did not run."},
+    EventInfo{EventId::ClaimTaken, "claim-taken",
+              "An idempotency key was claimed."},
+    EventInfo{EventId::ClaimDuplicate, "claim-duplicate",
+              "A duplicate of a claimed key came."},
+    EventInfo{EventId::ClaimRefused, "claim-refused",
+              "A key was refused because its record may be lost."},
+    EventInfo{EventId::ClaimMoved, "claim-moved",
+              "A key was handed to its new home."},
+    EventInfo{EventId::LinkUp, "link-up", "A connection is in use."},
+    EventInfo{EventId::LinkSilent, "link-silent",
+              "No heartbeat came over a connection."},
+    EventInfo{EventId::LinkReplaced, "link-replaced",
+              "A new connection took over from a silent one."},
+    EventInfo{EventId::LinkClosed, "link-closed", "A connection was closed."},
+    EventInfo{EventId::NodeLeaving, "node-leaving",
+              "A node said that it will stop."},
+    EventInfo{EventId::NodeLost, "node-lost", "A node fell silent."},
+    EventInfo{EventId::NodeReturned, "node-returned",
+              "A node is back, perhaps as a new incarnation."},
+    EventInfo{EventId::BadFrame, "bad-frame",
+              "A frame on an internal port can't be read."},
+    EventInfo{EventId::ChangePublished, "change-published",
+              "A catalogue change was appended."},
+    EventInfo{EventId::ChangeAccepted, "change-accepted",
+              "A catalogue change is in force here."},
+    EventInfo{EventId::ChangeRejected, "change-rejected",
+              "A catalogue change lost or was not allowed."},
+    EventInfo{EventId::SnapshotWritten, "snapshot-written",
+              "A snapshot was appended."},
+    EventInfo{EventId::SnapshotLoaded, "snapshot-loaded",
+              "A snapshot was taken over."},
+    EventInfo{EventId::CatalogueFromPeer, "catalogue-from-peer",
+              "The catalogue was taken from another node."},
+    EventInfo{EventId::CatalogueTooOld, "catalogue-too-old",
+              "The node stopped admitting."},
+    EventInfo{EventId::LogUnavailable, "log-unavailable",
+              "The log service does not answer."},
+    EventInfo{EventId::LogBack, "log-back", "The log service answers again."},
+    EventInfo{EventId::LogGap, "log-gap",
+              "Records expired before they were read."},
+    EventInfo{EventId::LeaseAcquired, "lease-acquired",
+              "This node holds the lease."},
+    EventInfo{EventId::LeaseRenewed, "lease-renewed", "The lease was renewed."},
+    EventInfo{EventId::LeaseLost, "lease-lost",
+              "This node no longer holds the lease."},
+    EventInfo{EventId::OrderSent, "order-sent",
+              "An order was sent to an engine."},
+    EventInfo{EventId::OrderRefused, "order-refused",
+              "An order with an old fencing number was refused."},
+    EventInfo{EventId::MapProposed, "map-proposed",
+              "An expert map was proposed."},
+    EventInfo{EventId::MapVoted, "map-voted", "A rank voted on a map."},
+    EventInfo{EventId::MapCommitted, "map-committed",
+              "A map is in force from its step on."},
+    EventInfo{EventId::MapAborted, "map-aborted", "The old map stays."},
+    EventInfo{EventId::ExpertsLoaded, "experts-loaded",
+              "A rank has the experts of a proposed map."},
+    EventInfo{EventId::GroupOut, "group-out",
+              "A rank group takes no requests."},
+    EventInfo{EventId::GroupBack, "group-back",
+              "A rank group takes requests again."},
+    EventInfo{EventId::StragglerFound, "straggler-found",
+              "A rank is slow for its load."},
+    EventInfo{EventId::RebalancePlanned, "rebalance-planned",
+              "A better expert map was worked out."},
+};
+
+} // namespace
+
+std::span<const EventInfo> events() { return Table; }
+
+std::string_view name(EventId Id) {
+  const auto *Row =
+      std::find_if(Table.begin(), Table.end(),
+                   [Id](const EventInfo &Info) { return Info.m_Id == Id; });
+  return Row == Table.end() ? "unknown-event" : Row->m_Name;
+}
+
+} // namespace corneldeck::base
--- /dev/null
+++ b/Source/Base/ResultCode.cpp
@@ -0,0 +1,153 @@
+#include "Base/ResultCode.h"
+
+#include <algorithm>
+#include <array>
+
+namespace corneldeck::base {
+
+namespace {
+
+constexpr std::array Table{
+    ResultCodeInfo{ResultCode::Ok, "ok", 200, Ran::Yes, "The answer is whole.",
+                   "Use the answer."},
+    ResultCodeInfo{ResultCode::BadRequest, "bad-request", 400, Ran::No,
+                   "The request is malformed.", "Correct it; do not repeat."},
+    ResultCodeInfo{ResultCode::UnknownService, "unknown-service", 404, Ran::No,
+                   "No catalogue entry has this name.",
+                   "Correct the name, or publish the entry."},
+    ResultCodeInfo{ResultCode::Unauthorized, "unauthorized", 403, Ran::No,
+                   "The entry does not admit this customer.",
+                   "Ask the entry's owner to add the customer."},
+    ResultCodeInfo{ResultCode::TooLarge, "too-large", 413, Ran::No,
+                   "Head or body is over the size limit.",
+                   "Send a smaller request."},
+    ResultCodeInfo{ResultCode::LimitExceeded, "limit-exceeded", 429, Ran::No,
+                   "The customer is over its limit.",
+                   "Repeat after the time in Retry-After."},
+    ResultCodeInfo{ResultCode::Overloaded, "overloaded", 503, Ran::No,
+                   "The replicas are full.",
+                   "Repeat after the time in Retry-After."},
+    ResultCodeInfo{ResultCode::DeadlineTooShort, "deadline-too-short", 503,
+                   Ran::No, "The deadline can't be met at this load.",
+                   "Repeat after the time in Retry-After, or allow more time."},
+    ResultCodeInfo{ResultCode::RetryBudgetSpent, "retry-budget-spent", 503,
+                   Ran::No,
+                   "The first replica refused, and retries are used "
+                   "up.",
+                   "Repeat after the time in Retry-After."},
+    ResultCodeInfo{ResultCode::NoReplica, "no-replica", 503, Ran::No,
+                   "No backend server of the entry can be reached.",
+                   "Repeat after the time in Retry-After."},
+    ResultCodeInfo{ResultCode::NotReady, "not-ready", 503, Ran::No,
+                   "The process has no catalogue yet.", "Ask another address."},
+    ResultCodeInfo{ResultCode::Stopping, "stopping", 503, Ran::No,
+                   "The process or backend server is leaving.",
+                   "Ask another address at once."},
+    ResultCodeInfo{ResultCode::CatalogueTooOld, "catalogue-too-old", 503,
+                   Ran::No, "The process can't follow the catalogue.",
+                   "Ask another address at once."},
+    ResultCodeInfo{ResultCode::ClaimHomeUnavailable, "claim-home-unavailable",
+                   503, Ran::No,
+                   "The one backend server that may run this key is away.",
+                   "Repeat with the same key after the time in Retry-After."},
+    ResultCodeInfo{ResultCode::ClaimWindow, "claim-window", 503, Ran::Unknown,
+                   "The record of this key was lost with a backend server; it "
+                   "may have run.",
+                   "Check the effect before using a new key."},
+    ResultCodeInfo{ResultCode::KeyReused, "key-reused", 422, Ran::No,
+                   "The idempotency key was used for a different request.",
+                   "Use a new key for a new request."},
+    ResultCodeInfo{ResultCode::KeyTooOld, "key-too-old", 409, Ran::Unknown,
+                   "The key is older than keys are remembered.",
+                   "Check the effect before using a new key."},
+    ResultCodeInfo{ResultCode::DeadlineExceeded, "deadline-exceeded", 504,
+                   Ran::Unknown, "The deadline passed while it ran.",
+                   "Attach with the same key, or check the effect."},
+    ResultCodeInfo{ResultCode::Cancelled, "cancelled", 499, Ran::Unknown,
+                   "The caller went away or cancelled.", "None."},
+    ResultCodeInfo{ResultCode::BackendFailed, "backend-failed", 502,
+                   Ran::Unknown, "The backend server failed during the run.",
+                   "Repeat only if the request is idempotent."},
+    ResultCodeInfo{ResultCode::StreamBroken, "stream-broken", 502, Ran::Unknown,
+                   "The stream ended early at the token that is named.",
+                   "Repeat from that token only if the request is idempotent."},
+    ResultCodeInfo{ResultCode::OutcomeUnknown, "outcome-unknown", 504,
+                   Ran::Unknown, "The backend server fell silent.",
+                   "Repeat with the same key, or check the effect."},
+    ResultCodeInfo{ResultCode::RunningElsewhere, "running-elsewhere", 409,
+                   Ran::Unknown, "The same key is running.",
+                   "Repeat with the same key after the time in Retry-After."},
+    ResultCodeInfo{ResultCode::RejectedVersion, "rejected-version", 409,
+                   Ran::No, "Another change was accepted first.",
+                   "Read the entry again and publish on its new version."},
+    ResultCodeInfo{ResultCode::RejectedOwner, "rejected-owner", 403, Ran::No,
+                   "The entry belongs to another owner.", "Ask its owner."},
+    ResultCodeInfo{ResultCode::RejectedInvalid, "rejected-invalid", 400,
+                   Ran::No, "The entry breaks a rule of the catalogue.",
+                   "Correct the file."},
+    ResultCodeInfo{ResultCode::PublishUnknown, "publish-unknown", 504,
+                   Ran::Unknown, "The log's answer was lost.",
+                   "Repeat with the same change identifier."},
+    ResultCodeInfo{ResultCode::LogUnavailable, "log-unavailable", 503, Ran::No,
+                   "The log service does not answer.",
+                   "Repeat once the log service is back."},
+    ResultCodeInfo{ResultCode::LeaseNotHeld, "lease-not-held", 409, Ran::No,
+                   "The lease is held by another process.", "None."},
+    ResultCodeInfo{ResultCode::FencingRefused, "fencing-refused", 409, Ran::No,
+                   "The order carries an old fencing number.", "None."},
+    ResultCodeInfo{ResultCode::NotInForceYet, "not-in-force-yet", 504, Ran::Yes,
+                   "Accepted, but nodes lag.",
+                   "Run corneldeckctl status to see which."},
+    ResultCodeInfo{ResultCode::BadSettings, "bad-settings", 500, Ran::No,
+                   "A settings file is wrong.", "Correct the file."},
+    ResultCodeInfo{ResultCode::BadMessage, "bad-message", 400, Ran::No,
+                   "A message can't be read.", "Check both sides' versions."},
+    ResultCodeInfo{ResultCode::Timeout, "timeout", 504, Ran::Unknown,
+                   "No answer came in time.", "Repeat if idempotent."},
+    ResultCodeInfo{ResultCode::ConnectionFailed, "connection-failed", 502,
+                   Ran::No, "No connection could be made.",
+                   "Ask another address."},
+    ResultCodeInfo{ResultCode::LogGap, "log-gap", 500, Ran::No,
+                   "Records were lost before they were read.",
+                   "Publish a snapshot from a node that has them."},
+    ResultCodeInfo{ResultCode::Internal, "internal", 500, Ran::Unknown,
+                   "A fault of corneldeck itself.",
+                   "Report it with the time line."},
+};
+
+} // namespace
+
+std::span<const ResultCodeInfo> resultCodes() { return Table; }
+
+const ResultCodeInfo &info(ResultCode Code) {
+  const auto *Row = std::find_if(
+      Table.begin(), Table.end(),
+      [Code](const ResultCodeInfo &Info) { return Info.m_Code == Code; });
+  return Row == Table.end() ? Table.back() : *Row;
+}
+
+std::optional<ResultCode> resultCodeFromNumber(int Number) {
+  const auto *Row = std::find_if(
+      Table.begin(), Table.end(), [Number](const ResultCodeInfo &Info) {
+        return static_cast<int>(Info.m_Code) == Number;
+      });
+  if (Row == Table.end())
+    return std::nullopt;
+  return Row->m_Code;
+}
+
+std::string_view name(Ran Value) {
+  switch (Value) {
+  case Ran::No:
+    return "no";
+  case Ran::Yes:
+    return "yes";
+  case Ran::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+std::string_view name(ResultCode Code) { return info(Code).m_Name; }
+
+} // namespace corneldeck::base
--- /dev/null
+++ b/Tests/Base/TimelineTest.cpp
@@ -0,0 +1,27 @@
+#include "Base/Timeline.h"
+
+#include <gtest/gtest.h>
+
+using namespace corneldeck::base;
+
+TEST(Timeline, CauseSortsBeforeEffectOverSlowClock) {
+  Timeline Fast("fast", 10, [] { return Millis(5000); });
+  Timeline Slow("slow", 10, [] { return Millis(1000); });
+  Fast.record(EventId::AttemptSent);
+  Slow.observe(Fast.stamp());
+  Slow.record(EventId::RunStarted);
+  const auto Merged = mergeTimelines({Slow.events(), Fast.events()});
+  ASSERT_EQ(Merged.size(), 2U);
+  EXPECT_EQ(Merged[0].m_Id, EventId::AttemptSent);
+  EXPECT_EQ(Merged[1].m_Id, EventId::RunStarted);
+}
+
+TEST(Timeline, KeepsTheNewestEventsOnly) {
+  Timeline Ring("node", 2, [] { return Millis(1); });
+  Ring.record(EventId::LinkUp);
+  Ring.record(EventId::LinkSilent);
+  Ring.record(EventId::LinkReplaced);
+  const auto Kept = Ring.events();
+  ASSERT_EQ(Kept.size(), 2U);
+  EXPECT_EQ(Kept.front().m_Id, EventId::LinkSilent);
+}
