--- a/Source/Base/Millis.h
+++ b/Source/Base/Millis.h
@@ -20,7 +20,12 @@
   /// \returns the number of milliseconds.
   [[nodiscard]] constexpr std::int64_t count() const { return m_Count; }
 
-  constexpr auto operator<=>(const Millis &) const = default;
+  constexpr bool operator==(const Millis &Other) const {
+    return m_Count == Other.m_Count;
+  }
+  constexpr std::strong_ordering operator<=>(const Millis &Other) const {
+    return m_Count <=> Other.m_Count;
+  }
 
   constexpr Millis operator+(Millis Other) const {
     return Millis(m_Count + Other.m_Count);
--- a/Source/Fakes/FakeNetwork.cpp
+++ b/Source/Fakes/FakeNetwork.cpp
@@ -11,7 +11,7 @@
 }
 
 void FakeNetwork::send(const std::string &From, const std::string &To,
-                       Delivery Message) {
+                       const Delivery &Message) {
   const Path Way = path(From, To);
   if (Way.m_Cut || m_Random.chance(Way.m_LossRatio))
     return;
--- a/Source/Fakes/FakeNetwork.h
+++ b/Source/Fakes/FakeNetwork.h
@@ -38,7 +38,8 @@
   Path &path(const std::string &From, const std::string &To);
 
   /// Sends a message.
-  void send(const std::string &From, const std::string &To, Delivery Message);
+  void send(const std::string &From, const std::string &To,
+            const Delivery &Message);
 
   /// Cuts or heals both directions between two nodes.
   void setCut(const std::string &A, const std::string &B, bool Cut);
