--- /dev/null
+++ b/Source/Net/PeerLink.h
@@ -0,0 +1,57 @@
+#ifndef CORNELDECK_NET_PEERLINK_H
+#define CORNELDECK_NET_PEERLINK_H
+
+#include "Base/Clock.h"
+#include "Base/Error.h"
+#include "Net/Address.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+namespace corneldeck::wire {
+class PeerMessage;
+} // namespace corneldeck::wire
+
+namespace corneldeck::net {
+
+/// Sends and takes one-way messages between any two processes, over nng.
+///
+/// A message may be lost: what must arrive is asked for again by its user. All
+/// members and the hook run on the thread of the io_context.
+class PeerLink {
+public:
+  /// Larger messages are dropped by the receiver.
+  static constexpr std::size_t MaxMessageBytes = 32U << 20U;
+  /// A connection over which nothing was heard back for this long is replaced
+  /// by a new one, since it may have gone silent.
+  static constexpr base::Millis SilenceTimeout{1500};
+  /// Connections unused for this long are closed.
+  static constexpr base::Millis IdleTimeout{300'000};
+
+  using MessageHook = std::function<void(wire::PeerMessage &)>;
+
+  PeerLink(boost::asio::io_context &Loop, base::Clock Time);
+  ~PeerLink();
+  PeerLink(const PeerLink &) = delete;
+  PeerLink &operator=(const PeerLink &) = delete;
+
+  /// Begins to take messages.
+  /// \returns nothing, or ConnectionFailed if the address can't be bound.
+  base::Result<void> listen(const Address &Where, MessageHook OnMessage);
+
+  /// Sends a message without waiting; drops it if the peer does not read.
+  /// \param Where the peer's listening address.
+  void send(const Address &Where, const wire::PeerMessage &Message);
+
+  /// \returns the number of bytes sent and taken so far, for metrics.
+  [[nodiscard]] std::uint64_t bytes() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> m_Impl;
+};
+
+} // namespace corneldeck::net
+
+#endif
