Catalogue: parse entries and decide changes in offset order

Operators drive the system by publishing entries, so every reader has to decide accept or reject alike. The decision uses version and owner alone; the text is checked before the append and never by readers, since readers of two program versions would else disagree for good.

--- /dev/null
+++ b/Source/Catalogue/EntryParser.cpp
@@ -0,0 +1,232 @@
+#include "Catalogue/EntryParser.h"
+
+#include <set>
+
+namespace corneldeck::catalogue {
+
+namespace {
+
+constexpr double MaxRate = 1e9;
+constexpr double MaxWeight = 1e6;
+constexpr std::int64_t MaxDeadlineMs = 86400000;
+constexpr std::int64_t MaxCapacity = 100000;
+constexpr std::int64_t MaxRank = 4095;
+constexpr std::size_t MaxNameBytes = 128;
+constexpr std::size_t MaxFileBytes = 262144;
+
+/// Reads a name, which appears in paths, logs and metrics.
+std::string readName(YamlFields &Fields, const std::string &Key) {
+  std::string Name = Fields.requiredText(Key);
+  const bool Plain =
+      Name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUV"
+                             "WXYZ0123456789-_.") == std::string::npos;
+  if (!Plain || Name.size() > MaxNameBytes)
+    Fields.report(Key, "letters, digits, '-', '_' and '.', 128 at most",
+                  "shorten or rename '" + Name + "'");
+  return Name;
+}
+
+CustomerLimit readCustomer(YamlFields &Fields) {
+  CustomerLimit Limit;
+  Limit.m_Name = readName(Fields, "name");
+  if (!Fields.has("requests_per_s"))
+    Fields.report("requests_per_s", "a number above 0", "add the key");
+  Limit.m_RequestsPerS = Fields.number("requests_per_s", 0, 0.001, MaxRate);
+  Limit.m_TokensPerS = Fields.number("tokens_per_s", 0, 0, MaxRate);
+  Limit.m_Share = Fields.number("share", 1, 0.001, MaxWeight);
+  Fields.finish();
+  return Limit;
+}
+
+std::optional<RankPlace> readRankPlace(YamlFields &Fields) {
+  const std::string Group = Fields.text("group", "");
+  const std::int64_t Rank = Fields.integer("rank", 0, 0, MaxRank);
+  if (Fields.has("group") != Fields.has("rank"))
+    Fields.report(Fields.has("group") ? "group" : "rank",
+                  "both group and rank, or neither",
+                  "add the other key or remove this one");
+  if (Group.empty())
+    return std::nullopt;
+  return RankPlace{Group, static_cast<std::uint32_t>(Rank)};
+}
+
+BackendServer readBackendServer(YamlFields &Fields) {
+  BackendServer Server;
+  Server.m_Name = readName(Fields, "name");
+  Server.m_LinkAddress = Fields.requiredAddress("link");
+  Server.m_ControlAddress = Fields.requiredAddress("control");
+  Server.m_Zone = readName(Fields, "zone");
+  Server.m_Capacity =
+      static_cast<std::uint32_t>(Fields.integer("capacity", 1, 1, MaxCapacity));
+  Server.m_EnforcesFencing = Fields.flag("enforces_fencing", false);
+  Server.m_RankPlace = readRankPlace(Fields);
+  Fields.finish();
+  return Server;
+}
+
+void readCustomers(YamlFields &Fields, Entry &Result) {
+  std::set<std::string> Names;
+  for (YamlFields &Item : Fields.maps("customers")) {
+    Result.m_Customers.push_back(readCustomer(Item));
+    const std::string &Name = Result.m_Customers.back().m_Name;
+    if (!Name.empty() && !Names.insert(Name).second)
+      Item.report("name", "a name used once", "merge both '" + Name + "'");
+  }
+}
+
+/// Notes \p Value as used; reports a second use.
+void checkUnique(YamlFields &Item, const std::string &Key,
+                 const std::string &Value, std::set<std::string> &Seen) {
+  if (!Value.empty() && !Seen.insert(Value).second)
+    Item.report(Key, "a value used once in the entry",
+                "give each backend server its own; '" + Value +
+                    "' stands twice");
+}
+
+void readBackendServers(YamlFields &Fields, Entry &Result) {
+  std::set<std::string> Names;
+  std::set<std::string> Addresses;
+  std::set<std::string> Places;
+  for (YamlFields &Item : Fields.maps("backend_servers")) {
+    const BackendServer Server = readBackendServer(Item);
+    checkUnique(Item, "name", Server.m_Name, Names);
+    checkUnique(Item, "link", Server.m_LinkAddress, Addresses);
+    checkUnique(Item, "control", Server.m_ControlAddress, Addresses);
+    if (Server.m_RankPlace)
+      checkUnique(Item, "rank",
+                  Server.m_RankPlace->m_Group + "/" +
+                      std::to_string(Server.m_RankPlace->m_Rank),
+                  Places);
+    Result.m_BackendServers.push_back(Server);
+  }
+  if (!Fields.has("backend_servers"))
+    Fields.report("backend_servers", "a list of backend servers",
+                  "add the key; [] if there are none yet");
+}
+
+void readWeights(YamlFields &Fields, Entry &Result) {
+  std::optional<YamlFields> Map = Fields.map("weights");
+  if (!Map)
+    return;
+  Result.m_Weights.m_Skew = Map->number("skew", 1, 0, MaxWeight);
+  Result.m_Weights.m_Cost = Map->number("cost", 1, 0, MaxWeight);
+  if (Result.m_Weights.m_Skew + Result.m_Weights.m_Cost <= 0)
+    Map->report("", "a weight above 0", "raise skew or cost");
+  Map->finish();
+}
+
+void readDeadlines(YamlFields &Fields, Entry &Result) {
+  std::optional<YamlFields> Map = Fields.map("deadlines");
+  if (!Map)
+    return;
+  Deadlines &Target = Result.m_Deadlines;
+  Target.m_Default = base::Millis(
+      Map->integer("default_ms", Target.m_Default.count(), 1, MaxDeadlineMs));
+  Target.m_Max = base::Millis(
+      Map->integer("max_ms", Target.m_Max.count(), 1, MaxDeadlineMs));
+  if (Target.m_Default > Target.m_Max)
+    Map->report("default_ms", "at most max_ms", "lower it or raise max_ms");
+  Map->finish();
+}
+
+void readIdempotency(YamlFields &Fields, Entry &Result) {
+  std::optional<YamlFields> Map = Fields.map("idempotent");
+  if (!Map)
+    return;
+  Result.m_IdempotentByDefault = Map->flag("default", false);
+  Result.m_IdempotencyExceptions = Map->texts("except_paths");
+  for (const std::string &Path : Result.m_IdempotencyExceptions)
+    if (!Path.starts_with('/'))
+      Map->report("except_paths", "paths that start with '/'",
+                  "correct '" + Path + "'");
+  Map->finish();
+}
+
+void readBiddingWindow(YamlFields &Fields, Entry &Result) {
+  std::optional<YamlFields> Map = Fields.map("bidding_window");
+  if (!Map)
+    return;
+  Result.m_BiddingWindow.m_Open = Map->flag("open", false);
+  Result.m_BiddingWindow.m_Rebalancing = Map->flag("rebalancing", true);
+  Map->finish();
+}
+
+Entry readEntry(YamlFields &Fields) {
+  Entry Result;
+  Result.m_Name = readName(Fields, "name");
+  Result.m_Owner = readName(Fields, "owner");
+  Result.m_Kind =
+      kindFromName(Fields.oneOf("kind", {"model", "service"})).value();
+  Result.m_Class =
+      serviceClassFromName(
+          Fields.oneOf("class", {"interactive", "standard", "batch"}))
+          .value();
+  readCustomers(Fields, Result);
+  readBackendServers(Fields, Result);
+  readWeights(Fields, Result);
+  readDeadlines(Fields, Result);
+  readIdempotency(Fields, Result);
+  readBiddingWindow(Fields, Result);
+  Fields.finish();
+  return Result;
+}
+
+void readDocument(const YAML::Node &Document, const std::string &File,
+                  ParsedFile &Result) {
+  if (!Document.IsMap()) {
+    Result.m_Problems.push_back({File, Document.Mark().line + 1, "(document)",
+                                 "a mapping with the keys of an entry",
+                                 "start with 'name: ...'"});
+    return;
+  }
+  YamlFields Fields(Document, File, "", Result.m_Problems);
+  ParsedEntry Parsed;
+  Parsed.m_Entry = readEntry(Fields);
+  YAML::Emitter Out;
+  Out << Document;
+  Parsed.m_Body = std::string(Out.c_str(), Out.size()) + "\n";
+  for (const ParsedEntry &Other : Result.m_Entries)
+    if (Other.m_Entry.m_Name == Parsed.m_Entry.m_Name)
+      Fields.report("name", "each entry once in a file", "remove one of both");
+  Result.m_Entries.push_back(std::move(Parsed));
+}
+
+} // namespace
+
+ParsedFile parseEntries(const std::string &Text, const std::string &File) {
+  ParsedFile Result;
+  if (Text.size() > MaxFileBytes) {
+    Result.m_Problems.push_back(
+        {File, 1, "(file)", "256 KiB at most", "split the file"});
+    return Result;
+  }
+  try {
+    for (const YAML::Node &Document : YAML::LoadAll(Text))
+      if (!Document.IsNull())
+        readDocument(Document, File, Result);
+  } catch (const YAML::Exception &Wrong) {
+    Result.m_Problems.push_back({File, Wrong.mark.line + 1, "(syntax)", "YAML",
+                                 "correct it: " + Wrong.msg});
+    return Result;
+  }
+  if (Result.m_Entries.empty() && Result.m_Problems.empty())
+    Result.m_Problems.push_back(
+        {File, 1, "(file)", "one entry or more", "add an entry"});
+  return Result;
+}
+
+base::Result<Entry> parseEntry(const std::string &Text,
+                               const std::string &File) {
+  ParsedFile Parsed = parseEntries(Text, File);
+  if (Parsed.m_Problems.empty() && Parsed.m_Entries.size() != 1)
+    Parsed.m_Problems.push_back(
+        {File, 1, "(file)", "one entry", "split the file"});
+  if (Parsed.m_Problems.empty())
+    return std::move(Parsed.m_Entries.front().m_Entry);
+  std::string Message;
+  for (const Problem &Wrong : Parsed.m_Problems)
+    Message += (Message.empty() ? "" : "\n") + Wrong.text();
+  return base::failure(base::ResultCode::RejectedInvalid, Message);
+}
+
+} // namespace corneldeck::catalogue
--- /dev/null
+++ b/Source/Catalogue/View.h
@@ -0,0 +1,70 @@
+#ifndef CORNELDECK_CATALOGUE_VIEW_H
+#define CORNELDECK_CATALOGUE_VIEW_H
+
+#include "Catalogue/Entry.h"
+#include "Catalogue/State.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace corneldeck::catalogue {
+
+/// An immutable picture of the catalogue for the traffic threads.
+class View {
+public:
+  using EntryMap =
+      std::map<std::string, std::shared_ptr<const Entry>, std::less<>>;
+
+  View() = default;
+  View(std::uint64_t Offset, EntryMap Entries,
+       std::map<std::string, std::string> Unreadable);
+
+  /// \returns the log offset that this picture is of.
+  [[nodiscard]] std::uint64_t offset() const { return m_Offset; }
+
+  /// \returns the entry named \p Name, or null.
+  [[nodiscard]] std::shared_ptr<const Entry> find(std::string_view Name) const;
+
+  /// \returns the entries by name, without deleted and unreadable ones.
+  [[nodiscard]] const EntryMap &entries() const { return m_Entries; }
+
+  /// \returns the accepted entries that this program version can't read, with
+  /// the reason. Requests for them are refused.
+  [[nodiscard]] const std::map<std::string, std::string> &unreadable() const {
+    return m_Unreadable;
+  }
+
+private:
+  std::uint64_t m_Offset = 0;
+  EntryMap m_Entries;
+  std::map<std::string, std::string> m_Unreadable;
+};
+
+using ViewPtr = std::shared_ptr<const View>;
+
+/// Makes views and parses only the entries that changed since the last one.
+class ViewBuilder {
+public:
+  /// \returns a picture of \p Current.
+  ViewPtr build(const State &Current);
+
+private:
+  struct Parsed {
+    std::uint64_t m_Version = 0;
+    std::uint64_t m_Offset = 0;
+    /// Null if the text can't be read.
+    std::shared_ptr<const Entry> m_Entry;
+    std::string m_Reason;
+  };
+
+  const Parsed &parsed(const std::string &Name, const VersionedEntry &Source);
+
+  std::map<std::string, Parsed> m_Cache;
+};
+
+} // namespace corneldeck::catalogue
+
+#endif
--- /dev/null
+++ b/Source/Catalogue/YamlFields.h
@@ -0,0 +1,82 @@
+#ifndef CORNELDECK_CATALOGUE_YAMLFIELDS_H
+#define CORNELDECK_CATALOGUE_YAMLFIELDS_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+#include <yaml-cpp/yaml.h>
+
+namespace corneldeck::catalogue {
+
+/// One thing wrong with a YAML file.
+struct Problem {
+  std::string m_File;
+  /// Counted from 1.
+  int m_Line = 0;
+  /// Path of the key, such as "customers[2].requests_per_s".
+  std::string m_Key;
+  std::string m_Expected;
+  std::string m_WhatToDo;
+
+  /// \returns the problem as one line of text.
+  [[nodiscard]] std::string text() const;
+
+  bool operator==(const Problem &) const = default;
+};
+
+/// Reads the keys of one YAML mapping and collects every problem found.
+///
+/// Call the readers for the known keys, then finish() to report the others.
+class YamlFields {
+public:
+  /// \param Map the mapping. \param Path the key path of the mapping.
+  /// \param Problems gets what is wrong; it must outlive this object.
+  YamlFields(const YAML::Node &Map, std::string File, std::string Path,
+             std::vector<Problem> &Problems);
+
+  /// \returns a text that must be there and not be empty; "" if it is not.
+  std::string requiredText(const std::string &Key);
+  std::string text(const std::string &Key, const std::string &Default);
+  /// \returns an "IP:PORT" that must be there.
+  std::string requiredAddress(const std::string &Key);
+  double number(const std::string &Key, double Default, double Min, double Max);
+  std::int64_t integer(const std::string &Key, std::int64_t Default,
+                       std::int64_t Min, std::int64_t Max);
+  bool flag(const std::string &Key, bool Default);
+  /// \returns the text if it is one of \p Allowed; the first if it is not.
+  std::string oneOf(const std::string &Key,
+                    const std::vector<std::string> &Allowed);
+  std::vector<std::string> texts(const std::string &Key);
+  /// \returns the mapping below \p Key, if there is one.
+  std::optional<YamlFields> map(const std::string &Key);
+  /// \returns the mappings in the list below \p Key.
+  std::vector<YamlFields> maps(const std::string &Key);
+  [[nodiscard]] bool has(const std::string &Key) const;
+
+  /// Adds a problem with \p Key, or with the whole mapping if it is empty.
+  void report(const std::string &Key, std::string Expected,
+              std::string WhatToDo);
+
+  /// Reports every key that no reader asked for.
+  void finish();
+
+private:
+  YAML::Node find(const std::string &Key);
+  [[nodiscard]] std::string pathOf(const std::string &Key) const;
+  std::string scalar(const std::string &Key, const std::string &Expected);
+
+  YAML::Node m_Map;
+  std::string m_File;
+  std::string m_Path;
+  std::vector<Problem> *m_Problems;
+  std::vector<std::string> m_Known;
+};
+
+/// \returns whether \p Text is an IP number and a port, such as "10.0.0.1:80".
+bool isAddress(std::string_view Text);
+
+} // namespace corneldeck::catalogue
+
+#endif
