--- /dev/null
+++ b/Source/Catalogue/Follower.h
@@ -0,0 +1,175 @@
+#ifndef CORNELDECK_CATALOGUE_FOLLOWER_H
+#define CORNELDECK_CATALOGUE_FOLLOWER_H
+
+#include "Catalogue/Freshness.h"
+#include "Catalogue/LogClient.h"
+#include "Catalogue/State.h"
+#include "Lease/LeaseTable.h"
+#include "Wire/Peer.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace corneldeck::catalogue {
+
+/// Mistakes that the proofs plant; all off in the product.
+struct FollowerPlants {
+  /// Loads each snapshot that it reads, also over newer records.
+  bool m_SnapshotUndoesLater = false;
+  /// Goes on from the oldest retained record after a gap.
+  bool m_SkipGap = false;
+  /// Takes whatever a peer offers.
+  bool m_AnyPeerSnapshot = false;
+};
+
+/// How a follower is set.
+struct FollowerSettings {
+  std::string m_Node;
+  std::uint32_t m_ReadLimit = 500;
+  /// How long the log may hold back a read's answer until a record comes.
+  base::Millis m_LongPoll = base::seconds(1);
+  /// A read without an answer counts as failed this long after m_LongPoll.
+  base::Millis m_ReadTimeout = base::seconds(2);
+  base::Millis m_RetryDelay = base::Millis(250);
+  base::Millis m_PeerAskDelay = base::Millis(500);
+  /// A snapshot is written this long after the last one. The log must keep
+  /// records for at least three times as long.
+  base::Millis m_SnapshotInterval = base::minutes(2);
+  /// Set on the nodes that may write snapshots.
+  bool m_WritesSnapshots = true;
+  FreshnessSettings m_Freshness;
+  FollowerPlants m_Plants;
+};
+
+/// Something that operators should see.
+enum class FollowerEvent {
+  LogUnavailable,
+  LogBack,
+  LogGap,
+  SnapshotLoaded,
+  FromPeer
+};
+
+/// What the caller is to do for the follower.
+struct FollowerActions {
+  std::vector<ReadRequest> m_Reads;
+  /// Ask this peer for its catalogue.
+  std::optional<std::string> m_AskPeer;
+  /// Append this snapshot.
+  std::optional<wire::LogRecord> m_Append;
+  /// The state moved on.
+  bool m_Changed = false;
+  std::vector<FollowerEvent> m_Events;
+};
+
+/// Follows the log and keeps the catalogue and the leases as of one offset.
+///
+/// The offset never goes back. A start, or a gap between the state and the
+/// oldest retained record, needs a snapshot that covers the gap, from the log
+/// or from a peer; without one the follower reports LogGap and stays as it is.
+class Follower {
+public:
+  explicit Follower(FollowerSettings Settings, base::Millis Now);
+
+  /// Sends reads, asks peers and writes snapshots when they are due.
+  FollowerActions tick(base::Millis Now);
+
+  /// Takes the answer to a read.
+  FollowerActions readAnswered(base::Millis Now, std::uint64_t ReadId,
+                               const base::Result<ReadAnswer> &Answer);
+
+  /// Names the peers that share the catalogue, without this process.
+  void setPeers(const std::vector<std::string> &Peers);
+
+  /// A peer told its catalogue's offset and the highest offset it heard of.
+  void peerHeard(base::Millis Now, const std::string &Peer,
+                 std::uint64_t CatalogueOffset, std::uint64_t LogOffset);
+
+  /// \returns this catalogue for a peer that has less, else none.
+  [[nodiscard]] std::optional<wire::CatalogueReply>
+  answerPeer(const wire::CatalogueAsk &Ask) const;
+
+  /// Takes a peer's catalogue if it is newer.
+  FollowerActions peerSnapshot(base::Millis Now,
+                               const wire::CatalogueSnapshot &Snapshot);
+
+  /// Takes records that a peer relayed from the log's tail.
+  FollowerActions tailHeard(base::Millis Now, const wire::LogTail &Tail);
+
+  /// Asks for a read at the next tick() that the log answers at once.
+  void requestRead() { m_ReadNow = true; }
+
+  /// \returns whether the node may admit requests: it holds a catalogue that is
+  /// not too old.
+  [[nodiscard]] bool ready(base::Millis Now) const;
+
+  /// \returns whether a catalogue was in force here and is now too old.
+  [[nodiscard]] bool tooOld(base::Millis Now) const;
+
+  /// \returns the send time of the newest read whose records are all applied.
+  [[nodiscard]] base::Millis currentAsOf() const { return m_CurrentAsOf; }
+
+  [[nodiscard]] bool logReachable() const { return m_LogReachable; }
+  [[nodiscard]] bool hasGap() const { return m_GapReported; }
+  [[nodiscard]] const State &state() const { return m_State; }
+  [[nodiscard]] const lease::LeaseTable &leases() const { return m_Leases; }
+  [[nodiscard]] std::uint64_t heardOffset() const {
+    return m_Freshness.heardOffset();
+  }
+
+private:
+  void ingest(base::Millis Now, const ReadAnswer &Answer,
+              FollowerActions &Actions);
+  void applyPending(base::Millis Now, FollowerActions &Actions);
+  void applyOne(base::Millis Now, const PositionedRecord &Item);
+  void loadFromPending(base::Millis Now, FollowerActions &Actions);
+  void load(base::Millis Now, const wire::CatalogueSnapshot &Snapshot);
+  void begin(base::Millis Now);
+  void noteApplied(base::Millis Now);
+  void setReachable(bool Reachable, FollowerActions &Actions);
+  void sendRead(base::Millis Now, base::Millis Wait, FollowerActions &Actions);
+  void expireReads(base::Millis Now, FollowerActions &Actions);
+  void askPeers(base::Millis Now, FollowerActions &Actions);
+  void writeSnapshot(base::Millis Now, FollowerActions &Actions);
+  [[nodiscard]] bool missing() const;
+
+  const FollowerSettings m_Settings;
+  State m_State;
+  lease::LeaseTable m_Leases;
+  Freshness m_Freshness;
+  /// Set once the state is the whole catalogue as of its offset.
+  bool m_Loaded = false;
+  /// Set once the state was fresh enough to admit requests by.
+  bool m_Begun = false;
+  bool m_LogReachable = false;
+  bool m_LogTried = false;
+  bool m_GapReported = false;
+  bool m_ReadNow = false;
+  base::Millis m_CurrentAsOf{-1};
+  /// Offset to read from next, ahead of the state while a gap is open.
+  std::uint64_t m_Cursor = 1;
+  /// Records read ahead of the state, without holes among them.
+  std::map<std::uint64_t, wire::LogRecord> m_Pending;
+  std::uint64_t m_NextReadId = 1;
+  /// Reads without an answer: when each was sent and when it counts as failed.
+  struct OpenRead {
+    base::Millis m_SentAt{};
+    base::Millis m_Deadline{};
+    /// Set if the log is to answer at once.
+    bool m_Quick = false;
+  };
+  std::map<std::uint64_t, OpenRead> m_OpenReads;
+  base::Millis m_NextRead{};
+  base::Millis m_NextAsk{};
+  std::map<std::string, std::uint64_t> m_PeerOffsets;
+  base::Millis m_LastSnapshot{};
+  std::uint64_t m_LastSnapshotOffset = 0;
+  base::Millis m_NextSnapshotTry{};
+};
+
+} // namespace corneldeck::catalogue
+
+#endif
--- /dev/null
+++ b/Source/Catalogue/Freshness.h
@@ -0,0 +1,75 @@
+#ifndef CORNELDECK_CATALOGUE_FRESHNESS_H
+#define CORNELDECK_CATALOGUE_FRESHNESS_H
+
+#include "Base/Millis.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace corneldeck::catalogue {
+
+/// Bounds on how long a node goes on without news.
+struct FreshnessSettings {
+  /// A node that heard of an offset and can't fetch it stops after this time.
+  base::Millis m_StaleBound = base::seconds(10);
+  /// A node without the log and without half of its peers stops after this.
+  base::Millis m_SilenceBound = base::seconds(10);
+  /// A start without the log waits this long to hear from all peers.
+  base::Millis m_PeerSettle = base::seconds(3);
+};
+
+/// Judges whether a catalogue is fresh enough to admit requests by.
+class Freshness {
+public:
+  Freshness(FreshnessSettings Settings, base::Millis Now);
+
+  void setPeers(const std::vector<std::string> &Peers);
+
+  /// The log said that records up to and with \p LastOffset exist.
+  void logHeard(base::Millis Now, std::uint64_t LastOffset);
+
+  /// A peer spoke of \p LastOffset.
+  void peerHeard(base::Millis Now, const std::string &Peer,
+                 std::uint64_t LastOffset);
+
+  /// All records up to and with \p Offset are applied.
+  void applied(base::Millis Now, std::uint64_t Offset);
+
+  /// \returns whether an offset heard of has been missing for too long, or
+  /// the log and more than half of the peers have been silent for too long.
+  [[nodiscard]] bool tooOld(base::Millis Now) const;
+
+  /// \returns whether a started node knows enough to begin: nothing higher
+  /// heard of is missing, and the log has been read to its end or every peer
+  /// was heard or waited for.
+  [[nodiscard]] bool mayBegin(base::Millis Now, bool ReadToEnd) const;
+
+  [[nodiscard]] std::uint64_t heardOffset() const { return m_Heard; }
+
+private:
+  void hear(base::Millis Now, std::uint64_t Offset);
+  [[nodiscard]] bool inContact(base::Millis Now) const;
+
+  /// An offset and when it was heard of.
+  struct Mark {
+    std::uint64_t m_Offset = 0;
+    base::Millis m_At{};
+  };
+
+  const FreshnessSettings m_Settings;
+  const base::Millis m_StartedAt;
+  std::uint64_t m_Heard = 0;
+  std::uint64_t m_Applied = 0;
+  base::Millis m_LastLog{};
+  /// When each peer was last heard; none before the first time.
+  std::map<std::string, base::Millis> m_Peers;
+  /// Offsets heard of and not applied, thinned out.
+  std::deque<Mark> m_Marks;
+};
+
+} // namespace corneldeck::catalogue
+
+#endif
--- /dev/null
+++ b/Source/Lease/LeaseTable.h
@@ -0,0 +1,69 @@
+#ifndef CORNELDECK_LEASE_LEASETABLE_H
+#define CORNELDECK_LEASE_LEASETABLE_H
+
+#include "Base/Millis.h"
+#include "Wire/Log.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace corneldeck::lease {
+
+/// Shortest and longest term of a valid claim.
+constexpr base::Millis MinTerm = base::seconds(1);
+constexpr base::Millis MaxTerm = base::minutes(1);
+
+/// \returns the margin that a holder takes off \p Term and others add to it.
+///
+/// An eighth on both sides keeps them apart while the rates of any two clocks
+/// differ by less than a quarter.
+constexpr base::Millis margin(base::Millis Term) { return Term / 8; }
+
+/// The newest valid record of one lease.
+struct LeaseRecord {
+  std::string m_Holder;
+  /// Offset of the holder's first claim; renewals keep it.
+  std::uint64_t m_FencingNumber = 0;
+  /// Offset of this record, which the next claim must name.
+  std::uint64_t m_Offset = 0;
+  std::string m_AppendId;
+  base::Millis m_Term{};
+  bool m_Released = false;
+  /// When this process read the record.
+  base::Millis m_ReadAt{};
+};
+
+/// The leases as of an offset of the log.
+///
+/// Whether a claim is valid depends on offset order alone, so all readers
+/// agree. When a lease has lapsed depends on this process's clock and only
+/// decides whether to claim it.
+class LeaseTable {
+public:
+  /// Applies the claim at \p Offset, read at \p Now.
+  /// \returns whether it is valid.
+  bool apply(base::Millis Now, std::uint64_t Offset,
+             const std::string &AppendId, const wire::LeaseClaim &Claim);
+
+  /// \returns the newest record of \p Name, or null.
+  [[nodiscard]] const LeaseRecord *find(std::string_view Name) const;
+
+  /// \returns whether \p Name can be claimed by a process that is not its
+  /// holder: unclaimed, released, or its term and margin over since the read.
+  [[nodiscard]] bool isFree(base::Millis Now, std::string_view Name) const;
+
+  /// Replaces the table by a snapshot; all terms count from \p Now.
+  void load(base::Millis Now, const wire::CatalogueSnapshot &Snapshot);
+
+  /// Adds the leases to \p Snapshot.
+  void save(wire::CatalogueSnapshot &Snapshot) const;
+
+private:
+  std::map<std::string, LeaseRecord, std::less<>> m_Leases;
+};
+
+} // namespace corneldeck::lease
+
+#endif
