Membership: watch links, track nodes, advise addresses, choose subsets

Soft state only. The VM list lags: it never makes a node alive and only takes new work away. Where it may mean the former VM at an address, its word counts until it changes, since wrong work would be cut off while a wrong refusal costs capacity for the lag alone.

--- /dev/null
+++ b/Source/Membership/AddressAdvisor.cpp
@@ -0,0 +1,47 @@
+#include "Membership/AddressAdvisor.h"
+
+#include <algorithm>
+
+namespace corneldeck::membership {
+
+namespace {
+
+/// Time for a last answer on its way to the caller.
+constexpr base::Millis AnswerTransit = base::seconds(1);
+
+} // namespace
+
+Advice AddressAdvisor::advise(base::Millis Now, const Members &Entries,
+                              const std::string &Zone) {
+  std::vector<std::string> Near;
+  std::vector<std::string> Far;
+  for (const Member &Entry : Entries.all()) {
+    if (!Entries.takesNewWork(Now, Entry.m_Node))
+      continue;
+    std::vector<std::string> &Target = Entry.m_Zone == Zone ? Near : Far;
+    Target.push_back(Entry.m_Address);
+  }
+  const std::uint64_t Turn = m_Turn++;
+  for (std::vector<std::string> *Part : {&Near, &Far}) {
+    if (Part->empty())
+      continue;
+    const auto Shift = static_cast<std::ptrdiff_t>(Turn % Part->size());
+    std::rotate(Part->begin(), Part->begin() + Shift, Part->end());
+  }
+  Advice Result;
+  Result.m_Lifetime = m_Settings.m_Lifetime;
+  Result.m_Addresses = std::move(Near);
+  Result.m_Addresses.insert(Result.m_Addresses.end(), Far.begin(), Far.end());
+  if (Result.m_Addresses.size() > m_Settings.m_MaxAddresses)
+    Result.m_Addresses.resize(m_Settings.m_MaxAddresses);
+  return Result;
+}
+
+base::Millis AddressAdvisor::serveUntil(base::Millis LeftAt,
+                                        const MemberSettings &Members) const {
+  // An entry that misses the notice stops naming this one when it has been
+  // silent for m_SilentAfter.
+  return LeftAt + Members.m_SilentAfter + AnswerTransit + m_Settings.m_Lifetime;
+}
+
+} // namespace corneldeck::membership
--- /dev/null
+++ b/Tests/Membership/MembersTest.cpp
@@ -0,0 +1,107 @@
+#include "Membership/AddressAdvisor.h"
+#include "Membership/Subset.h"
+
+#include <algorithm>
+#include <gmock/gmock.h>
+
+using namespace corneldeck;
+using base::Millis;
+using membership::Members;
+using ::testing::Contains;
+using ::testing::Not;
+
+namespace {
+
+membership::MemberNews news(const std::string &Node, std::uint64_t Incarnation,
+                            const std::string &Address,
+                            const std::string &Zone = "kadikoy",
+                            bool Leaving = false) {
+  return {Node, Incarnation, Address, Zone, Leaving};
+}
+
+} // namespace
+
+TEST(Members, NewVmAtTheSameAddressReplacesTheOldNode) {
+  Members Nodes({});
+  Nodes.heard(Millis(0), news("old", 1, "10.0.0.1:80"));
+  Nodes.vmList({{"10.0.0.1:0", true}});
+  Nodes.heard(Millis(10), news("new", 2, "10.0.0.1:80"));
+  EXPECT_FALSE(Nodes.alive(Millis(10), "old"));
+  EXPECT_TRUE(Nodes.alive(Millis(10), "new"));
+}
+
+TEST(Members, LateNewsOfAnEarlierIncarnationAreDropped) {
+  Members Nodes({});
+  Nodes.heard(Millis(0), news("a", 7, "10.0.0.1:80"));
+  EXPECT_FALSE(
+      Nodes.heard(Millis(5), news("a", 6, "10.0.0.1:80", "kadikoy", true)));
+  EXPECT_TRUE(Nodes.takesNewWork(Millis(5), "a"));
+}
+
+TEST(Members, VmListNeverMakesANodeAliveAndTakesWorkFromALeavingOne) {
+  Members Nodes({});
+  Nodes.vmList({{"10.0.0.1:0", false}, {"10.0.0.2:0", false}});
+  EXPECT_TRUE(Nodes.all().empty());
+  Nodes.heard(Millis(0), news("a", 1, "10.0.0.1:80"));
+  Nodes.vmList({{"10.0.0.1:0", true}});
+  EXPECT_FALSE(Nodes.takesNewWork(Millis(10), "a"));
+  EXPECT_TRUE(Nodes.alive(Millis(10), "a"));
+}
+
+TEST(Members, RestartAtALeavingVmTakesNoWorkUntilTheListChanges) {
+  Members Nodes({});
+  Nodes.heard(Millis(0), news("a", 1, "10.0.0.1:80"));
+  Nodes.vmList({{"10.0.0.1:0", true}});
+  Nodes.heard(Millis(10), news("a", 2, "10.0.0.1:80"));
+  EXPECT_FALSE(Nodes.takesNewWork(Millis(10), "a"));
+  Nodes.vmList({{"10.0.0.1:0", false}});
+  EXPECT_TRUE(Nodes.takesNewWork(Millis(10), "a"));
+}
+
+TEST(AddressAdvisor, SpreadsCallersOverTheirZoneFirst) {
+  Members Nodes({});
+  for (int Index = 0; Index < 9; ++Index)
+    Nodes.heard(Millis(0), news("e" + std::to_string(Index), 1,
+                                "10.0.0." + std::to_string(Index) + ":80",
+                                "z" + std::to_string(Index % 3)));
+  membership::AddressAdvisor Advisor({});
+  std::map<std::string, int> First;
+  for (int Ask = 0; Ask < 300; ++Ask)
+    ++First[Advisor.advise(Millis(1), Nodes, "z1").m_Addresses.front()];
+  EXPECT_EQ(First.size(), 3U);
+  for (const auto &[Address, Count] : First)
+    EXPECT_EQ(Count, 100);
+  EXPECT_EQ(Advisor.advise(Millis(1), Nodes, "z1").m_Addresses.size(), 9U);
+}
+
+TEST(AddressAdvisor, LeavingEntryServesUntilEveryAnswerNamingItExpired) {
+  const membership::MemberSettings Settings;
+  Members Peer(Settings);
+  membership::AddressAdvisor Advisor({});
+  Peer.heard(Millis(0), news("e", 1, "10.0.0.1:80"));
+  // The peer misses the notice: it names the entry until that falls silent.
+  Millis LastNamed(0);
+  for (Millis Now(0); Now < base::seconds(10); Now += Millis(10))
+    if (!Advisor.advise(Now, Peer, "").m_Addresses.empty())
+      LastNamed = Now;
+  const Millis Until = Advisor.serveUntil(Millis(0), Settings);
+  EXPECT_GE(Until, LastNamed + Advisor.advise(Millis(0), Peer, "").m_Lifetime);
+}
+
+TEST(Subset, IsStableAndHalfNear) {
+  std::vector<membership::Candidate> Nodes;
+  for (int Index = 0; Index < 40; ++Index)
+    Nodes.push_back({"a" + std::to_string(Index), Index % 4 ? "far" : "near"});
+  const auto Before = membership::chooseSubset("me", "near", Nodes, 8);
+  EXPECT_EQ(Before.size(), 8U);
+  const auto Gone = std::find_if(Nodes.begin(), Nodes.end(), [&](auto &Node) {
+    return Node.m_Node == Before.front();
+  });
+  Nodes.erase(Gone);
+  const auto After = membership::chooseSubset("me", "near", Nodes, 8);
+  std::vector<std::string> Same;
+  std::set_intersection(Before.begin(), Before.end(), After.begin(),
+                        After.end(), std::back_inserter(Same));
+  EXPECT_EQ(Same.size(), 7U);
+  EXPECT_THAT(After, Not(Contains(Before.front())));
+}
