Net: serve and send HTTP

Callers, operators, engines and the platform's services all speak HTTP. The server keeps one read pending while a request is handled, so that a caller who goes away is noticed, bounds heads, bodies, connections and queued output, and joins the pieces queued in one turn into one write. The client says whether a failed request may have run and never sends one twice; a kept connection is replaced only if it turns out to be closed before any byte was written.

--- /dev/null
+++ b/Source/Net/HttpClientConnection.cpp
@@ -0,0 +1,344 @@
+#include "Net/HttpClientConnection.h"
+
+#include "Net/Endpoint.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <sys/socket.h>
+
+namespace corneldeck::net::detail {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t ReadBytes = 16 * KiB;
+constexpr std::size_t KeptBufferBytes = 64 * KiB;
+constexpr unsigned FirstFinalStatus = 200;
+
+std::string formatRequest(const HttpCall &Call) {
+  constexpr std::size_t HeadEstimate = 512;
+  std::string Out;
+  Out.reserve(HeadEstimate + Call.m_Body.size());
+  Out.append(Call.m_Method).append(" ").append(Call.m_Target);
+  Out.append(" HTTP/1.1\r\nHost: ").append(Call.m_Address).append("\r\n");
+  for (const HttpHeader &Header : Call.m_Headers)
+    Out.append(Header.m_Name)
+        .append(": ")
+        .append(Header.m_Value)
+        .append("\r\n");
+  if (!Call.m_Body.empty() || Call.m_Method != "GET")
+    Out.append("Content-Length: ")
+        .append(std::to_string(Call.m_Body.size()))
+        .append("\r\n");
+  Out.append("\r\n").append(Call.m_Body);
+  return Out;
+}
+
+HttpAnswerHead readHead(const http::response<http::string_body> &Message) {
+  HttpAnswerHead Head;
+  Head.m_Status = static_cast<int>(Message.result_int());
+  for (const auto &Field : Message)
+    Head.m_Headers.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
+  return Head;
+}
+
+} // namespace
+
+HttpClientConnection::HttpClientConnection(
+    const std::shared_ptr<HttpClientState> &State, std::string Address)
+    : m_Address(std::move(Address)), m_State(State),
+      m_Options(State->m_Options), m_Socket(State->m_Context),
+      m_Timer(State->m_Context) {}
+
+void HttpClientConnection::run(const std::shared_ptr<HttpClientCall> &Call) {
+  m_Call = Call;
+  Call->m_Connection = weak_from_this();
+  m_Reused = m_Connected;
+  m_Sent = false;
+  m_HeadDone = false;
+  m_Begun = m_Clock.now();
+  m_LastByte = m_Begun;
+  m_Parser.emplace();
+  m_Parser->eager(true);
+  m_Parser->header_limit(m_Options.m_MaxHeadBytes);
+  m_Parser->body_limit(boost::none);
+  if (Call->m_Request.m_Method == "HEAD")
+    m_Parser->skip(true);
+  armTimer();
+  if (m_Connected)
+    write();
+  else
+    connect();
+}
+
+void HttpClientConnection::close() {
+  if (m_Closed)
+    return;
+  m_Closed = true;
+  const auto Self = shared_from_this();
+  m_Timer.cancel();
+  boost::system::error_code Code;
+  m_Socket.close(Code);
+  m_Call.reset();
+  if (const auto State = m_State.lock())
+    State->forget(Self);
+}
+
+bool HttpClientConnection::isUsable() {
+  if (m_Closed || m_Buffer.size() > 0)
+    return false;
+  char Byte = 0;
+  const ssize_t Count = ::recv(m_Socket.native_handle(), &Byte, sizeof(Byte),
+                               MSG_PEEK | MSG_DONTWAIT);
+  // Anything but "nothing to read" means that the peer closed the connection,
+  // or sent something that nobody asked for.
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpClientConnection::connect() {
+  const auto Endpoint = parseEndpoint(m_Address);
+  if (!Endpoint) {
+    fail(base::ResultCode::ConnectionFailed, Endpoint.error().m_Message);
+    return;
+  }
+  m_Socket.async_connect(*Endpoint, [Self = shared_from_this()](
+                                        const boost::system::error_code &Code) {
+    Self->connected(Code);
+  });
+}
+
+void HttpClientConnection::connected(const boost::system::error_code &Code) {
+  if (m_Closed)
+    return;
+  if (Code) {
+    fail(base::ResultCode::ConnectionFailed,
+         "cannot connect to " + m_Address + ": " + Code.message());
+    return;
+  }
+  m_Connected = true;
+  boost::system::error_code Ignored;
+  m_Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  armTimer();
+  read();
+  write();
+}
+
+void HttpClientConnection::write() {
+  m_Out = formatRequest(m_Call->m_Request);
+  m_Sent = true;
+  m_WriteActive = true;
+  asio::async_write(m_Socket, asio::buffer(m_Out),
+                    [Self = shared_from_this()](
+                        const boost::system::error_code &Code,
+                        std::size_t Count) { Self->wrote(Code, Count); });
+}
+
+void HttpClientConnection::wrote(const boost::system::error_code &Code,
+                                 std::size_t Count) {
+  m_WriteActive = false;
+  if (m_Closed || !m_Call || !Code)
+    return;
+  if (Count > 0) {
+    failAfterSending("sending to " + m_Address + " failed: " + Code.message());
+    return;
+  }
+  if (!m_Reused) {
+    fail(base::ResultCode::ConnectionFailed,
+         "nothing could be sent to " + m_Address + ": " + Code.message());
+    return;
+  }
+  const auto Call = std::exchange(m_Call, nullptr);
+  const auto State = m_State.lock();
+  close();
+  if (State)
+    State->startFresh(Call);
+}
+
+void HttpClientConnection::read() {
+  m_Socket.async_read_some(
+      m_Buffer.prepare(ReadBytes),
+      [Self = shared_from_this()](const boost::system::error_code &Code,
+                                  std::size_t Count) {
+        Self->received(Code, Count);
+      });
+}
+
+void HttpClientConnection::received(const boost::system::error_code &Code,
+                                    std::size_t Count) {
+  if (m_Closed)
+    return;
+  if (!m_Call) {
+    close();
+    return;
+  }
+  if (Code) {
+    peerClosed();
+    return;
+  }
+  m_Buffer.commit(Count);
+  m_LastByte = m_Clock.now();
+  parse();
+  if (m_Closed)
+    return;
+  if (!m_Call && m_Buffer.capacity() > KeptBufferBytes)
+    m_Buffer.shrink_to_fit();
+  read();
+}
+
+void HttpClientConnection::parse() {
+  // The pending read must not start before the buffer is used up.
+  const auto Self = shared_from_this();
+  while (!m_Closed && m_Call && m_Buffer.size() > 0 && parseSome()) {
+  }
+}
+
+bool HttpClientConnection::parseSome() {
+  boost::system::error_code Code;
+  const std::size_t Used = m_Parser->put(m_Buffer.data(), Code);
+  m_Buffer.consume(Used);
+  if (Code && Code != http::error::need_more) {
+    failAfterSending(m_Address +
+                     " sent an answer that can't be read: " + Code.message());
+    return false;
+  }
+  if (!m_HeadDone && m_Parser->is_header_done() && !headDone())
+    return false;
+  // Not yet at the final head: an interim one was skipped.
+  if (!m_HeadDone)
+    return Used > 0;
+  if (!handOutBody())
+    return false;
+  if (m_Parser->is_done()) {
+    succeed();
+    return false;
+  }
+  return Used > 0 && !Code;
+}
+
+bool HttpClientConnection::headDone() {
+  if (m_Parser->get().result_int() < FirstFinalStatus) {
+    m_Parser.emplace();
+    m_Parser->eager(true);
+    m_Parser->header_limit(m_Options.m_MaxHeadBytes);
+    m_Parser->body_limit(boost::none);
+    return true;
+  }
+  m_HeadDone = true;
+  const auto Call = m_Call;
+  if (Call->m_Callbacks.m_OnHead)
+    Call->m_Callbacks.m_OnHead(readHead(m_Parser->get()));
+  return !Call->m_Ended;
+}
+
+bool HttpClientConnection::handOutBody() {
+  std::string &Body = m_Parser->get().body();
+  if (Body.empty())
+    return true;
+  const auto Call = m_Call;
+  if (Call->m_Callbacks.m_OnData)
+    Call->m_Callbacks.m_OnData(Body);
+  if (Call->m_Ended || !m_Parser)
+    return false;
+  Body.clear();
+  return true;
+}
+
+void HttpClientConnection::peerClosed() {
+  if (!m_HeadDone) {
+    failAfterSending(m_Address + " closed the connection before an answer");
+    return;
+  }
+  boost::system::error_code Code;
+  if (!m_Parser->is_done())
+    m_Parser->put_eof(Code);
+  if (Code || !m_Parser->is_done()) {
+    failAfterSending(m_Address + " closed the connection within the answer");
+    return;
+  }
+  succeed();
+}
+
+void HttpClientConnection::armTimer() {
+  base::Millis Due = m_Begun + m_Options.m_ConnectTimeout;
+  const HttpCall &Call = m_Call->m_Request;
+  const bool HasTimeout = Call.m_Timeout > base::Millis(0);
+  const bool HasSilence = Call.m_SilenceTimeout > base::Millis(0);
+  if (m_Connected && !HasTimeout && !HasSilence) {
+    m_Timer.cancel();
+    return;
+  }
+  if (m_Connected)
+    Due = base::Millis(std::numeric_limits<std::int64_t>::max());
+  if (HasTimeout)
+    Due = std::min(Due, m_Begun + Call.m_Timeout);
+  if (HasSilence && m_Connected)
+    Due = std::min(Due, m_LastByte + Call.m_SilenceTimeout);
+  const base::Millis Wait = std::max(Due - m_Clock.now(), base::Millis(0));
+  m_Timer.expires_after(std::chrono::milliseconds(Wait.count()));
+  m_Timer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Code) {
+        if (!Code)
+          Self->timerFired();
+      });
+}
+
+void HttpClientConnection::timerFired() {
+  if (m_Closed || !m_Call)
+    return;
+  const base::Millis Now = m_Clock.now();
+  const HttpCall &Call = m_Call->m_Request;
+  if (!m_Sent) {
+    fail(base::ResultCode::ConnectionFailed,
+         "connecting to " + m_Address + " took too long");
+    return;
+  }
+  const bool Late =
+      Call.m_Timeout > base::Millis(0) && Now >= m_Begun + Call.m_Timeout;
+  const bool Silent = Call.m_SilenceTimeout > base::Millis(0) &&
+                      Now >= m_LastByte + Call.m_SilenceTimeout;
+  if (!Late && !Silent) {
+    armTimer();
+    return;
+  }
+  fail(base::ResultCode::Timeout, Late ? m_Address + " did not answer in time"
+                                       : m_Address + " fell silent");
+}
+
+void HttpClientConnection::succeed() {
+  const bool Keep = m_Parser->keep_alive() && m_Buffer.size() == 0 &&
+                    !m_WriteActive && m_Socket.is_open();
+  const auto Self = shared_from_this();
+  const auto Call = std::exchange(m_Call, nullptr);
+  m_Parser.reset();
+  m_Timer.cancel();
+  if (!Keep)
+    close();
+  else if (const auto State = m_State.lock())
+    State->keep(Self);
+  Call->m_Ended = true;
+  if (Call->m_Callbacks.m_OnEnd)
+    Call->m_Callbacks.m_OnEnd({});
+}
+
+void HttpClientConnection::failAfterSending(const std::string &Message) {
+  fail(m_HeadDone ? base::ResultCode::StreamBroken
+                  : base::ResultCode::OutcomeUnknown,
+       Message);
+}
+
+void HttpClientConnection::fail(base::ResultCode Code,
+                                const std::string &Message) {
+  const auto Call = std::exchange(m_Call, nullptr);
+  close();
+  if (!Call || Call->m_Ended)
+    return;
+  Call->m_Ended = true;
+  if (Call->m_Callbacks.m_OnEnd)
+    Call->m_Callbacks.m_OnEnd(base::failure(Code, Message));
+}
+
+} // namespace corneldeck::net::detail
--- /dev/null
+++ b/Source/Net/HttpClientConnection.h
@@ -0,0 +1,114 @@
+#ifndef CORNELDECK_NET_HTTPCLIENTCONNECTION_H
+#define CORNELDECK_NET_HTTPCLIENTCONNECTION_H
+
+#include "Net/HttpClient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace corneldeck::net::detail {
+
+class HttpClientConnection;
+
+/// One request on its way.
+struct HttpClientCall {
+  HttpCall m_Request;
+  HttpCallbacks m_Callbacks;
+  std::weak_ptr<HttpClientConnection> m_Connection;
+  /// Set once the last hook has run, or after cancel().
+  bool m_Ended = false;
+};
+
+/// The connections of one client.
+class HttpClientState : public std::enable_shared_from_this<HttpClientState> {
+public:
+  HttpClientState(boost::asio::io_context &Context, HttpClientOptions Options);
+
+  void start(const std::shared_ptr<HttpClientCall> &Call);
+  /// Starts a request on a new connection.
+  void startFresh(const std::shared_ptr<HttpClientCall> &Call);
+  /// Keeps a connection for the next request.
+  void keep(const std::shared_ptr<HttpClientConnection> &Connection);
+  void forget(const std::shared_ptr<HttpClientConnection> &Connection);
+  void stop();
+
+  boost::asio::io_context &m_Context;
+  const HttpClientOptions m_Options;
+  const base::Clock m_Clock = base::steadyClock();
+
+private:
+  std::shared_ptr<HttpClientConnection> takeIdle(const std::string &Address);
+
+  bool m_Stopped = false;
+  std::unordered_set<std::shared_ptr<HttpClientConnection>> m_All;
+  std::unordered_map<std::string,
+                     std::vector<std::shared_ptr<HttpClientConnection>>>
+      m_Idle;
+};
+
+/// The client's side of one connection; it carries one request at a time.
+class HttpClientConnection
+    : public std::enable_shared_from_this<HttpClientConnection> {
+public:
+  HttpClientConnection(const std::shared_ptr<HttpClientState> &State,
+                       std::string Address);
+
+  void run(const std::shared_ptr<HttpClientCall> &Call);
+  void close();
+  /// \returns whether the peer has not closed the connection, as far as the
+  /// kernel knows.
+  [[nodiscard]] bool isUsable();
+
+  const std::string m_Address;
+  base::Millis m_IdleSince{};
+
+private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void connect();
+  void connected(const boost::system::error_code &Code);
+  void write();
+  void wrote(const boost::system::error_code &Code, std::size_t Count);
+  void read();
+  void received(const boost::system::error_code &Code, std::size_t Count);
+  void parse();
+  bool parseSome();
+  bool headDone();
+  bool handOutBody();
+  void peerClosed();
+  void armTimer();
+  void timerFired();
+  void succeed();
+  void fail(base::ResultCode Code, const std::string &Message);
+  void failAfterSending(const std::string &Message);
+
+  std::weak_ptr<HttpClientState> m_State;
+  const HttpClientOptions m_Options;
+  const base::Clock m_Clock = base::steadyClock();
+  boost::asio::ip::tcp::socket m_Socket;
+  boost::asio::steady_timer m_Timer;
+  boost::beast::flat_buffer m_Buffer;
+  std::optional<Parser> m_Parser;
+  std::shared_ptr<HttpClientCall> m_Call;
+  std::string m_Out;
+  base::Millis m_Begun{};
+  base::Millis m_LastByte{};
+  bool m_Connected = false;
+  bool m_Reused = false;
+  bool m_Sent = false;
+  bool m_WriteActive = false;
+  bool m_HeadDone = false;
+  bool m_Closed = false;
+};
+
+} // namespace corneldeck::net::detail
+
+#endif
--- /dev/null
+++ b/Source/Net/HttpConnection.cpp
@@ -0,0 +1,377 @@
+#include "Net/HttpConnection.h"
+
+#include "Net/Endpoint.h"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/status.hpp>
+#include <charconv>
+
+namespace corneldeck::net::detail {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t HeadReadBytes = 4 * KiB;
+constexpr std::size_t BodyReadBytes = 64 * KiB;
+/// Early requests that may wait while one is handled.
+constexpr std::size_t MaxEarlyBytes = 64 * KiB;
+/// Buffers that grew beyond this are given back between requests.
+constexpr std::size_t KeptBufferBytes = 16 * KiB;
+/// For the caller to read a refusal while it still sends.
+constexpr base::Millis LingerTimeout = base::seconds(2);
+
+bool isOneLine(std::string_view Text) {
+  return Text.find_first_of("\r\n") == std::string_view::npos;
+}
+
+void appendField(std::string &Out, std::string_view Name,
+                 std::string_view Value) {
+  Out.append(Name).append(": ").append(Value).append("\r\n");
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(asio::ip::tcp::socket Socket,
+                               std::shared_ptr<HttpServerShared> Shared)
+    : m_Socket(std::move(Socket)), m_Shared(std::move(Shared)) {}
+
+void HttpConnection::start() {
+  boost::system::error_code Code;
+  m_Socket.set_option(asio::ip::tcp::no_delay(true), Code);
+  const auto Remote = m_Socket.remote_endpoint(Code);
+  m_Remote = formatEndpoint(Remote);
+  m_Deadline = m_Clock.now() + m_Shared->m_Options.m_IdleTimeout;
+  read();
+}
+
+void HttpConnection::close() {
+  if (m_Closed)
+    return;
+  m_Closed = true;
+  const auto Self = shared_from_this();
+  boost::system::error_code Code;
+  m_Socket.close(Code);
+  if (HttpExchange::Impl *Exchange = std::exchange(m_Exchange, nullptr)) {
+    --m_Shared->m_InFlight;
+    Exchange->callerGone();
+  }
+  if (m_Shared->m_OnClosed)
+    m_Shared->m_OnClosed(this);
+}
+
+void HttpConnection::checkTimeouts(base::Millis Now) {
+  if (m_WriteActive && Now > m_WriteDeadline) {
+    close();
+    return;
+  }
+  if (Now <= m_Deadline)
+    return;
+  if (!m_Parser || m_Discarding) {
+    close();
+    return;
+  }
+  HttpReply Answer = errorReply(
+      {base::ResultCode::BadRequest, "the request came too slowly", {}},
+      base::Ran::No);
+  Answer.m_Status = static_cast<int>(http::status::request_timeout);
+  refuse(Answer);
+}
+
+void HttpConnection::refuse(const HttpReply &Answer) {
+  m_Parser.reset();
+  m_CloseAfterWrite = true;
+  m_Deadline = m_Clock.now() + LingerTimeout;
+  m_Chunked = false;
+  writeHead(Answer.m_Status, Answer.m_Headers, true);
+  appendField(m_Pending, "Content-Length",
+              std::to_string(Answer.m_Body.size()));
+  m_Pending.append("\r\n").append(Answer.m_Body);
+  scheduleFlush();
+}
+
+void HttpConnection::read() {
+  if (m_Reading || m_Closed)
+    return;
+  const bool Waiting = m_Exchange || m_CloseAfterWrite;
+  if (Waiting && m_Buffer.size() >= MaxEarlyBytes)
+    return;
+  m_Reading = true;
+  const std::size_t Count =
+      m_Parser && m_HeadDone ? BodyReadBytes : HeadReadBytes;
+  m_Socket.async_read_some(
+      m_Buffer.prepare(Count),
+      [Self = shared_from_this()](const boost::system::error_code &Code,
+                                  std::size_t Read) {
+        Self->received(Code, Read);
+      });
+}
+
+void HttpConnection::received(const boost::system::error_code &Code,
+                              std::size_t Count) {
+  m_Reading = false;
+  if (m_Closed)
+    return;
+  if (Code) {
+    close();
+    return;
+  }
+  m_Buffer.commit(Count);
+  if (m_CloseAfterWrite)
+    m_Buffer.clear();
+  process();
+}
+
+void HttpConnection::process() {
+  if (m_Processing)
+    return;
+  const auto Self = shared_from_this();
+  m_Processing = true;
+  while (!m_Closed && !m_Exchange && !m_CloseAfterWrite && parseRequest())
+    dispatch();
+  m_Processing = false;
+  read();
+}
+
+bool HttpConnection::parseRequest() {
+  if (m_Buffer.size() == 0)
+    return false;
+  if (!m_Parser)
+    beginRequest();
+  boost::system::error_code Code;
+  const std::size_t Used = m_Parser->put(m_Buffer.data(), Code);
+  m_Buffer.consume(Used);
+  if (Code && Code != http::error::need_more) {
+    refuseParse(Code);
+    return false;
+  }
+  if (!m_HeadDone && m_Parser->is_header_done())
+    headDone();
+  return m_Parser->is_done();
+}
+
+void HttpConnection::beginRequest() {
+  m_Parser.emplace();
+  m_Parser->eager(true);
+  m_Parser->header_limit(m_Shared->m_Options.m_MaxHeadBytes);
+  m_Parser->body_limit(m_Shared->m_Options.m_MaxBodyBytes);
+  m_HeadDone = false;
+  m_Deadline = m_Clock.now() + m_Shared->m_Options.m_HeadTimeout;
+}
+
+void HttpConnection::headDone() {
+  m_HeadDone = true;
+  m_Deadline = m_Clock.now() + m_Shared->m_Options.m_BodyTimeout;
+  if (m_Parser->is_done() || m_Parser->get()[http::field::expect].empty())
+    return;
+  m_Pending.append("HTTP/1.1 100 Continue\r\n\r\n");
+  scheduleFlush();
+}
+
+void HttpConnection::refuseParse(const boost::system::error_code &Code) {
+  if (Code == http::error::header_limit || Code == http::error::body_limit) {
+    refuse(errorReply({base::ResultCode::TooLarge,
+                       "head or body is over the size limit; send a smaller "
+                       "request",
+                       {}},
+                      base::Ran::No));
+    return;
+  }
+  refuse(errorReply({base::ResultCode::BadRequest,
+                     "the request is not HTTP/1.1: " + Code.message(),
+                     {}},
+                    base::Ran::No));
+}
+
+void HttpConnection::dispatch() {
+  auto State = std::make_unique<HttpExchange::Impl>();
+  State->m_Request = m_Parser->release();
+  State->m_Remote = m_Remote;
+  State->m_Connection = shared_from_this();
+  m_Parser.reset();
+  m_Deadline = Never;
+  m_Exchange = State.get();
+  ++m_Shared->m_InFlight;
+  m_Shared->m_Handle(std::make_shared<HttpExchange>(std::move(State)));
+}
+
+void HttpConnection::writeHead(int Status, const HttpHeaders &Headers,
+                               bool Close) {
+  std::array<char, 16> Digits{};
+  const auto End =
+      std::to_chars(Digits.data(), Digits.data() + Digits.size(), Status);
+  const auto Reason = http::obsolete_reason(static_cast<http::status>(Status));
+  m_Pending.append("HTTP/1.1 ")
+      .append(Digits.data(), End.ptr)
+      .append(" ")
+      .append(Reason.data(), Reason.size())
+      .append("\r\n");
+  for (const HttpHeader &Header : Headers)
+    if (isOneLine(Header.m_Name) && isOneLine(Header.m_Value))
+      appendField(m_Pending, Header.m_Name, Header.m_Value);
+  if (Close)
+    appendField(m_Pending, "Connection", "close");
+}
+
+void HttpConnection::sendReply(const HttpReply &Answer,
+                               const HttpRequest &Request) {
+  const bool Close = !Request.keep_alive() || m_Shared->m_CloseAfterAnswers;
+  writeHead(Answer.m_Status, Answer.m_Headers, Close);
+  appendField(m_Pending, "Content-Length",
+              std::to_string(Answer.m_Body.size()));
+  m_Pending.append("\r\n");
+  if (Request.method() != http::verb::head)
+    m_Pending.append(Answer.m_Body);
+  m_CloseAfterWrite = Close;
+  answerDone();
+}
+
+void HttpConnection::sendHead(int Status, const HttpHeaders &Headers,
+                              const HttpRequest &Request) {
+  // HTTP/1.0 has no chunks; there, the end of the connection ends the body.
+  m_Chunked = Request.version() >= 11;
+  m_HeadOnly = Request.method() == http::verb::head;
+  const bool Close =
+      !Request.keep_alive() || !m_Chunked || m_Shared->m_CloseAfterAnswers;
+  writeHead(Status, Headers, Close);
+  if (m_Chunked)
+    appendField(m_Pending, "Transfer-Encoding", "chunked");
+  m_Pending.append("\r\n");
+  // Set at the end of the body, since it stops the connection's other work.
+  m_CloseAfterEnd = Close;
+  scheduleFlush();
+}
+
+bool HttpConnection::sendChunk(std::string_view Data) {
+  if (m_Closed)
+    return false;
+  if (Data.empty() || m_HeadOnly)
+    return true;
+  const std::size_t Queued = queuedBytes();
+  if (Queued > 0 &&
+      Queued + Data.size() > m_Shared->m_Options.m_MaxQueuedBytes) {
+    close();
+    return false;
+  }
+  if (!m_Chunked) {
+    m_Pending.append(Data);
+    scheduleFlush();
+    return true;
+  }
+  constexpr int HexBase = 16;
+  std::array<char, 20> Size{};
+  const auto End = std::to_chars(Size.data(), Size.data() + Size.size(),
+                                 Data.size(), HexBase);
+  m_Pending.append(Size.data(), End.ptr)
+      .append("\r\n")
+      .append(Data)
+      .append("\r\n");
+  scheduleFlush();
+  return true;
+}
+
+void HttpConnection::sendEnd() {
+  if (m_Closed)
+    return;
+  if (m_Chunked && !m_HeadOnly)
+    m_Pending.append("0\r\n\r\n");
+  m_CloseAfterWrite = m_CloseAfterEnd;
+  answerDone();
+}
+
+void HttpConnection::answerDone() {
+  if (std::exchange(m_Exchange, nullptr))
+    --m_Shared->m_InFlight;
+  m_HeadOnly = false;
+  m_Deadline = m_Clock.now() + m_Shared->m_Options.m_IdleTimeout;
+  scheduleFlush();
+  process();
+}
+
+void HttpConnection::forget(HttpExchange::Impl *Exchange) {
+  if (m_Exchange == Exchange)
+    close();
+}
+
+std::size_t HttpConnection::queuedBytes() const {
+  return m_Pending.size() + m_Writing.size() - m_Written;
+}
+
+void HttpConnection::scheduleFlush() {
+  if (m_FlushPosted || m_WriteActive || m_Closed)
+    return;
+  m_FlushPosted = true;
+  // Posted, so that all pieces queued in this turn leave in one write.
+  asio::post(m_Socket.get_executor(),
+             [Self = shared_from_this()] { Self->flush(); });
+}
+
+void HttpConnection::flush() {
+  m_FlushPosted = false;
+  if (m_Closed || m_WriteActive || m_Pending.empty())
+    return;
+  m_WriteActive = true;
+  m_Writing.swap(m_Pending);
+  m_Written = 0;
+  writeSome();
+}
+
+void HttpConnection::writeSome() {
+  m_WriteDeadline = m_Clock.now() + m_Shared->m_Options.m_WriteTimeout;
+  m_Socket.async_write_some(
+      asio::buffer(m_Writing) + m_Written,
+      [Self = shared_from_this()](const boost::system::error_code &Code,
+                                  std::size_t Count) {
+        Self->wrote(Code, Count);
+      });
+}
+
+void HttpConnection::wrote(const boost::system::error_code &Code,
+                           std::size_t Count) {
+  if (m_Closed)
+    return;
+  if (Code) {
+    close();
+    return;
+  }
+  m_Written += Count;
+  if (m_Written < m_Writing.size()) {
+    writeSome();
+    return;
+  }
+  m_Writing.clear();
+  m_Written = 0;
+  m_WriteActive = false;
+  if (m_Pending.empty())
+    writesDone();
+  else
+    flush();
+}
+
+void HttpConnection::writesDone() {
+  if (m_CloseAfterWrite) {
+    shutdownSend();
+    return;
+  }
+  if (m_Exchange)
+    return;
+  if (m_Writing.capacity() > KeptBufferBytes)
+    m_Writing.shrink_to_fit();
+  if (m_Pending.capacity() > KeptBufferBytes)
+    m_Pending.shrink_to_fit();
+}
+
+void HttpConnection::shutdownSend() {
+  // Closing at once would reset the connection if the caller still sends, and
+  // it would lose the answer.
+  m_Discarding = true;
+  m_Deadline = m_Clock.now() + LingerTimeout;
+  boost::system::error_code Code;
+  m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Code);
+  m_Buffer.clear();
+  read();
+}
+
+} // namespace corneldeck::net::detail
--- /dev/null
+++ b/Source/Net/HttpConnection.h
@@ -0,0 +1,126 @@
+#ifndef CORNELDECK_NET_HTTPCONNECTION_H
+#define CORNELDECK_NET_HTTPCONNECTION_H
+
+#include "Net/HttpServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <limits>
+#include <optional>
+
+namespace corneldeck::net::detail {
+
+class HttpConnection;
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+
+/// What the connections of one server share.
+struct HttpServerShared {
+  HttpServerOptions m_Options;
+  HttpServer::Handler m_Handle;
+  /// Called when a connection closes.
+  std::function<void(HttpConnection *)> m_OnClosed;
+  std::size_t m_InFlight = 0;
+  bool m_CloseAfterAnswers = false;
+};
+
+/// The server's side of one connection.
+///
+/// One read is always pending, also while a request is handled, so that a
+/// caller who goes away is noticed. Requests that come early wait in the
+/// buffer until the answer before them is complete.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+public:
+  HttpConnection(boost::asio::ip::tcp::socket Socket,
+                 std::shared_ptr<HttpServerShared> Shared);
+
+  void start();
+  void close();
+  /// Closes the connection if one of its timeouts has passed.
+  void checkTimeouts(base::Millis Now);
+
+  /// Sends \p Answer and closes.
+  void refuse(const HttpReply &Answer);
+
+  // For HttpExchange.
+  void sendReply(const HttpReply &Answer, const HttpRequest &Request);
+  void sendHead(int Status, const HttpHeaders &Headers,
+                const HttpRequest &Request);
+  bool sendChunk(std::string_view Data);
+  void sendEnd();
+  /// The exchange went away without a complete answer.
+  void forget(HttpExchange::Impl *Exchange);
+  [[nodiscard]] std::size_t queuedBytes() const;
+
+private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void read();
+  void received(const boost::system::error_code &Code, std::size_t Count);
+  void process();
+  bool parseRequest();
+  void beginRequest();
+  void headDone();
+  void refuseParse(const boost::system::error_code &Code);
+  void dispatch();
+  void answerDone();
+  void writeHead(int Status, const HttpHeaders &Headers, bool Close);
+  void scheduleFlush();
+  void flush();
+  void writeSome();
+  void wrote(const boost::system::error_code &Code, std::size_t Count);
+  void writesDone();
+  void shutdownSend();
+
+  static constexpr base::Millis Never{std::numeric_limits<std::int64_t>::max()};
+
+  boost::asio::ip::tcp::socket m_Socket;
+  std::shared_ptr<HttpServerShared> m_Shared;
+  const base::Clock m_Clock = base::steadyClock();
+  std::string m_Remote;
+  boost::beast::flat_buffer m_Buffer;
+  std::optional<Parser> m_Parser;
+  HttpExchange::Impl *m_Exchange = nullptr;
+  base::Millis m_Deadline = Never;
+  base::Millis m_WriteDeadline = Never;
+  std::string m_Pending;
+  std::string m_Writing;
+  std::size_t m_Written = 0;
+  bool m_HeadDone = false;
+  bool m_Chunked = false;
+  bool m_HeadOnly = false;
+  bool m_Reading = false;
+  bool m_Processing = false;
+  bool m_FlushPosted = false;
+  bool m_WriteActive = false;
+  bool m_CloseAfterWrite = false;
+  bool m_CloseAfterEnd = false;
+  bool m_Discarding = false;
+  bool m_Closed = false;
+};
+
+} // namespace corneldeck::net::detail
+
+namespace corneldeck::net {
+
+/// The state of one exchange.
+struct HttpExchange::Impl {
+  detail::HttpRequest m_Request;
+  std::string m_Remote;
+  /// Unset once the answer is complete or the caller is gone.
+  std::shared_ptr<detail::HttpConnection> m_Connection;
+  std::function<void()> m_OnClosed;
+  bool m_Answered = false;
+
+  void callerGone();
+  /// Lets go of the connection after the answer.
+  std::shared_ptr<detail::HttpConnection> release();
+};
+
+} // namespace corneldeck::net
+
+#endif
--- /dev/null
+++ b/Source/Net/HttpServer.cpp
@@ -0,0 +1,187 @@
+#include "Net/HttpServer.h"
+
+#include "Net/Endpoint.h"
+#include "Net/HttpConnection.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <unordered_map>
+#include <vector>
+
+namespace corneldeck::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds SweepPeriod{250};
+/// Before accepting again when the process has no descriptor left.
+constexpr std::chrono::milliseconds AcceptPause{100};
+using ReusePort =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(asio::io_context &Context, HttpServerOptions Options, Handler Handle)
+      : m_Acceptor(Context), m_Sweep(Context), m_Pause(Context),
+        m_Shared(std::make_shared<detail::HttpServerShared>()) {
+    m_Shared->m_Options = Options;
+    m_Shared->m_Handle = std::move(Handle);
+  }
+
+  base::Result<std::string> listen(const std::string &Address) {
+    const auto Endpoint = parseEndpoint(Address);
+    if (!Endpoint)
+      return tl::make_unexpected(Endpoint.error());
+    boost::system::error_code Code;
+    open(*Endpoint, Code);
+    if (Code)
+      return base::failure(base::ResultCode::ConnectionFailed,
+                           "cannot listen on " + Address + ": " +
+                               Code.message() + "; choose a free address");
+    m_Shared->m_OnClosed = [Self = weak_from_this()](auto *Connection) {
+      if (const auto Locked = Self.lock())
+        Locked->m_Connections.erase(Connection);
+    };
+    accept();
+    sweep();
+    return formatEndpoint(m_Acceptor.local_endpoint());
+  }
+
+  void open(const tcp::endpoint &Endpoint, boost::system::error_code &Code) {
+    m_Acceptor.open(Endpoint.protocol(), Code);
+    if (Code)
+      return;
+    m_Acceptor.set_option(tcp::acceptor::reuse_address(true), Code);
+    if (m_Shared->m_Options.m_ReusePort)
+      m_Acceptor.set_option(ReusePort(true), Code);
+    m_Acceptor.bind(Endpoint, Code);
+    if (Code)
+      return;
+    m_Acceptor.listen(asio::socket_base::max_listen_connections, Code);
+  }
+
+  void accept() {
+    m_Acceptor.async_accept(
+        [Self = shared_from_this()](const boost::system::error_code &Code,
+                                    tcp::socket Socket) {
+          Self->accepted(Code, std::move(Socket));
+        });
+  }
+
+  void accepted(const boost::system::error_code &Code, tcp::socket Socket) {
+    if (!m_Acceptor.is_open())
+      return;
+    if (Code) {
+      acceptLater();
+      return;
+    }
+    add(std::move(Socket));
+    accept();
+  }
+
+  void acceptLater() {
+    m_Pause.expires_after(AcceptPause);
+    m_Pause.async_wait(
+        [Self = shared_from_this()](const boost::system::error_code &Code) {
+          if (!Code && Self->m_Acceptor.is_open())
+            Self->accept();
+        });
+  }
+
+  void add(tcp::socket Socket) {
+    const std::size_t Limit = m_Shared->m_Options.m_MaxConnections;
+    // Refusals linger for a moment; past this many, connections just close.
+    if (m_Connections.size() >= Limit + RefusalsAtOnce)
+      return;
+    const bool Full = m_Connections.size() >= Limit;
+    auto Connection =
+        std::make_shared<detail::HttpConnection>(std::move(Socket), m_Shared);
+    m_Connections.emplace(Connection.get(), Connection);
+    Connection->start();
+    if (Full)
+      Connection->refuse(errorReply({base::ResultCode::Overloaded,
+                                     "too many connections; reuse them, or "
+                                     "ask another address",
+                                     base::seconds(1)}));
+  }
+
+  void sweep() {
+    m_Sweep.expires_after(SweepPeriod);
+    m_Sweep.async_wait(
+        [Self = shared_from_this()](const boost::system::error_code &Code) {
+          if (Code)
+            return;
+          Self->checkTimeouts();
+          Self->sweep();
+        });
+  }
+
+  void checkTimeouts() {
+    const base::Millis Now = m_Clock.now();
+    for (const auto &Connection : all())
+      Connection->checkTimeouts(Now);
+  }
+
+  void stop() {
+    boost::system::error_code Code;
+    m_Acceptor.close(Code);
+    m_Sweep.cancel();
+    m_Pause.cancel();
+    for (const auto &Connection : all())
+      Connection->close();
+  }
+
+  /// \returns a copy, since closing a connection changes the table.
+  std::vector<std::shared_ptr<detail::HttpConnection>> all() const {
+    std::vector<std::shared_ptr<detail::HttpConnection>> Copy;
+    Copy.reserve(m_Connections.size());
+    for (const auto &[Key, Connection] : m_Connections)
+      Copy.push_back(Connection);
+    return Copy;
+  }
+
+  static constexpr std::size_t RefusalsAtOnce = 64;
+
+  tcp::acceptor m_Acceptor;
+  asio::steady_timer m_Sweep;
+  asio::steady_timer m_Pause;
+  const base::Clock m_Clock = base::steadyClock();
+  std::shared_ptr<detail::HttpServerShared> m_Shared;
+  std::unordered_map<detail::HttpConnection *,
+                     std::shared_ptr<detail::HttpConnection>>
+      m_Connections;
+};
+
+HttpServer::HttpServer(asio::io_context &Context, HttpServerOptions Options,
+                       Handler Handle)
+    : m_Impl(std::make_shared<Impl>(Context, Options, std::move(Handle))) {}
+
+HttpServer::~HttpServer() { m_Impl->stop(); }
+
+base::Result<std::string> HttpServer::listen(const std::string &Address) {
+  return m_Impl->listen(Address);
+}
+
+void HttpServer::stopAccepting() {
+  boost::system::error_code Code;
+  m_Impl->m_Acceptor.close(Code);
+}
+
+void HttpServer::closeAfterAnswers() {
+  m_Impl->m_Shared->m_CloseAfterAnswers = true;
+}
+
+void HttpServer::stop() { m_Impl->stop(); }
+
+std::size_t HttpServer::connections() const {
+  return m_Impl->m_Connections.size();
+}
+
+std::size_t HttpServer::requestsInFlight() const {
+  return m_Impl->m_Shared->m_InFlight;
+}
+
+} // namespace corneldeck::net
--- /dev/null
+++ b/Tests/Net/HttpClientTest.cpp
@@ -0,0 +1,120 @@
+#include "Net/HttpFixture.h"
+
+namespace corneldeck::net {
+
+namespace {
+
+/// Serves raw bytes, to show the client every way in which a server can fail.
+class HttpClientTest : public HttpFixture {
+protected:
+  void listenRaw() {
+    m_Acceptor.emplace(m_Context, *parseEndpoint("127.0.0.1:0"));
+    m_Address = formatEndpoint(m_Acceptor->local_endpoint());
+  }
+
+  /// Accepts one connection, reads a request and sends \p Answer.
+  void answerOnce(const std::string &Answer, bool Close) {
+    m_Acceptor->async_accept([this, Answer, Close](const auto &, Socket Raw) {
+      m_Raw.emplace(std::move(Raw));
+      m_Raw->async_read_some(boost::asio::buffer(m_Piece),
+                             [this, Answer, Close](const auto &, std::size_t) {
+                               ++m_Requests;
+                               boost::asio::write(*m_Raw,
+                                                  boost::asio::buffer(Answer));
+                               if (Close)
+                                 m_Raw->close();
+                             });
+    });
+  }
+
+  base::ResultCode codeOf(const HttpCall &Call) {
+    const auto Outcome = fetch(Call);
+    return Outcome ? base::ResultCode::Ok : Outcome.error().m_Code;
+  }
+
+  std::optional<boost::asio::ip::tcp::acceptor> m_Acceptor;
+  std::optional<Socket> m_Raw;
+  std::array<char, 4096> m_Piece{};
+  int m_Requests = 0;
+};
+
+TEST_F(HttpClientTest, SaysNotSentIfNobodyListens) {
+  listenRaw();
+  m_Acceptor->close();
+  EXPECT_EQ(codeOf({}), base::ResultCode::ConnectionFailed);
+  m_Address = "nonsense";
+  EXPECT_EQ(codeOf({}), base::ResultCode::ConnectionFailed);
+}
+
+TEST_F(HttpClientTest, SaysUnknownIfClosedBeforeAnAnswer) {
+  listenRaw();
+  answerOnce("", true);
+  EXPECT_EQ(codeOf({}), base::ResultCode::OutcomeUnknown);
+  EXPECT_EQ(m_Requests, 1);
+}
+
+TEST_F(HttpClientTest, SaysUnknownIfTheAnswerIsNotHttp) {
+  listenRaw();
+  answerOnce("HTTP/x nonsense\r\n\r\n", false);
+  EXPECT_EQ(codeOf({}), base::ResultCode::OutcomeUnknown);
+}
+
+TEST_F(HttpClientTest, SaysBrokenIfTheAnswerEndsEarly) {
+  listenRaw();
+  answerOnce("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true);
+  EXPECT_EQ(codeOf({}), base::ResultCode::StreamBroken);
+  answerOnce(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+      true);
+  EXPECT_EQ(codeOf({}), base::ResultCode::StreamBroken);
+}
+
+TEST_F(HttpClientTest, TimesOutIfNoAnswerComes) {
+  listenRaw();
+  answerOnce("", false);
+  HttpCall Call;
+  Call.m_Timeout = base::Millis(20);
+  EXPECT_EQ(codeOf(Call), base::ResultCode::Timeout);
+}
+
+TEST_F(HttpClientTest, TimesOutIfAStreamFallsSilent) {
+  listenRaw();
+  answerOnce("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", false);
+  HttpCall Call;
+  Call.m_SilenceTimeout = base::Millis(20);
+  EXPECT_EQ(codeOf(Call), base::ResultCode::Timeout);
+}
+
+TEST_F(HttpClientTest, ReplacesAKeptConnectionThatWasClosed) {
+  listenRaw();
+  const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  answerOnce(Answer, false);
+  EXPECT_EQ(codeOf({}), base::ResultCode::Ok);
+  m_Raw->close();
+  answerOnce(Answer, false);
+  EXPECT_EQ(codeOf({}), base::ResultCode::Ok);
+  EXPECT_EQ(m_Requests, 2);
+}
+
+TEST_F(HttpClientTest, SkipsInterimAnswers) {
+  listenRaw();
+  answerOnce("HTTP/1.1 103 Early Hints\r\n\r\n"
+             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+             false);
+  const auto Answer = fetch({});
+  ASSERT_TRUE(Answer);
+  EXPECT_EQ(Answer->m_Status, 200);
+  EXPECT_EQ(Answer->m_Body, "ok");
+}
+
+TEST_F(HttpClientTest, ReadsUntilTheEndOfTheConnection) {
+  listenRaw();
+  answerOnce("HTTP/1.1 200 OK\r\n\r\nwhole", true);
+  const auto Answer = fetch({});
+  ASSERT_TRUE(Answer);
+  EXPECT_EQ(Answer->m_Body, "whole");
+}
+
+} // namespace
+
+} // namespace corneldeck::net
