Settings: read checked YAML, log events, expose metrics and status pages

Daemons need settings whose every mistake is named with file, line and key in one run, events in the log, metrics for scrapers, and health apart from readiness.

--- /dev/null
+++ b/Source/Log/EventLog.cpp
@@ -0,0 +1,95 @@
+#include "Log/EventLog.h"
+
+#include <glog/logging.h>
+
+namespace corneldeck::log {
+
+namespace {
+
+/// The numbers of events that belong to single requests.
+constexpr int FirstRequestEvent = 1100;
+constexpr int EndOfRequestEvents = 1300;
+
+bool isRequestEvent(base::EventId Id) {
+  const int Number = static_cast<int>(Id);
+  return Number >= FirstRequestEvent && Number < EndOfRequestEvents;
+}
+
+bool isWarning(base::EventId Id) {
+  switch (Id) {
+  case base::EventId::SettingsRejected:
+  case base::EventId::LinkSilent:
+  case base::EventId::NodeLost:
+  case base::EventId::BadFrame:
+  case base::EventId::CatalogueTooOld:
+  case base::EventId::LogUnavailable:
+  case base::EventId::LogGap:
+  case base::EventId::LeaseLost:
+  case base::EventId::GroupOut:
+    return true;
+  default:
+    return false;
+  }
+}
+
+bool needsQuotes(const std::string &Value) {
+  if (Value.empty())
+    return true;
+  for (const unsigned char Byte : Value)
+    if (Byte <= ' ' || Byte == '"' || Byte == '=' || Byte == '\\')
+      return true;
+  return false;
+}
+
+void appendQuoted(std::string &Out, const std::string &Value) {
+  Out += '"';
+  for (const char Byte : Value) {
+    if (Byte == '"' || Byte == '\\')
+      Out += '\\';
+    // A line break in a value must not look like a second event.
+    Out += static_cast<unsigned char>(Byte) < ' ' ? ' ' : Byte;
+  }
+  Out += '"';
+}
+
+void appendField(std::string &Out, const std::string &Key,
+                 const std::string &Value) {
+  Out += ' ';
+  Out += Key;
+  Out += '=';
+  if (needsQuotes(Value))
+    appendQuoted(Out, Value);
+  else
+    Out += Value;
+}
+
+} // namespace
+
+void startLog(const std::string &Program) {
+  // glog keeps the pointer that it is given.
+  static const std::string Name = Program;
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(Name.c_str());
+}
+
+void attachLog(base::Timeline &Events, LogOptions Options) {
+  Events.setSink([Options](const base::TimelineEvent &Event) {
+    if (isRequestEvent(Event.m_Id) && !Options.m_Requests)
+      return;
+    if (isWarning(Event.m_Id))
+      LOG(WARNING) << formatEvent(Event);
+    else
+      LOG(INFO) << formatEvent(Event);
+  });
+}
+
+std::string formatEvent(const base::TimelineEvent &Event) {
+  std::string Out = "event=" + std::to_string(static_cast<int>(Event.m_Id));
+  appendField(Out, "name", std::string(base::name(Event.m_Id)));
+  appendField(Out, "node", Event.m_Node);
+  for (const auto &[Key, Value] : Event.m_Fields)
+    appendField(Out, Key, Value);
+  return Out;
+}
+
+} // namespace corneldeck::log
--- /dev/null
+++ b/Source/Metrics/Registry.h
@@ -0,0 +1,113 @@
+#ifndef CORNELDECK_METRICS_REGISTRY_H
+#define CORNELDECK_METRICS_REGISTRY_H
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace corneldeck::metrics {
+
+/// The labels of one series, such as {{"class", "interactive"}}.
+using Labels = std::vector<std::pair<std::string, std::string>>;
+
+/// A number that only grows. May be used from any thread.
+class Counter {
+public:
+  void add(std::uint64_t Count = 1) {
+    m_Value.fetch_add(Count, std::memory_order_relaxed);
+  }
+  [[nodiscard]] std::uint64_t value() const {
+    return m_Value.load(std::memory_order_relaxed);
+  }
+
+private:
+  std::atomic<std::uint64_t> m_Value{0};
+};
+
+/// A number that goes up and down. May be used from any thread.
+class Gauge {
+public:
+  void set(double Value) { m_Value.store(Value, std::memory_order_relaxed); }
+  [[nodiscard]] double value() const {
+    return m_Value.load(std::memory_order_relaxed);
+  }
+
+private:
+  std::atomic<double> m_Value{0};
+};
+
+/// Counts values by size. May be used from any thread.
+class Histogram {
+public:
+  /// \param Bounds the upper bounds of the buckets, ascending, at least one;
+  /// one more bucket takes what is over the last.
+  explicit Histogram(const std::vector<double> &Bounds);
+  ~Histogram();
+  Histogram(const Histogram &) = delete;
+  Histogram &operator=(const Histogram &) = delete;
+
+  void record(double Value);
+
+  /// One bucket: its upper bound, and the number of values up to it.
+  struct Bucket {
+    double m_Bound = 0;
+    std::uint64_t m_Count = 0;
+  };
+  /// \returns the buckets with cumulative counts; the last is unbounded.
+  [[nodiscard]] std::vector<Bucket> buckets() const;
+  [[nodiscard]] double sum() const;
+  /// \returns the bound of the bucket that holds the value at \p Share, such
+  /// as 0.99, of all values; 0 if there are none.
+  [[nodiscard]] double quantile(double Share) const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_Impl;
+};
+
+/// \returns bounds in milliseconds for latencies, from 0.1 ms to a minute.
+const std::vector<double> &latencyBounds();
+
+/// All metrics of one process and their text for scrapers.
+///
+/// A series is made at its first use and lives as long as the registry, so the
+/// references may be kept. Labels must come from a bounded set.
+class Registry {
+public:
+  Registry();
+  ~Registry();
+  Registry(const Registry &) = delete;
+  Registry &operator=(const Registry &) = delete;
+
+  Counter &counter(const std::string &Name, const std::string &Help,
+                   const Labels &Of = {});
+  Gauge &gauge(const std::string &Name, const std::string &Help,
+               const Labels &Of = {});
+  Histogram &histogram(const std::string &Name, const std::string &Help,
+                       const std::vector<double> &Bounds,
+                       const Labels &Of = {});
+  /// Adds a gauge whose value is asked for at each scrape.
+  void gauge(const std::string &Name, const std::string &Help,
+             std::function<double()> Read);
+
+  /// \returns all series in the Prometheus text format 0.0.4.
+  [[nodiscard]] std::string expose() const;
+
+private:
+  struct Family;
+  Family &family(const std::string &Name, const std::string &Help,
+                 const char *Type);
+
+  mutable std::mutex m_Mutex;
+  std::map<std::string, std::unique_ptr<Family>> m_Families;
+};
+
+} // namespace corneldeck::metrics
+
+#endif
--- /dev/null
+++ b/Tests/Settings/ReaderFuzzTest.cpp
@@ -0,0 +1,50 @@
+#include "Settings/Reader.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace corneldeck::settings {
+
+namespace {
+
+/// Texts of the characters that matter to YAML, so that many of them parse.
+rc::Gen<std::string> yamlLikeText() {
+  return rc::gen::container<std::string>(rc::gen::elementOf(
+      std::string("ab: \n-[]{}\"'|>&*!%#,?0159.\t\\~:  \n")));
+}
+
+void readEverything(Reader &Root) {
+  Root.text("a");
+  Root.integer("b", {0, 5});
+  Root.number("ab", {0, 1});
+  Root.addresses("ba");
+  Reader Part = Root.section("a");
+  Part.boolean("a");
+  for (Reader &Item : Root.sections("b"))
+    Item.text("a");
+}
+
+TEST(ReaderFuzzTest, ReportsOrReadsAnyText) {
+  const bool Kept = rc::check("any text gives values or problems", [] {
+    Reader Root = Reader::fromText(*yamlLikeText(), "fuzz.yaml");
+    readEverything(Root);
+    for (const Problem &Found : Root.problems())
+      RC_ASSERT(Found.describe().find('\n') == std::string::npos);
+    RC_ASSERT(Root.verdict().has_value() == Root.problems().empty());
+  });
+  EXPECT_TRUE(Kept);
+}
+
+TEST(ReaderFuzzTest, ReportsOrReadsAnyBytes) {
+  const bool Kept = rc::check("any bytes give values or problems", [] {
+    Reader Root =
+        Reader::fromText(*rc::gen::arbitrary<std::string>(), "fuzz.yaml");
+    readEverything(Root);
+    RC_ASSERT(Root.verdict().has_value() == Root.problems().empty());
+  });
+  EXPECT_TRUE(Kept);
+}
+
+} // namespace
+
+} // namespace corneldeck::settings
