--- /dev/null
+++ b/Source/Admission/AdmissionControl.cpp
@@ -0,0 +1,190 @@
+#include "Admission/AdmissionControl.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace corneldeck::admission {
+namespace {
+
+constexpr double MillisPerSecond = 1'000;
+/// Keeps predictions finite while nothing leaves the queue.
+constexpr double MinWorkPerSecond = 1e-3;
+
+} // namespace
+
+AdmissionControl::AdmissionControl(const AdmissionSettings &Settings)
+    : m_Settings(Settings),
+      m_Rate(Settings.m_RateWindow, Settings.m_InitialRate) {}
+
+Offer AdmissionControl::offer(base::Millis Now, Ticket New) {
+  Offer Outcome;
+  New.m_Since = Now;
+  const base::Millis Wait =
+      predictWait(Now, New.m_Class, New.m_Customer, New.m_Work);
+  if (m_Places.contains(New.m_Request)) {
+    Outcome.m_Refused =
+        base::Error{base::ResultCode::BadRequest,
+                    "This request is queued already; wait for its answer.",
+                    m_Settings.m_MinRetryAfter};
+    return Outcome;
+  }
+  if (Now + Wait + New.m_RunTime > New.m_Deadline) {
+    Outcome.m_Refused = refuse(Now, New, Wait);
+    return Outcome;
+  }
+  if (m_Places.size() >= m_Settings.m_MaxQueued) {
+    const std::optional<Ticket> Loser = displace(New);
+    if (!Loser) {
+      Outcome.m_Refused = refuse(Now, New, Wait);
+      return Outcome;
+    }
+    Outcome.m_Displaced.push_back(
+        {Loser->m_Request, refuse(Now, *Loser, waitFor(Now, queuedWork()))});
+  }
+  if (m_Places.empty())
+    m_Rate.begin(Now);
+  m_Places[New.m_Request] = {New.m_Class, New.m_Customer};
+  FairQueue &Queue = m_Classes[New.m_Class];
+  Queue.push(std::move(New));
+  return Outcome;
+}
+
+std::optional<Ticket> AdmissionControl::displace(const Ticket &New) {
+  const auto Lowest =
+      std::find_if(m_Classes.rbegin(), m_Classes.rend(),
+                   [](const auto &Item) { return Item.second.size() > 0; });
+  if (Lowest == m_Classes.rend() || Lowest->first < New.m_Class)
+    return std::nullopt;
+  if (Lowest->first == New.m_Class) {
+    // Within a class room is made only at the cost of a larger customer.
+    const double Mine = Lowest->second.workOf(New.m_Customer) + New.m_Work;
+    if (Lowest->second.largestWork() <= Mine)
+      return std::nullopt;
+  }
+  std::optional<Ticket> Loser = Lowest->second.dropFromLargest();
+  if (Loser)
+    forget(*Loser);
+  return Loser;
+}
+
+const Ticket *AdmissionControl::peek() const {
+  for (const auto &[Class, Queue] : m_Classes)
+    if (const Ticket *First = Queue.front())
+      return First;
+  return nullptr;
+}
+
+std::optional<Ticket> AdmissionControl::take(base::Millis Now) {
+  for (auto &[Class, Queue] : m_Classes) {
+    std::optional<Ticket> First = Queue.pop();
+    if (!First)
+      continue;
+    // One that found room at once says nothing of the rate under load.
+    if (First->m_Since < Now)
+      m_Rate.drained(Now, First->m_Work);
+    forget(*First);
+    return First;
+  }
+  return std::nullopt;
+}
+
+bool AdmissionControl::cancel(base::Millis Now, const std::string &Request) {
+  fadeReturning(Now);
+  const auto Found = m_Places.find(Request);
+  if (Found == m_Places.end())
+    return false;
+  const Place Where = Found->second;
+  const std::optional<Ticket> Gone =
+      m_Classes[Where.m_Class].remove(Request, Where.m_Customer);
+  if (Gone)
+    forget(*Gone);
+  return Gone.has_value();
+}
+
+void AdmissionControl::forget(const Ticket &Gone) {
+  m_Places.erase(Gone.m_Request);
+  if (m_Places.empty())
+    m_Rate.end();
+}
+
+std::vector<Refusal> AdmissionControl::expire(base::Millis Now) {
+  std::vector<Refusal> Given;
+  double Ahead = 0;
+  for (auto &[Class, Queue] : m_Classes) {
+    const auto Misses = [&](const Ticket &Each, double Through) {
+      const base::Millis Wait = waitFor(Now, Ahead + Through - Each.m_Work);
+      return Now + Wait + Each.m_RunTime > Each.m_Deadline;
+    };
+    for (const Ticket &Gone : Queue.filter(Misses)) {
+      forget(Gone);
+      const base::Millis Wait = waitFor(Now, Ahead + Queue.work());
+      Given.push_back({Gone.m_Request, refuse(Now, Gone, Wait)});
+    }
+    Ahead += Queue.work();
+  }
+  return Given;
+}
+
+base::Millis AdmissionControl::predictWait(base::Millis Now,
+                                           std::uint32_t Class,
+                                           const std::string &Customer,
+                                           double Work) const {
+  double Ahead = workAhead(Class);
+  const auto Own = m_Classes.find(Class);
+  if (Own != m_Classes.end())
+    Ahead += Own->second.workThrough(Customer, Work) - Work;
+  return waitFor(Now, Ahead);
+}
+
+double AdmissionControl::workAhead(std::uint32_t Class) const {
+  double Sum = 0;
+  for (auto Item = m_Classes.begin();
+       Item != m_Classes.end() && Item->first < Class; ++Item)
+    Sum += Item->second.work();
+  return Sum;
+}
+
+double AdmissionControl::queuedWork() const {
+  double Sum = 0;
+  for (const auto &[Class, Queue] : m_Classes)
+    Sum += Queue.work();
+  return Sum;
+}
+
+base::Millis AdmissionControl::waitFor(base::Millis Now, double Work) const {
+  const double Rate = std::max(m_Rate.perSecond(Now), MinWorkPerSecond);
+  const double Wait = std::ceil(Work / Rate * MillisPerSecond);
+  const auto Longest = static_cast<double>(base::minutes(60).count());
+  return base::Millis(static_cast<std::int64_t>(std::min(Wait, Longest)));
+}
+
+base::Error AdmissionControl::refuse(base::Millis Now, const Ticket &Of,
+                                     base::Millis Wait) {
+  fadeReturning(Now);
+  const base::Millis Room = Of.m_Deadline - Now - Of.m_RunTime;
+  // Those refused before come back before this one does.
+  const base::Millis Returning = waitFor(Now, m_Returning);
+  m_Returning += Of.m_Work;
+  const base::Millis Excess = Wait - std::max(Room, base::Millis(0));
+  const base::Millis RetryAfter =
+      std::clamp(std::max(Excess, base::Millis(0)) + Returning,
+                 m_Settings.m_MinRetryAfter, m_Settings.m_MaxRetryAfter);
+  if (Room < base::Millis(0))
+    return {base::ResultCode::DeadlineTooShort,
+            "The deadline is shorter than the run; ask with a longer one.",
+            RetryAfter};
+  return {base::ResultCode::Overloaded,
+          "The deadline can't be met under the present load; ask again after "
+          "the time given.",
+          RetryAfter};
+}
+
+void AdmissionControl::fadeReturning(base::Millis Now) {
+  const auto Span = static_cast<double>((Now - m_ReturningSince).count());
+  const double Drained = m_Rate.perSecond(Now) * Span / MillisPerSecond;
+  m_Returning = std::max(0.0, m_Returning - Drained);
+  m_ReturningSince = Now;
+}
+
+} // namespace corneldeck::admission
--- /dev/null
+++ b/Source/Admission/AdmissionControl.h
@@ -0,0 +1,103 @@
+#ifndef CORNELDECK_ADMISSION_ADMISSIONCONTROL_H
+#define CORNELDECK_ADMISSION_ADMISSIONCONTROL_H
+
+#include "Admission/DrainRate.h"
+#include "Admission/FairQueue.h"
+#include "Base/Error.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace corneldeck::admission {
+
+/// Bounds of one entry's queue for one service.
+struct AdmissionSettings {
+  std::size_t m_MaxQueued = 2'000;
+  /// Work a second that is assumed before any was measured.
+  double m_InitialRate = 100'000;
+  base::Millis m_RateWindow{2'000};
+  base::Millis m_MinRetryAfter{20};
+  base::Millis m_MaxRetryAfter = base::seconds(60);
+};
+
+/// The final answer to a request that is not run.
+struct Refusal {
+  std::string m_Request;
+  /// Its code is Overloaded or DeadlineTooShort, with a time to come back.
+  base::Error m_Error;
+};
+
+/// What became of an offered request.
+struct Offer {
+  /// Set if the request was refused; it is queued otherwise.
+  std::optional<base::Error> m_Refused;
+  /// Requests of a lower class, or of a customer with more queued, that were
+  /// given up to make room.
+  std::vector<Refusal> m_Displaced;
+};
+
+/// Queues an entry's requests for one service and refuses early those that
+/// can't meet their deadlines.
+///
+/// Classes are served in strict order, customers of a class by fair shares of
+/// work. The wait is predicted from the work ahead and the measured rate at
+/// which work leaves. Pure: it owns no clock and no thread.
+class AdmissionControl {
+public:
+  explicit AdmissionControl(const AdmissionSettings &Settings);
+
+  /// Queues a request or refuses it.
+  Offer offer(base::Millis Now, Ticket New);
+
+  /// \returns the request to be dispatched next, without taking it out;
+  /// nothing if none waits. Valid until the next call that changes the queue.
+  [[nodiscard]] const Ticket *peek() const;
+
+  /// Takes the request of peek() out, to be dispatched at once.
+  std::optional<Ticket> take(base::Millis Now);
+
+  /// Forgets a queued request whose caller has gone.
+  /// \returns false if it isn't queued.
+  bool cancel(base::Millis Now, const std::string &Request);
+
+  /// Gives up the queued requests that are no longer predicted to meet their
+  /// deadlines. To be called several times a second.
+  std::vector<Refusal> expire(base::Millis Now);
+
+  /// \returns the time that a request of this class and customer would wait.
+  [[nodiscard]] base::Millis predictWait(base::Millis Now, std::uint32_t Class,
+                                         const std::string &Customer,
+                                         double Work) const;
+
+  [[nodiscard]] std::size_t size() const { return m_Places.size(); }
+  [[nodiscard]] double queuedWork() const;
+
+private:
+  struct Place {
+    std::uint32_t m_Class = 0;
+    std::string m_Customer;
+  };
+
+  [[nodiscard]] double workAhead(std::uint32_t Class) const;
+  [[nodiscard]] base::Millis waitFor(base::Millis Now, double Work) const;
+  base::Error refuse(base::Millis Now, const Ticket &Of, base::Millis Wait);
+  void fadeReturning(base::Millis Now);
+  std::optional<Ticket> displace(const Ticket &New);
+  void forget(const Ticket &Gone);
+
+  AdmissionSettings m_Settings;
+  DrainRate m_Rate;
+  std::map<std::uint32_t, FairQueue> m_Classes;
+  std::map<std::string, Place> m_Places;
+  /// Refused work that was told to come back and has not had its turn yet.
+  double m_Returning = 0;
+  base::Millis m_ReturningSince{};
+};
+
+} // namespace corneldeck::admission
+
+#endif
--- /dev/null
+++ b/Source/Admission/DrainRate.h
@@ -0,0 +1,38 @@
+#ifndef CORNELDECK_ADMISSION_DRAINRATE_H
+#define CORNELDECK_ADMISSION_DRAINRATE_H
+
+#include "Base/Millis.h"
+
+namespace corneldeck::admission {
+
+/// Measures how fast a queue drains, in work a second, over the spells in
+/// which it holds something.
+class DrainRate {
+public:
+  /// \param Window the time over which older spells fade.
+  /// \param Initial the rate assumed before any was measured.
+  DrainRate(base::Millis Window, double Initial);
+
+  /// The queue was empty and no longer is.
+  void begin(base::Millis Now);
+
+  /// \p Work left the queue for a backend server after it had waited.
+  void drained(base::Millis Now, double Work);
+
+  /// The queue is empty.
+  void end() { m_Waiting = false; }
+
+  /// \returns the rate; it falls while a queue waits and nothing leaves it.
+  [[nodiscard]] double perSecond(base::Millis Now) const;
+
+private:
+  base::Millis m_Window;
+  double m_Work;
+  double m_Seconds = 1;
+  bool m_Waiting = false;
+  base::Millis m_Last{};
+};
+
+} // namespace corneldeck::admission
+
+#endif
--- /dev/null
+++ b/Source/Admission/FairQueue.cpp
@@ -0,0 +1,167 @@
+#include "Admission/FairQueue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corneldeck::admission {
+namespace {
+
+/// The fluid model of the queue: how much all customers together are served
+/// until one of them has had a given amount.
+class ShareCurve {
+public:
+  void add(double Queued) { m_Queued.push_back(Queued); }
+
+  void finish() {
+    std::sort(m_Queued.begin(), m_Queued.end());
+    double Sum = 0;
+    m_Sums.push_back(Sum);
+    for (const double Queued : m_Queued)
+      m_Sums.push_back(Sum += Queued);
+  }
+
+  /// \returns the sum over the customers of min(queued, \p Served).
+  [[nodiscard]] double servedInAll(double Served) const {
+    const auto Bound =
+        std::upper_bound(m_Queued.begin(), m_Queued.end(), Served);
+    const auto Below = static_cast<std::size_t>(Bound - m_Queued.begin());
+    const auto Above = static_cast<double>(m_Queued.size() - Below);
+    return m_Sums[Below] + Above * Served;
+  }
+
+private:
+  std::vector<double> m_Queued;
+  std::vector<double> m_Sums;
+};
+
+} // namespace
+
+void FairQueue::push(Ticket New) {
+  Line &Own = m_Lines[New.m_Customer];
+  if (Own.m_Waiting.empty())
+    Own.m_Served = std::max(Own.m_Served, m_Level);
+  Own.m_Work += New.m_Work;
+  m_Work += New.m_Work;
+  ++m_Size;
+  Own.m_Waiting.push_back(std::move(New));
+}
+
+FairQueue::Lines::const_iterator FairQueue::nextLine() const {
+  auto Best = m_Lines.end();
+  for (auto Item = m_Lines.begin(); Item != m_Lines.end(); ++Item) {
+    if (Item->second.m_Waiting.empty())
+      continue;
+    if (Best == m_Lines.end() || Item->second.m_Served < Best->second.m_Served)
+      Best = Item;
+  }
+  return Best;
+}
+
+const Ticket *FairQueue::front() const {
+  const auto Next = nextLine();
+  return Next == m_Lines.end() ? nullptr : &Next->second.m_Waiting.front();
+}
+
+std::optional<Ticket> FairQueue::pop() {
+  const auto Next = nextLine();
+  if (Next == m_Lines.end())
+    return std::nullopt;
+  const auto Own = m_Lines.find(Next->first);
+  Ticket First = std::move(Own->second.m_Waiting.front());
+  Own->second.m_Waiting.pop_front();
+  m_Level = Own->second.m_Served;
+  Own->second.m_Served += First.m_Work;
+  shrink(Own, First.m_Work);
+  return First;
+}
+
+void FairQueue::shrink(Lines::iterator From, double Work) {
+  From->second.m_Work -= Work;
+  m_Work -= Work;
+  --m_Size;
+  // Idle customers are forgotten once the others have caught up with them.
+  std::erase_if(m_Lines, [this](const auto &Item) {
+    return Item.second.m_Waiting.empty() && Item.second.m_Served <= m_Level;
+  });
+  if (m_Size == 0) {
+    m_Lines.clear();
+    m_Level = 0;
+    m_Work = 0;
+  }
+}
+
+std::optional<Ticket> FairQueue::remove(const std::string &Request,
+                                        const std::string &Customer) {
+  const auto Own = m_Lines.find(Customer);
+  if (Own == m_Lines.end())
+    return std::nullopt;
+  std::deque<Ticket> &Waiting = Own->second.m_Waiting;
+  const auto Item =
+      std::find_if(Waiting.begin(), Waiting.end(), [&](const Ticket &Each) {
+        return Each.m_Request == Request;
+      });
+  if (Item == Waiting.end())
+    return std::nullopt;
+  Ticket Found = std::move(*Item);
+  Waiting.erase(Item);
+  shrink(Own, Found.m_Work);
+  return Found;
+}
+
+std::optional<Ticket> FairQueue::dropFromLargest() {
+  const auto Largest = std::max_element(
+      m_Lines.begin(), m_Lines.end(), [](const auto &Left, const auto &Right) {
+        return Left.second.m_Work < Right.second.m_Work;
+      });
+  if (Largest == m_Lines.end() || Largest->second.m_Waiting.empty())
+    return std::nullopt;
+  Ticket Last = std::move(Largest->second.m_Waiting.back());
+  Largest->second.m_Waiting.pop_back();
+  shrink(Largest, Last.m_Work);
+  return Last;
+}
+
+double FairQueue::workOf(const std::string &Customer) const {
+  const auto Own = m_Lines.find(Customer);
+  return Own == m_Lines.end() ? 0 : Own->second.m_Work;
+}
+
+double FairQueue::largestWork() const {
+  double Most = 0;
+  for (const auto &[Name, Item] : m_Lines)
+    Most = std::max(Most, Item.m_Work);
+  return Most;
+}
+
+double FairQueue::workThrough(const std::string &Customer, double Work) const {
+  const double Mine = Work + workOf(Customer);
+  double Sum = Mine;
+  for (const auto &[Name, Item] : m_Lines)
+    if (Name != Customer)
+      Sum += std::min(Item.m_Work, Mine);
+  return Sum;
+}
+
+std::vector<Ticket>
+FairQueue::filter(const std::function<bool(const Ticket &, double)> &Drop) {
+  ShareCurve Curve;
+  for (const auto &[Name, Item] : m_Lines)
+    Curve.add(Item.m_Work);
+  Curve.finish();
+  std::vector<Ticket> Dropped;
+  for (const auto &[Name, Item] : m_Lines) {
+    double Mine = 0;
+    for (const Ticket &Each : Item.m_Waiting) {
+      const double Through = Curve.servedInAll(Mine + Each.m_Work);
+      if (Drop(Each, Through))
+        Dropped.push_back(Each);
+      else
+        Mine += Each.m_Work;
+    }
+  }
+  for (const Ticket &Each : Dropped)
+    remove(Each.m_Request, Each.m_Customer);
+  return Dropped;
+}
+
+} // namespace corneldeck::admission
--- /dev/null
+++ b/Source/Admission/FairQueue.h
@@ -0,0 +1,97 @@
+#ifndef CORNELDECK_ADMISSION_FAIRQUEUE_H
+#define CORNELDECK_ADMISSION_FAIRQUEUE_H
+
+#include "Base/Millis.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace corneldeck::admission {
+
+/// A request that waits for a backend server.
+struct Ticket {
+  std::string m_Request;
+  std::string m_Customer;
+  /// 0 is the class that is refused last.
+  std::uint32_t m_Class = 0;
+  /// Size in the unit in which customers share, such as tokens; above 0.
+  double m_Work = 1;
+  /// Point in time by which the whole answer is due.
+  base::Millis m_Deadline{};
+  /// Predicted time from dispatch to the whole answer.
+  base::Millis m_RunTime{};
+  /// Set by the queue: when the request came.
+  base::Millis m_Since{};
+};
+
+/// The requests of one class, shared fairly between customers by work.
+///
+/// Customers are served in the order of the work that they have had. One that
+/// was idle starts level with the least served, so it can't save up a claim.
+class FairQueue {
+public:
+  /// Adds a request behind the others of its customer.
+  void push(Ticket New);
+
+  /// \returns the next request, nothing if empty. It stays queued.
+  [[nodiscard]] const Ticket *front() const;
+
+  /// Takes the next request out and charges its customer.
+  std::optional<Ticket> pop();
+
+  /// Takes one request out without a charge.
+  std::optional<Ticket> remove(const std::string &Request,
+                               const std::string &Customer);
+
+  /// Takes out the last request of the customer with the most queued work.
+  std::optional<Ticket> dropFromLargest();
+
+  /// \returns the work served before a request of \p Customer that came now,
+  /// of \p Work, and itself.
+  [[nodiscard]] double workThrough(const std::string &Customer,
+                                   double Work) const;
+
+  /// Visits all requests with the work served up to and with each one, and
+  /// takes out those for which \p Drop returns true. A dropped request no
+  /// longer counts for the ones behind it.
+  std::vector<Ticket>
+  filter(const std::function<bool(const Ticket &, double WorkThrough)> &Drop);
+
+  [[nodiscard]] double work() const { return m_Work; }
+
+  /// \returns the queued work of one customer.
+  [[nodiscard]] double workOf(const std::string &Customer) const;
+
+  /// \returns the queued work of the customer with the most of it.
+  [[nodiscard]] double largestWork() const;
+
+  [[nodiscard]] std::size_t size() const { return m_Size; }
+
+private:
+  struct Line {
+    std::deque<Ticket> m_Waiting;
+    double m_Work = 0;
+    /// Work served, on the scale of m_Level.
+    double m_Served = 0;
+  };
+  using Lines = std::map<std::string, Line>;
+
+  [[nodiscard]] Lines::const_iterator nextLine() const;
+  void shrink(Lines::iterator From, double Work);
+
+  Lines m_Lines;
+  /// Work served to the customer served last, when it was chosen.
+  double m_Level = 0;
+  double m_Work = 0;
+  std::size_t m_Size = 0;
+};
+
+} // namespace corneldeck::admission
+
+#endif
--- /dev/null
+++ b/Source/Routing/ReplicaChooser.cpp
@@ -0,0 +1,177 @@
+#include "Routing/ReplicaChooser.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corneldeck::routing {
+
+ReplicaChooser::ReplicaChooser(const ChooserSettings &Settings,
+                               std::string Zone, std::uint64_t Seed)
+    : m_Settings(Settings), m_Zone(std::move(Zone)), m_Random(Seed),
+      m_Prefixes(Settings.m_Prefix) {}
+
+void ReplicaChooser::setReplicas(std::span<const ReplicaInfo> Replicas) {
+  std::map<std::string, Replica> Kept;
+  for (const ReplicaInfo &Info : Replicas) {
+    auto Known = m_Replicas.extract(Info.m_Name);
+    if (Known.empty()) {
+      Kept.emplace(Info.m_Name,
+                   Replica{Info.m_Zone, true, ReplicaLoad(m_Settings.m_Load)});
+      continue;
+    }
+    Known.mapped().m_Zone = Info.m_Zone;
+    Kept.insert(std::move(Known));
+  }
+  for (const auto &[Name, Gone] : m_Replicas)
+    m_Prefixes.forget(Name);
+  m_Replicas = std::move(Kept);
+}
+
+void ReplicaChooser::report(base::Millis Now, const std::string &Name,
+                            const ReplicaReport &Report) {
+  const auto Found = m_Replicas.find(Name);
+  if (Found != m_Replicas.end())
+    Found->second.m_Load.report(Now, Report);
+}
+
+void ReplicaChooser::cacheEvents(base::Millis Now, const std::string &Name,
+                                 std::uint64_t FirstSequence,
+                                 std::span<const std::uint64_t> Added,
+                                 std::span<const std::uint64_t> Evicted) {
+  if (m_Replicas.contains(Name))
+    m_Prefixes.events(Now, Name, FirstSequence, Added, Evicted);
+}
+
+void ReplicaChooser::setReachable(const std::string &Name, bool Reachable) {
+  const auto Found = m_Replicas.find(Name);
+  if (Found == m_Replicas.end())
+    return;
+  Found->second.m_Reachable = Reachable;
+  if (!Reachable)
+    m_Prefixes.forget(Name);
+}
+
+bool ReplicaChooser::isOpen(const Replica &Of) const {
+  const ReplicaReport &Last = Of.m_Load.lastReport();
+  return Of.m_Reachable && !Last.m_Leaving && !Last.m_OutOfService;
+}
+
+std::uint32_t ReplicaChooser::outputTokens(const ChoiceQuery &Query) const {
+  return Query.m_OutputTokens > 0 ? Query.m_OutputTokens
+                                  : static_cast<std::uint32_t>(m_MeanOutput);
+}
+
+ReplicaChooser::Candidate ReplicaChooser::weigh(base::Millis Now,
+                                                const std::string &Name,
+                                                const Replica &Of,
+                                                const AttemptSize &Size) const {
+  Candidate Item;
+  Item.m_Name = Name;
+  Item.m_Size = Size;
+  Item.m_Prediction = Of.m_Load.predict(Now, Size, m_MeanOutput);
+  const auto Prefill = static_cast<double>(Item.m_Prediction.m_Prefill.count());
+  Item.m_Cost = static_cast<double>(Item.m_Prediction.m_Completion.count()) +
+                (m_Settings.m_PrefillWeight - 1) * Prefill;
+  if (Of.m_Zone != m_Zone)
+    Item.m_Cost += static_cast<double>(m_Settings.m_ZoneCost.count());
+  const base::Millis Age = Now - Of.m_Load.reportedAt();
+  if (Of.m_Load.hasReport() && Age > m_Settings.m_StaleAfter)
+    Item.m_Cost += static_cast<double>(m_Settings.m_StaleAfter.count());
+  return Item;
+}
+
+std::vector<ReplicaChooser::Candidate>
+ReplicaChooser::candidates(base::Millis Now, const ChoiceQuery &Query) const {
+  const auto Runs = m_Prefixes.cachedRuns(Now, Query.m_PrefixBlocks);
+  std::vector<Candidate> All;
+  for (const auto &[Name, Of] : m_Replicas) {
+    if (!isOpen(Of) || Query.m_Excluded.contains(Name))
+      continue;
+    const auto Run = Runs.find(Name);
+    const std::size_t Blocks = Run == Runs.end() ? 0 : Run->second;
+    const AttemptSize Size{
+        Query.m_PromptTokens,
+        static_cast<std::uint32_t>(Blocks * m_Settings.m_BlockTokens),
+        outputTokens(Query)};
+    All.push_back(weigh(Now, Name, Of, Size));
+  }
+  return All;
+}
+
+const ReplicaChooser::Candidate &
+ReplicaChooser::draw(const std::vector<Candidate> &From) {
+  double Best = From.front().m_Cost;
+  for (const Candidate &Each : From)
+    Best = std::min(Best, Each.m_Cost);
+  const double Limit = Best * (1 + m_Settings.m_Margin) +
+                       static_cast<double>(m_Settings.m_MarginSpan.count());
+  std::vector<const Candidate *> Close;
+  for (const Candidate &Each : From)
+    if (Each.m_Cost <= Limit)
+      Close.push_back(&Each);
+  return *Close[m_Random.below(Close.size())];
+}
+
+Choice ReplicaChooser::choose(base::Millis Now, const ChoiceQuery &Query,
+                              bool MayHold) {
+  std::vector<Candidate> All = candidates(Now, Query);
+  if (All.empty())
+    return {};
+  if (MayHold) {
+    std::erase_if(All, [this](const Candidate &Each) {
+      return Each.m_Prediction.m_Wait > m_Settings.m_MaxReplicaWait;
+    });
+    if (All.empty())
+      return {ChoiceKind::Busy, {}, {}, {}};
+  }
+  const Candidate &Drawn = draw(All);
+  return {ChoiceKind::Chosen, Drawn.m_Name, Drawn.m_Size, Drawn.m_Prediction};
+}
+
+void ReplicaChooser::started(base::Millis Now, const std::string &Attempt,
+                             const Choice &Where,
+                             std::span<const std::uint64_t> PrefixBlocks) {
+  const auto Found = m_Replicas.find(Where.m_Replica);
+  if (Found == m_Replicas.end())
+    return;
+  Found->second.m_Load.started(Now, Attempt, Where.m_Size);
+  m_Attempts[Attempt] = Where.m_Replica;
+  m_Prefixes.sent(Now, Where.m_Replica, PrefixBlocks);
+}
+
+void ReplicaChooser::firstToken(const std::string &Attempt) {
+  const auto Found = m_Attempts.find(Attempt);
+  if (Found == m_Attempts.end())
+    return;
+  const auto Replica = m_Replicas.find(Found->second);
+  if (Replica != m_Replicas.end())
+    Replica->second.m_Load.firstToken(Attempt);
+}
+
+void ReplicaChooser::ended(base::Millis Now, const std::string &Attempt,
+                           std::uint32_t OutputTokens) {
+  const auto Found = m_Attempts.find(Attempt);
+  if (Found == m_Attempts.end())
+    return;
+  const auto Replica = m_Replicas.find(Found->second);
+  if (Replica != m_Replicas.end())
+    Replica->second.m_Load.ended(Now, Attempt);
+  m_Attempts.erase(Found);
+  if (OutputTokens > 0)
+    m_MeanOutput += m_Settings.m_OutputWeight * (OutputTokens - m_MeanOutput);
+}
+
+base::Millis ReplicaChooser::runTime(base::Millis Now,
+                                     const ChoiceQuery &Query) const {
+  base::Millis Best{};
+  bool Any = false;
+  for (const Candidate &Each : candidates(Now, Query)) {
+    const base::Millis Span =
+        Each.m_Prediction.m_Completion - Each.m_Prediction.m_Wait;
+    Best = Any ? std::min(Best, Span) : Span;
+    Any = true;
+  }
+  return Best;
+}
+
+} // namespace corneldeck::routing
--- /dev/null
+++ b/Source/Routing/ReplicaChooser.h
@@ -0,0 +1,161 @@
+#ifndef CORNELDECK_ROUTING_REPLICACHOOSER_H
+#define CORNELDECK_ROUTING_REPLICACHOOSER_H
+
+#include "Base/Millis.h"
+#include "Base/Random.h"
+#include "Routing/PrefixIndex.h"
+#include "Routing/ReplicaLoad.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace corneldeck::routing {
+
+/// How an entry chooses.
+struct ChooserSettings {
+  LoadSettings m_Load;
+  PrefixIndexSettings m_Prefix;
+  /// Tokens a prefix block covers; the same as at the engines.
+  std::uint32_t m_BlockTokens = 64;
+  /// Replicas predicted within this share of the best are drawn from evenly.
+  double m_Margin = 0.05;
+  /// And within this span of it.
+  base::Millis m_MarginSpan{4};
+  /// What a request in another availability zone costs more.
+  base::Millis m_ZoneCost{2};
+  /// Weight of the prompt's computing, which also slows the others there.
+  double m_PrefillWeight = 2.0;
+  /// A request is held back while every replica is predicted to let it wait
+  /// for longer than this.
+  base::Millis m_MaxReplicaWait{100};
+  /// A replica without a report for this long is chosen only as a last resort.
+  base::Millis m_StaleAfter = base::seconds(3);
+  /// Weight of a new answer's length against the mean so far.
+  double m_OutputWeight = 0.02;
+};
+
+/// A backend server that may be chosen.
+struct ReplicaInfo {
+  std::string m_Name;
+  std::string m_Zone;
+};
+
+/// The request to be placed.
+struct ChoiceQuery {
+  std::uint32_t m_PromptTokens = 0;
+  /// Expected tokens of the answer; 0 takes the mean of earlier answers.
+  std::uint32_t m_OutputTokens = 0;
+  /// Hashes of the prompt's full blocks, each over all blocks before it.
+  std::span<const std::uint64_t> m_PrefixBlocks = {};
+  /// Replicas that must not be chosen, such as those that failed it.
+  std::set<std::string> m_Excluded = {};
+};
+
+enum class ChoiceKind {
+  Chosen, ///< A replica was chosen.
+  Busy,   ///< All are full; try again after a report or an ended attempt.
+  None    ///< No replica is in service.
+};
+
+/// Where to send a request.
+struct Choice {
+  ChoiceKind m_Kind = ChoiceKind::None;
+  std::string m_Replica;
+  /// The size by which it was chosen; goes into started().
+  AttemptSize m_Size;
+  Prediction m_Prediction;
+};
+
+/// Chooses the replica that is predicted to answer first.
+///
+/// One object serves one entry and one service. It draws among all replicas
+/// that are close to the best, so entries with the same reports don't all
+/// choose the same one. Pure: it owns no clock and no thread.
+class ReplicaChooser {
+public:
+  /// \param Zone the entry's availability zone. \param Seed must differ
+  /// between entries.
+  ReplicaChooser(const ChooserSettings &Settings, std::string Zone,
+                 std::uint64_t Seed);
+
+  /// Sets the replicas of the service; those known already keep their state.
+  void setReplicas(std::span<const ReplicaInfo> Replicas);
+
+  /// Takes an agent's report.
+  void report(base::Millis Now, const std::string &Replica,
+              const ReplicaReport &Report);
+
+  /// Takes the cache events that came with a report; see PrefixIndex::events.
+  void cacheEvents(base::Millis Now, const std::string &Replica,
+                   std::uint64_t FirstSequence,
+                   std::span<const std::uint64_t> Added,
+                   std::span<const std::uint64_t> Evicted);
+
+  /// A replica is lost (false) or back (true), as seen on its connections.
+  void setReachable(const std::string &Replica, bool Reachable);
+
+  /// Chooses a replica; started() must follow if the attempt is sent.
+  /// \param MayHold false chooses the best replica even if all are full.
+  Choice choose(base::Millis Now, const ChoiceQuery &Query,
+                bool MayHold = true);
+
+  /// An attempt was sent to the replica of \p Where.
+  void started(base::Millis Now, const std::string &Attempt,
+               const Choice &Where,
+               std::span<const std::uint64_t> PrefixBlocks);
+
+  /// The first token of an attempt came.
+  void firstToken(const std::string &Attempt);
+
+  /// An attempt ended in any way.
+  /// \param OutputTokens the tokens of a whole answer, 0 for none.
+  void ended(base::Millis Now, const std::string &Attempt,
+             std::uint32_t OutputTokens);
+
+  /// \returns the predicted time of a run without any wait.
+  [[nodiscard]] base::Millis runTime(base::Millis Now,
+                                     const ChoiceQuery &Query) const;
+
+  /// \returns attempts sent and not ended.
+  [[nodiscard]] std::size_t inFlight() const { return m_Attempts.size(); }
+
+private:
+  struct Replica {
+    std::string m_Zone;
+    bool m_Reachable = true;
+    ReplicaLoad m_Load;
+  };
+  struct Candidate {
+    std::string m_Name;
+    AttemptSize m_Size;
+    Prediction m_Prediction;
+    double m_Cost = 0;
+  };
+
+  [[nodiscard]] bool isOpen(const Replica &Of) const;
+  [[nodiscard]] std::uint32_t outputTokens(const ChoiceQuery &Query) const;
+  [[nodiscard]] Candidate weigh(base::Millis Now, const std::string &Name,
+                                const Replica &Of,
+                                const AttemptSize &Size) const;
+  [[nodiscard]] std::vector<Candidate>
+  candidates(base::Millis Now, const ChoiceQuery &Query) const;
+  const Candidate &draw(const std::vector<Candidate> &From);
+
+  ChooserSettings m_Settings;
+  std::string m_Zone;
+  base::Random m_Random;
+  PrefixIndex m_Prefixes;
+  std::map<std::string, Replica> m_Replicas;
+  /// The replica of each attempt.
+  std::unordered_map<std::string, std::string> m_Attempts;
+  double m_MeanOutput = 100;
+};
+
+} // namespace corneldeck::routing
+
+#endif
--- /dev/null
+++ b/Source/Routing/ReplicaLoad.h
@@ -0,0 +1,105 @@
+#ifndef CORNELDECK_ROUTING_REPLICALOAD_H
+#define CORNELDECK_ROUTING_REPLICALOAD_H
+
+#include "Base/Millis.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace corneldeck::routing {
+
+/// What an agent last said of its backend server.
+struct ReplicaReport {
+  std::uint32_t m_Running = 0;
+  std::uint32_t m_Queued = 0;
+  /// Requests that run at once; 0 if unknown.
+  std::uint32_t m_Capacity = 0;
+  /// Prompt and answer tokens still to be computed.
+  std::uint64_t m_TokensAhead = 0;
+  /// Length of the last step; 0 if the backend server has no steps.
+  std::uint32_t m_StepMicros = 0;
+  /// The agent takes no new work.
+  bool m_Leaving = false;
+  /// The backend server or its rank group can't run requests.
+  bool m_OutOfService = false;
+};
+
+/// The size of an attempt, as far as the entry knows it.
+struct AttemptSize {
+  std::uint32_t m_PromptTokens = 0;
+  /// Prompt tokens that are likely cached at the replica.
+  std::uint32_t m_CachedTokens = 0;
+  /// Expected tokens of the answer; 1 for a plain call.
+  std::uint32_t m_OutputTokens = 1;
+};
+
+/// When an attempt sent now would reach its stages, from now on.
+struct Prediction {
+  /// Until it has a place in the batch.
+  base::Millis m_Wait{};
+  base::Millis m_FirstToken{};
+  base::Millis m_Completion{};
+  /// Time that computing its prompt takes from the whole batch.
+  base::Millis m_Prefill{};
+};
+
+/// How predictions are made.
+struct LoadSettings {
+  /// Age of an engine's load when it is reported.
+  base::Millis m_ReportLag{250};
+  /// Prompt tokens that an engine computes in one step.
+  std::uint32_t m_PrefillTokensPerStep = 512;
+  /// Step time assumed before a report came.
+  std::int64_t m_DefaultStepMicros = 6'000;
+  /// Weight of a new report's step time against the earlier ones.
+  double m_StepWeight = 0.2;
+};
+
+/// One entry's view of the load of one replica: the last report, corrected by
+/// the entry's own attempts that the report can't include yet, and by those
+/// that ended since.
+class ReplicaLoad {
+public:
+  explicit ReplicaLoad(const LoadSettings &Settings);
+
+  void report(base::Millis Now, const ReplicaReport &Report);
+
+  void started(base::Millis Now, const std::string &Attempt,
+               const AttemptSize &Size);
+  void firstToken(const std::string &Attempt);
+  void ended(base::Millis Now, const std::string &Attempt);
+
+  /// \param MeanOutput mean tokens of the answers at this replica.
+  [[nodiscard]] Prediction predict(base::Millis Now, const AttemptSize &Size,
+                                   double MeanOutput) const;
+
+  /// \returns how many requests run or wait there, as far as known.
+  [[nodiscard]] double sequences() const;
+
+  [[nodiscard]] const ReplicaReport &lastReport() const { return m_Report; }
+  [[nodiscard]] bool hasReport() const { return m_HasReport; }
+  [[nodiscard]] base::Millis reportedAt() const { return m_ReportedAt; }
+
+private:
+  struct Own {
+    base::Millis m_SentAt{};
+    AttemptSize m_Size;
+    bool m_HasToken = false;
+  };
+
+  [[nodiscard]] base::Millis coveredUntil() const;
+
+  LoadSettings m_Settings;
+  ReplicaReport m_Report;
+  bool m_HasReport = false;
+  base::Millis m_ReportedAt{};
+  double m_StepMicros;
+  std::map<std::string, Own> m_Own;
+  /// When own attempts ended that the last report still counts.
+  std::multimap<base::Millis, base::Millis> m_Ended;
+};
+
+} // namespace corneldeck::routing
+
+#endif
--- /dev/null
+++ b/Source/Routing/RetryBudget.cpp
@@ -0,0 +1,34 @@
+#include "Routing/RetryBudget.h"
+
+#include <algorithm>
+
+namespace corneldeck::routing {
+namespace {
+
+/// Takes a whole attempt from what is saved.
+bool take(double &Saved) {
+  if (Saved < 1)
+    return false;
+  Saved -= 1;
+  return true;
+}
+
+} // namespace
+
+RetryBudget::RetryBudget(const RetryBudgetSettings &Settings)
+    : m_Settings(Settings) {}
+
+void RetryBudget::firstAttempt() {
+  const double MaxHedges =
+      std::max(1.0, m_Settings.m_MaxSaved * m_Settings.m_HedgeShare /
+                        m_Settings.m_RetryShare);
+  m_Retries =
+      std::min(m_Retries + m_Settings.m_RetryShare, m_Settings.m_MaxSaved);
+  m_Hedges = std::min(m_Hedges + m_Settings.m_HedgeShare, MaxHedges);
+}
+
+bool RetryBudget::takeRetry() { return take(m_Retries); }
+
+bool RetryBudget::takeHedge() { return take(m_Hedges); }
+
+} // namespace corneldeck::routing
