Net: add base64, targets, server-sent events and prompt blocks

The stand-ins, the command line and the daemons read the log's base64 records, targets with queries and streams of events. Entries and engines have to agree on the prefix blocks of a prompt, so their hashes stand in Base.

--- /dev/null
+++ b/Source/Base/PromptBlocks.h
@@ -0,0 +1,22 @@
+#ifndef CORNELDECK_BASE_PROMPTBLOCKS_H
+#define CORNELDECK_BASE_PROMPTBLOCKS_H
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace corneldeck::base {
+
+/// Tokens that one prefix block covers; the same at entries and engines.
+inline constexpr std::uint32_t PromptBlockTokens = 64;
+
+/// \returns the estimated number of tokens of \p Prompt.
+std::uint32_t promptTokens(std::string_view Prompt);
+
+/// \returns the hashes of the full blocks of \p Prompt. Each covers all blocks
+/// before it, so equal hashes mean equal prefixes.
+std::vector<std::uint64_t> promptBlocks(std::string_view Prompt);
+
+} // namespace corneldeck::base
+
+#endif
--- /dev/null
+++ b/Source/Net/Target.h
@@ -0,0 +1,39 @@
+#ifndef CORNELDECK_NET_TARGET_H
+#define CORNELDECK_NET_TARGET_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace corneldeck::net {
+
+/// The path and query of a request's target.
+class Target {
+public:
+  /// \param Text the target as sent, such as "/read?from=1".
+  explicit Target(std::string_view Text);
+
+  /// \returns the path as sent.
+  [[nodiscard]] const std::string &path() const { return m_Path; }
+
+  /// \returns the decoded value of \p Key, or none.
+  [[nodiscard]] std::optional<std::string> text(std::string_view Key) const;
+
+  /// \returns the value of \p Key as a number; \p Default if it is missing or
+  /// not a number.
+  [[nodiscard]] std::uint64_t number(std::string_view Key,
+                                     std::uint64_t Default) const;
+
+private:
+  std::string m_Path;
+  std::map<std::string, std::string, std::less<>> m_Query;
+};
+
+/// \returns \p Text with the escapes that a query value needs.
+std::string encodeQueryValue(std::string_view Text);
+
+} // namespace corneldeck::net
+
+#endif
