Admin: define the operators' messages

The command line and the entries have to agree on the JSON bodies under /operator. One library writes and reads them, so that neither repeats the keys.

--- /dev/null
+++ b/Source/Admin/Messages.h
@@ -0,0 +1,154 @@
+#ifndef CORNELDECK_ADMIN_MESSAGES_H
+#define CORNELDECK_ADMIN_MESSAGES_H
+
+#include "Base/Error.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corneldeck::admin {
+
+/// Paths of the operators' interface of an entry.
+inline constexpr std::string_view PublishPath = "/operator/publish";
+inline constexpr std::string_view EntriesPath = "/operator/entries";
+inline constexpr std::string_view HistoryPath = "/operator/history";
+inline constexpr std::string_view StatusPath = "/operator/status";
+inline constexpr std::string_view DrainPath = "/operator/drain";
+inline constexpr std::string_view GroupsPath = "/operator/groups";
+
+/// One change of a catalogue entry.
+struct Change {
+  std::string m_Entry;
+  /// The version that the operator saw; 0 for a new entry.
+  std::uint64_t m_ExpectedVersion = 0;
+  std::string m_Owner;
+  /// The entry's YAML text; empty for a deletion.
+  std::string m_Body;
+  bool m_Deletion = false;
+};
+
+/// Asks an entry to publish changes, all or none.
+struct PublishRequest {
+  /// Unique to these changes; the same again asks for the first outcome.
+  std::string m_ChangeId;
+  std::vector<Change> m_Changes;
+};
+
+/// What became of published changes.
+enum class PublishResult {
+  Accepted, ///< In the log, and won.
+  Rejected, ///< In the log and lost, or refused before it.
+  Unknown   ///< May be in the log; ask again with the same identifier.
+};
+
+/// \returns "accepted", "rejected" or "unknown".
+std::string_view name(PublishResult Value);
+
+struct PublishAnswer {
+  PublishResult m_Result = PublishResult::Unknown;
+  base::ResultCode m_Code = base::ResultCode::PublishUnknown;
+  /// Offset of the record; 0 if it is not known.
+  std::uint64_t m_Offset = 0;
+  std::string m_Message;
+};
+
+/// One entry as an entry VM has it in force.
+struct ListedEntry {
+  std::string m_Entry;
+  std::uint64_t m_Version = 0;
+  std::uint64_t m_Offset = 0;
+  std::string m_Owner;
+  std::string m_Body;
+  bool m_Deleted = false;
+};
+
+struct EntryList {
+  std::uint64_t m_Offset = 0;
+  std::vector<ListedEntry> m_Entries;
+};
+
+/// One change in the history of an entry.
+struct PastChange {
+  std::uint64_t m_Offset = 0;
+  /// The version that it made; 0 if it was rejected.
+  std::uint64_t m_Version = 0;
+  std::string m_Owner;
+  bool m_Accepted = false;
+  std::string m_Message;
+};
+
+struct History {
+  std::string m_Entry;
+  /// Changes before this offset are no longer known.
+  std::uint64_t m_Since = 0;
+  std::vector<PastChange> m_Changes;
+};
+
+/// One process as the asked entry sees it.
+struct NodeStatus {
+  std::string m_Node;
+  /// "entry" or "agent".
+  std::string m_Role;
+  std::string m_Zone;
+  /// Offset of the catalogue in force there.
+  std::uint64_t m_Offset = 0;
+  /// Age of what is known of it.
+  base::Millis m_Lag{};
+  bool m_Ready = false;
+  bool m_Leaving = false;
+  /// Where it serves /timeline and /metrics, as "ip:port".
+  std::string m_Http;
+};
+
+struct Status {
+  std::string m_Node;
+  std::uint64_t m_Offset = 0;
+  std::vector<NodeStatus> m_Nodes;
+};
+
+/// One rank of a group.
+struct RankStatus {
+  std::uint32_t m_Rank = 0;
+  std::string m_BackendServer;
+  std::string m_State;
+};
+
+struct GroupStatus {
+  std::string m_Group;
+  bool m_InService = false;
+  /// The expert map in force, such as "7.2".
+  std::string m_Map;
+  std::uint64_t m_Step = 0;
+  std::vector<RankStatus> m_Ranks;
+};
+
+struct Groups {
+  std::vector<GroupStatus> m_Groups;
+};
+
+/// Asks to take a backend server out of service without cutting off requests.
+struct DrainRequest {
+  std::string m_BackendServer;
+};
+
+/// JSON bodies. The decoders give BadMessage with what is wrong.
+std::string encode(const PublishRequest &Message);
+std::string encode(const PublishAnswer &Message);
+std::string encode(const EntryList &Message);
+std::string encode(const History &Message);
+std::string encode(const Status &Message);
+std::string encode(const Groups &Message);
+std::string encode(const DrainRequest &Message);
+base::Result<PublishRequest> decodePublishRequest(const std::string &Body);
+base::Result<PublishAnswer> decodePublishAnswer(const std::string &Body);
+base::Result<EntryList> decodeEntryList(const std::string &Body);
+base::Result<History> decodeHistory(const std::string &Body);
+base::Result<Status> decodeStatus(const std::string &Body);
+base::Result<Groups> decodeGroups(const std::string &Body);
+base::Result<DrainRequest> decodeDrainRequest(const std::string &Body);
+
+} // namespace corneldeck::admin
+
+#endif
