Request: add the request's state machines and the claims

Cause: the daemons, the fault matrix and the fuzzer need one set of decisions for a request's outcome. Done: RequestFlow (entry), AttemptTable (agent), ClaimTable, ClaimHome and FenceRounds, without I/O. Start frames carry the agent's own clock and incarnation, so a late or doubled one is refused by the agent itself. claim-home-unavailable says unknown: an earlier call with the key may have run.

--- a/Source/Base/ResultCode.h
+++ b/Source/Base/ResultCode.h
@@ -33,6 +33,7 @@
   NotReady = 121,
   Stopping = 122,
   CatalogueTooOld = 123,
+  NotStarted = 124,
   ClaimHomeUnavailable = 130,
   ClaimWindow = 131,
   KeyReused = 132,
@@ -44,6 +45,7 @@
   StreamBroken = 203,
   OutcomeUnknown = 210,
   RunningElsewhere = 211,
+  AnswerNotKept = 212,
   // Operators' commands: the 300s.
   RejectedVersion = 300,
   RejectedOwner = 301,
--- /dev/null
+++ b/Source/Claims/ClaimTable.cpp
@@ -0,0 +1,177 @@
+#include "Claims/ClaimTable.h"
+
+#include "Base/ResultCode.h"
+
+#include <algorithm>
+
+namespace corneldeck::claims {
+
+namespace {
+
+// Longer than any frame can stay on its way and still be started.
+constexpr base::Millis KeepRefused = base::minutes(2);
+
+wire::End endOf(base::ResultCode Code, wire::RanState Ran) {
+  wire::End End;
+  End.set_code(static_cast<std::uint32_t>(Code));
+  End.set_ran(Ran);
+  return End;
+}
+
+} // namespace
+
+ClaimTable::ClaimTable(ClaimSettings Settings)
+    : m_Settings(Settings),
+      m_Keep(Settings.m_Window + Settings.m_SkewMargin * 2) {}
+
+const Claim *ClaimTable::find(const ClaimKey &Key) const {
+  const auto Found = m_Claims.find(Key);
+  return Found == m_Claims.end() ? nullptr : &Found->second;
+}
+
+bool ClaimTable::take(base::Millis Now, base::Millis Wall, const ClaimKey &Key,
+                      std::uint64_t Fingerprint, std::uint64_t Run) {
+  if (m_Claims.size() >= m_Settings.m_MaxClaims)
+    return false;
+  Claim Taken;
+  Taken.m_Fingerprint = Fingerprint;
+  Taken.m_Run = Run;
+  Taken.m_ClaimedAt = Now;
+  Taken.m_ClaimedWall = Wall;
+  m_Claims.emplace(Key, std::move(Taken));
+  m_Expiries.push_back({Now, Key});
+  return true;
+}
+
+void ClaimTable::keepAnswer(Claim &Known, const wire::End &Answer) {
+  std::string Bytes = Answer.SerializeAsString();
+  if (m_AnswerBytes + Bytes.size() > m_Settings.m_MaxAnswerBytes)
+    return;
+  m_AnswerBytes += Bytes.size();
+  Known.m_Answer = std::move(Bytes);
+}
+
+void ClaimTable::finish(const ClaimKey &Key, const wire::End &Answer) {
+  const auto Found = m_Claims.find(Key);
+  if (Found == m_Claims.end())
+    return;
+  Found->second.m_State = ClaimState::Finished;
+  keepAnswer(Found->second, Answer);
+}
+
+void ClaimTable::lose(const ClaimKey &Key) {
+  const auto Found = m_Claims.find(Key);
+  if (Found != m_Claims.end())
+    Found->second.m_State = ClaimState::Lost;
+}
+
+void ClaimTable::release(const ClaimKey &Key) { erase(Key); }
+
+void ClaimTable::adopt(base::Millis Now, base::Millis Wall, const ClaimKey &Key,
+                       const wire::ClaimRecord &Record) {
+  erase(Key);
+  Claim Adopted;
+  Adopted.m_Fingerprint = Record.fingerprint();
+  Adopted.m_ClaimedAt = Now;
+  Adopted.m_ClaimedWall = base::Millis(Record.claimed_ms());
+  Adopted.m_State = Record.finished() ? ClaimState::Finished : ClaimState::Lost;
+  if (Adopted.m_ClaimedWall.count() == 0)
+    Adopted.m_ClaimedWall = Wall;
+  Claim &Known = m_Claims.emplace(Key, std::move(Adopted)).first->second;
+  if (Record.finished())
+    keepAnswer(Known, Record.end());
+  m_Expiries.push_back({Now, Key});
+}
+
+wire::End ClaimTable::duplicateAnswer(const Claim &Known) const {
+  wire::End End;
+  if (Known.m_State == ClaimState::Lost)
+    return endOf(base::ResultCode::OutcomeUnknown, wire::RAN_UNKNOWN);
+  if (Known.m_Answer.empty() || !End.ParseFromString(Known.m_Answer))
+    return endOf(base::ResultCode::AnswerNotKept, wire::RAN_YES);
+  End.set_duplicate(true);
+  return End;
+}
+
+void ClaimTable::refuse(base::Millis Now, const ClaimKey &Key) {
+  m_Refused[Key] = Now;
+  m_RefusedExpiries.push_back({Now, Key});
+}
+
+bool ClaimTable::refusedSince(const ClaimKey &Key, base::Millis Issued) const {
+  const auto Found = m_Refused.find(Key);
+  return Found != m_Refused.end() && Issued <= Found->second;
+}
+
+void ClaimTable::bar(base::Millis Now, const ClaimKey &Key,
+                     std::uint64_t Offset, const std::string &Server) {
+  Bar &Set = m_Bars[Key];
+  if (Offset >= Set.m_Offset)
+    Set = {Offset, Server, Now};
+}
+
+const Bar *ClaimTable::barOf(const ClaimKey &Key) const {
+  const auto Found = m_Bars.find(Key);
+  return Found == m_Bars.end() ? nullptr : &Found->second;
+}
+
+void ClaimTable::erase(const ClaimKey &Key) {
+  const auto Found = m_Claims.find(Key);
+  if (Found == m_Claims.end())
+    return;
+  m_AnswerBytes -= Found->second.m_Answer.size();
+  m_Claims.erase(Found);
+}
+
+void ClaimTable::expireClaims(base::Millis Now) {
+  while (!m_Expiries.empty() && m_Expiries.front().m_ClaimedAt + m_Keep < Now) {
+    const Expiry Oldest = m_Expiries.front();
+    m_Expiries.pop_front();
+    const auto Found = m_Claims.find(Oldest.m_Key);
+    // A key that was given back and claimed anew has a later expiry.
+    if (Found == m_Claims.end() ||
+        Found->second.m_ClaimedAt != Oldest.m_ClaimedAt)
+      continue;
+    if (Found->second.m_State == ClaimState::Running) {
+      Found->second.m_ClaimedAt = Now;
+      m_Expiries.push_back({Now, Oldest.m_Key});
+      continue;
+    }
+    erase(Oldest.m_Key);
+  }
+}
+
+void ClaimTable::expire(base::Millis Now) {
+  expireClaims(Now);
+  while (!m_RefusedExpiries.empty() &&
+         m_RefusedExpiries.front().m_ClaimedAt + KeepRefused < Now) {
+    const Expiry Oldest = m_RefusedExpiries.front();
+    m_RefusedExpiries.pop_front();
+    const auto Found = m_Refused.find(Oldest.m_Key);
+    if (Found != m_Refused.end() && Found->second == Oldest.m_ClaimedAt)
+      m_Refused.erase(Found);
+  }
+  const base::Millis KeepBar = m_Keep + m_Settings.m_CutOffBound;
+  std::erase_if(m_Bars, [&](const auto &Entry) {
+    return Entry.second.m_SetAt + KeepBar < Now;
+  });
+}
+
+std::vector<wire::ClaimRecord> ClaimTable::exportAll() const {
+  std::vector<wire::ClaimRecord> Records;
+  Records.reserve(m_Claims.size());
+  for (const auto &[Key, Known] : m_Claims) {
+    wire::ClaimRecord Record;
+    Record.set_key_high(Key.m_High);
+    Record.set_key_low(Key.m_Low);
+    Record.set_fingerprint(Known.m_Fingerprint);
+    Record.set_claimed_ms(Known.m_ClaimedWall.count());
+    Record.set_finished(Known.m_State == ClaimState::Finished);
+    if (!Known.m_Answer.empty())
+      Record.mutable_end()->ParseFromString(Known.m_Answer);
+    Records.push_back(std::move(Record));
+  }
+  return Records;
+}
+
+} // namespace corneldeck::claims
--- /dev/null
+++ b/Source/Request/AttemptStop.cpp
@@ -0,0 +1,270 @@
+// The ends of runs: cancellation, deadlines, lost connections, drain.
+#include "Request/AttemptTable.h"
+
+#include <algorithm>
+
+namespace corneldeck::request {
+
+using base::Millis;
+using base::Ran;
+using base::ResultCode;
+
+namespace {
+
+wire::End unknownEnd(ResultCode Code) {
+  wire::End End;
+  End.set_code(static_cast<std::uint32_t>(Code));
+  End.set_ran(wire::RAN_UNKNOWN);
+  return End;
+}
+
+bool isOk(const wire::End &End) {
+  return End.code() == static_cast<std::uint32_t>(ResultCode::Ok);
+}
+
+} // namespace
+
+void AttemptTable::settleClaim(Millis Now, Run &Ended) {
+  const claims::ClaimKey Key = *Ended.m_Key;
+  const bool NotRun = Ended.m_End.ran() == wire::RAN_NO;
+  if (NotRun || Ended.m_State == RunState::Asking) {
+    m_Claims.release(Key);
+    if (NotRun)
+      m_Claims.refuse(Now, Key);
+    return;
+  }
+  if (!isOk(Ended.m_End)) {
+    m_Claims.lose(Key);
+    return;
+  }
+  wire::End Stored = Ended.m_End;
+  if (Ended.m_Start.stream()) {
+    std::string Text;
+    for (const wire::Chunk &Chunk : Ended.m_Chunks)
+      Text += Chunk.data();
+    Stored.set_body(std::move(Text));
+  }
+  if (Ended.m_FirstKept > Ended.m_Start.resume_from()) {
+    Stored = unknownEnd(ResultCode::AnswerNotKept);
+    Stored.set_ran(wire::RAN_YES);
+  }
+  m_Claims.finish(Key, Stored);
+}
+
+void AttemptTable::finishRun(Millis Now, Run &Ended, wire::End End) {
+  if (!isOk(End) && End.retry_after_ms() == 0)
+    End.set_retry_after_ms(
+        static_cast<std::uint32_t>(m_Settings.m_RetryAfter.count()));
+  Ended.m_End = std::move(End);
+  if (Ended.m_Key)
+    settleClaim(Now, Ended);
+  Ended.m_State = RunState::Done;
+  m_Active.erase(Ended.m_Id);
+  Ended.m_Start.clear_body();
+  pump(Now, Ended);
+  if (Ended.m_Attempts.empty())
+    m_Runs.erase(Ended.m_Id);
+}
+
+void AttemptTable::stopRun(Millis Now, Run &Stopped, ResultCode Code) {
+  m_Actions.emplace_back(CancelBackend{Stopped.m_Id});
+  wire::End End = unknownEnd(Code);
+  End.set_tokens(Stopped.m_NextToken);
+  finishRun(Now, Stopped, std::move(End));
+}
+
+void AttemptTable::moveRun(Millis Now, Run &Moved,
+                           const std::string &Location) {
+  wire::End End = unknownEnd(ResultCode::Stopping);
+  End.set_moved(true);
+  End.set_tokens(Moved.m_NextToken);
+  End.set_kv_location(Location);
+  finishRun(Now, Moved, std::move(End));
+}
+
+void AttemptTable::endUnfinished(Millis Now, Run &Ended) {
+  const bool MayMove =
+      !Ended.m_Key && Ended.m_Start.stream() && Ended.m_Start.idempotent();
+  if (!MayMove) {
+    stopRun(Now, Ended, ResultCode::OutcomeUnknown);
+    return;
+  }
+  m_Actions.emplace_back(CancelBackend{Ended.m_Id});
+  moveRun(Now, Ended, "");
+}
+
+void AttemptTable::leaveRun(Millis Now, const AttemptKey &Key, Attempt &Leaving,
+                            ResultCode Code) {
+  Run *Its = findRun(Leaving.m_Run);
+  if (Its == nullptr)
+    return;
+  if (Its->m_Key) {
+    // A later call with the key gets the answer.
+    endAttempt(Now, Key, Leaving, unknownEnd(Code));
+    return;
+  }
+  stopRun(Now, *Its, Code);
+}
+
+AttemptActions AttemptTable::onLinkClosed(Millis Now, LinkId Link) {
+  const auto Closed = m_Links.extract(Link);
+  if (Closed.empty())
+    return {};
+  for (const AttemptKey &Key : Closed.mapped()) {
+    Attempt &Detached = m_Attempts[Key];
+    Detached.m_Link = 0;
+    Detached.m_DetachedAt = Now;
+    if (!Detached.m_End)
+      m_Detached.push_back({Now + m_Settings.m_DetachGrace, Key});
+  }
+  return take();
+}
+
+AttemptActions AttemptTable::onBackendExported(Millis Now, RunId Run,
+                                               const std::string &Location) {
+  auto *Exported = findRun(Run);
+  if (Exported != nullptr && Exported->m_State == RunState::Sent &&
+      Exported->m_Exporting)
+    moveRun(Now, *Exported, Location);
+  return take();
+}
+
+AttemptActions AttemptTable::beginDrain(Millis Now, Millis StopBy) {
+  if (!m_StopBy)
+    m_MoveAt = Now + (StopBy - Now) / 2;
+  m_StopBy = StopBy;
+  advanceDrain(Now);
+  return take();
+}
+
+AttemptActions AttemptTable::setOutOfService(Millis Now, bool Out) {
+  m_OutOfService = Out;
+  if (!Out)
+    return {};
+  const std::set<RunId> Active = m_Active;
+  for (const RunId Id : Active) {
+    Run *Lost = findRun(Id);
+    if (Lost->m_State == RunState::Sent)
+      endUnfinished(Now, *Lost);
+  }
+  return take();
+}
+
+void AttemptTable::advanceDrain(Millis Now) {
+  const std::set<RunId> Active = m_Active;
+  if (m_MoveAt && Now >= *m_MoveAt) {
+    m_MoveAt.reset();
+    for (const RunId Id : Active) {
+      Run *Running = findRun(Id);
+      if (Running->m_Key || !Running->m_Start.stream())
+        continue;
+      Running->m_Exporting = true;
+      m_Actions.emplace_back(ExportBackend{Id});
+    }
+  }
+  if (!m_StopBy || Now < *m_StopBy)
+    return;
+  for (const RunId Id : Active) {
+    Run *Running = findRun(Id);
+    if (Running != nullptr && Running->m_State == RunState::Sent)
+      endUnfinished(Now, *Running);
+  }
+}
+
+AttemptActions AttemptTable::onTimer(Millis Now) {
+  for (const claims::FenceResult &Result : m_Fences.expire(Now))
+    onFenceResult(Now, Result);
+  expireDeadlines(Now);
+  expireDetached(Now);
+  advanceDrain(Now);
+  expireAttempts(Now);
+  m_Claims.expire(Now);
+  return take();
+}
+
+void AttemptTable::expireDeadlines(Millis Now) {
+  while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= Now) {
+    const AttemptKey Key = m_Deadlines.begin()->second;
+    m_Deadlines.erase(m_Deadlines.begin());
+    Attempt *Late = findAttempt(Key);
+    if (Late != nullptr && !Late->m_End)
+      leaveRun(Now, Key, *Late, ResultCode::DeadlineExceeded);
+  }
+  while (!m_RunDeadlines.empty() && m_RunDeadlines.begin()->first <= Now) {
+    Run *Late = findRun(m_RunDeadlines.begin()->second);
+    m_RunDeadlines.erase(m_RunDeadlines.begin());
+    if (Late != nullptr && Late->m_State == RunState::Sent)
+      stopRun(Now, *Late, ResultCode::OutcomeUnknown);
+  }
+}
+
+void AttemptTable::expireDetached(Millis Now) {
+  while (!m_Detached.empty() && m_Detached.front().m_At <= Now) {
+    const Due Oldest = m_Detached.front();
+    m_Detached.pop_front();
+    Attempt *Lost = findAttempt(Oldest.m_Key);
+    const bool StillLost = Lost != nullptr && Lost->m_Link == 0 &&
+                           !Lost->m_End &&
+                           Lost->m_DetachedAt + m_Settings.m_DetachGrace <= Now;
+    if (StillLost)
+      leaveRun(Now, Oldest.m_Key, *Lost, ResultCode::Cancelled);
+  }
+}
+
+void AttemptTable::expireAttempts(Millis Now) {
+  while (!m_Expiries.empty() && m_Expiries.front().m_At <= Now) {
+    const AttemptKey Key = m_Expiries.front().m_Key;
+    m_Expiries.pop_front();
+    Attempt &Oldest = m_Attempts[Key];
+    const bool Keep =
+        !Oldest.m_End || Oldest.m_EndedAt + m_Settings.m_KeepAttempts > Now;
+    if (Keep) {
+      m_Expiries.push_back({Now + m_Settings.m_KeepAttempts, Key});
+      continue;
+    }
+    if (Run *Its = findRun(Oldest.m_Run)) {
+      Its->m_Attempts.erase(Key);
+      if (Its->m_Attempts.empty() && Its->m_State == RunState::Done)
+        m_Runs.erase(Its->m_Id);
+    }
+    setLink(Key, Oldest, 0);
+    m_Attempts.erase(Key);
+  }
+}
+
+std::optional<Millis> AttemptTable::nextTimer() const {
+  std::optional<Millis> Next = m_Fences.nextTimer();
+  const auto Add = [&Next](Millis At) {
+    Next = Next ? std::min(*Next, At) : At;
+  };
+  if (!m_Deadlines.empty())
+    Add(m_Deadlines.begin()->first);
+  if (!m_RunDeadlines.empty())
+    Add(m_RunDeadlines.begin()->first);
+  if (!m_Detached.empty())
+    Add(m_Detached.front().m_At);
+  if (!m_Expiries.empty())
+    Add(m_Expiries.front().m_At);
+  if (m_MoveAt)
+    Add(*m_MoveAt);
+  if (m_StopBy && !m_Active.empty())
+    Add(*m_StopBy);
+  return Next;
+}
+
+std::uint32_t AttemptTable::running() const {
+  return static_cast<std::uint32_t>(m_Active.size());
+}
+
+bool AttemptTable::drained(Millis Now) const {
+  if (!m_Active.empty())
+    return false;
+  return std::none_of(m_Attempts.begin(), m_Attempts.end(),
+                      [&](const auto &Entry) {
+                        const Attempt &Each = Entry.second;
+                        return Each.m_End && !Each.m_EndSent &&
+                               Each.m_EndedAt + m_Settings.m_DetachGrace > Now;
+                      });
+}
+
+} // namespace corneldeck::request
--- /dev/null
+++ b/Source/Request/RequestFlow.cpp
@@ -0,0 +1,398 @@
+#include "Request/RequestFlow.h"
+
+#include "Claims/ClaimKey.h"
+
+#include <algorithm>
+
+namespace corneldeck::request {
+
+using base::Millis;
+using base::Ran;
+using base::ResultCode;
+
+namespace {
+
+ResultCode codeOf(const wire::End &End) {
+  return base::resultCodeFromNumber(static_cast<int>(End.code()))
+      .value_or(ResultCode::Internal);
+}
+
+/// \returns whether the refusal speaks of one attempt only, not of the key.
+bool attemptLevel(ResultCode Code) {
+  return Code == ResultCode::NotStarted || Code == ResultCode::Cancelled;
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(RequestSpec Spec, FlowSettings Settings,
+                         FlowHooks Hooks)
+    : m_Spec(std::move(Spec)), m_Settings(Settings), m_Hooks(std::move(Hooks)) {
+}
+
+RequestFlow::Actions RequestFlow::take() {
+  Actions Taken;
+  Taken.swap(m_Actions);
+  return Taken;
+}
+
+RequestFlow::Attempt *RequestFlow::find(std::uint32_t Number) {
+  if (Number == 0 || Number > m_Attempts.size())
+    return nullptr;
+  return &m_Attempts[Number - 1];
+}
+
+bool RequestFlow::anyOpen() const {
+  return std::any_of(
+      m_Attempts.begin(), m_Attempts.end(),
+      [](const Attempt &Each) { return Each.m_State != AttemptState::Closed; });
+}
+
+bool RequestFlow::mayHaveRun() const {
+  return std::any_of(m_Attempts.begin(), m_Attempts.end(),
+                     [](const Attempt &Each) { return Each.m_MayHaveRun; });
+}
+
+Ran RequestFlow::ranUnless(bool KeyLevelNo) const {
+  // Only the home knows whether an earlier call with the key ran.
+  if (keyed() && !KeyLevelNo)
+    return Ran::Unknown;
+  return mayHaveRun() ? Ran::Unknown : Ran::No;
+}
+
+RequestFlow::Actions RequestFlow::begin(Millis Now) {
+  startAttempt(Now);
+  if (m_Settings.m_HedgeAfter.count() > 0 && m_Spec.m_Idempotent)
+    m_HedgeAt = Now + m_Settings.m_HedgeAfter;
+  return take();
+}
+
+wire::Start RequestFlow::startFrame(const Attempt &Sent) const {
+  wire::Start Start;
+  Start.set_request(m_Spec.m_Id);
+  Start.set_attempt(Sent.m_Number);
+  Start.set_service(m_Spec.m_Service);
+  Start.set_customer(m_Spec.m_Customer);
+  Start.set_priority(m_Spec.m_Priority);
+  Start.set_idempotent(m_Spec.m_Idempotent);
+  Start.set_key(m_Spec.m_Key);
+  Start.set_key_created_ms(m_Spec.m_KeyCreated.count());
+  Start.set_catalogue_offset(m_Spec.m_CatalogueOffset);
+  Start.set_method(m_Spec.m_Method);
+  Start.set_path(m_Spec.m_Path);
+  Start.set_content_type(m_Spec.m_ContentType);
+  Start.set_body(m_Spec.m_Body);
+  Start.set_stream(m_Spec.m_Stream);
+  for (const std::uint64_t Block : m_Spec.m_PrefixBlocks)
+    Start.add_prefix_blocks(Block);
+  if (keyed())
+    Start.set_fingerprint(
+        claims::fingerprint(m_Spec.m_Method, m_Spec.m_Path, m_Spec.m_Body));
+  Start.set_agent_incarnation(Sent.m_Target.m_Incarnation);
+  Start.set_issued_ms(Sent.m_Target.m_AgentTime.count());
+  Start.set_resume_from(m_NextToken);
+  Start.set_resume_text(m_Text);
+  Start.set_kv_location(m_KvLocation);
+  return Start;
+}
+
+void RequestFlow::startAttempt(Millis Now) {
+  if (Now >= m_Spec.m_Deadline) {
+    fail(ResultCode::DeadlineExceeded, ranUnless(false), "", Millis(0));
+    return;
+  }
+  const base::Result<Target> Chosen = m_Hooks.m_Choose(Now, m_Excluded);
+  if (!Chosen) {
+    const base::Error &Refusal = Chosen.error();
+    fail(Refusal.m_Code, ranUnless(false), Refusal.m_Message,
+         Refusal.m_RetryAfter);
+    return;
+  }
+  Attempt Sent;
+  Sent.m_Number = lastAttempt() + 1;
+  Sent.m_Target = *Chosen;
+  m_Attempts.push_back(Sent);
+  // A resumed stream goes on from this attempt alone.
+  if (m_NextToken > 0)
+    m_Winner = Sent.m_Number;
+  wire::LinkFrame Frame;
+  *Frame.mutable_start() = startFrame(Sent);
+  const Millis Left = m_Spec.m_Deadline - Now;
+  Frame.mutable_start()->set_deadline_ms(
+      static_cast<std::uint32_t>(Left.count()));
+  m_Actions.emplace_back(SendFrame{Sent.m_Target.m_Agent, std::move(Frame)});
+}
+
+void RequestFlow::sendAttach(Attempt &Lost) {
+  wire::LinkFrame Frame;
+  wire::Attach &Attach = *Frame.mutable_attach();
+  Attach.set_request(m_Spec.m_Id);
+  Attach.set_attempt(Lost.m_Number);
+  Attach.set_from_token(m_NextToken);
+  Attach.set_agent_incarnation(Lost.m_Target.m_Incarnation);
+  Attach.set_issued_ms(Lost.m_Target.m_AgentTime.count());
+  m_Actions.emplace_back(SendFrame{Lost.m_Target.m_Agent, std::move(Frame)});
+}
+
+void RequestFlow::sendCancel(const Attempt &Ended) {
+  wire::LinkFrame Frame;
+  wire::Cancel &Cancel = *Frame.mutable_cancel();
+  Cancel.set_request(m_Spec.m_Id);
+  Cancel.set_attempt(Ended.m_Number);
+  Cancel.set_agent_incarnation(Ended.m_Target.m_Incarnation);
+  Cancel.set_issued_ms(Ended.m_Target.m_AgentTime.count());
+  m_Actions.emplace_back(SendFrame{Ended.m_Target.m_Agent, std::move(Frame)});
+}
+
+void RequestFlow::closeOthers(std::uint32_t Winner) {
+  for (Attempt &Each : m_Attempts) {
+    if (Each.m_Number == Winner || Each.m_State == AttemptState::Closed)
+      continue;
+    Each.m_State = AttemptState::Closed;
+    // The run of a key goes on: a later call with the key gets its answer.
+    if (!keyed())
+      sendCancel(Each);
+  }
+}
+
+void RequestFlow::closeAll() { closeOthers(0); }
+
+RequestFlow::Actions RequestFlow::onFrame(Millis Now, const std::string &Agent,
+                                          const wire::LinkFrame &Frame) {
+  const bool IsChunk = Frame.has_chunk();
+  if (m_Finished || (!IsChunk && !Frame.has_end()))
+    return {};
+  const std::string &Request =
+      IsChunk ? Frame.chunk().request() : Frame.end().request();
+  Attempt *From =
+      find(IsChunk ? Frame.chunk().attempt() : Frame.end().attempt());
+  if (Request != m_Spec.m_Id || From == nullptr ||
+      From->m_Target.m_Agent != Agent)
+    return {};
+  if (From->m_State == AttemptState::Closed) {
+    // The answer of an abandoned attempt is dropped, but not its "no".
+    if (!IsChunk && Frame.end().ran() == wire::RAN_NO)
+      From->m_MayHaveRun = false;
+    return {};
+  }
+  if (IsChunk)
+    onChunk(*From, Frame.chunk());
+  else
+    onEnd(Now, *From, Frame.end());
+  return take();
+}
+
+bool RequestFlow::fillGap(Attempt &From, std::uint32_t UpTo) {
+  if (UpTo <= m_NextToken)
+    return false;
+  if (From.m_GapAt != m_NextToken) {
+    From.m_GapAt = m_NextToken;
+    sendAttach(From);
+  }
+  return true;
+}
+
+void RequestFlow::onChunk(Attempt &From, const wire::Chunk &Chunk) {
+  if (m_Winner == 0) {
+    m_Winner = From.m_Number;
+    closeOthers(m_Winner);
+  }
+  if (m_Winner != From.m_Number)
+    return;
+  if (Chunk.first_token() != m_NextToken) {
+    fillGap(From, Chunk.first_token());
+    return;
+  }
+  m_NextToken += Chunk.tokens();
+  // An exported cache ends where the stream was moved.
+  m_KvLocation.clear();
+  m_Text += Chunk.data();
+  m_Actions.emplace_back(
+      DeliverChunk{Chunk.first_token(), Chunk.tokens(), Chunk.data()});
+}
+
+void RequestFlow::onEnd(Millis Now, Attempt &From, const wire::End &End) {
+  if (m_Winner != 0 && m_Winner != From.m_Number)
+    return;
+  if (End.moved()) {
+    onMoved(Now, From, End);
+    return;
+  }
+  if (codeOf(End) == ResultCode::Ok) {
+    onAnswer(From, End);
+    return;
+  }
+  From.m_State = AttemptState::Closed;
+  if (End.ran() == wire::RAN_NO)
+    onNotRun(Now, From, End);
+  else
+    onFailed(Now, From, End);
+}
+
+void RequestFlow::onAnswer(Attempt &From, const wire::End &End) {
+  if (m_Spec.m_Stream && fillGap(From, End.tokens()))
+    return;
+  From.m_State = AttemptState::Closed;
+  if (m_Spec.m_Stream && End.tokens() != m_NextToken) {
+    fail(ResultCode::StreamBroken, Ran::Unknown, "", Millis(0));
+    return;
+  }
+  Outcome Final;
+  Final.m_Code = ResultCode::Ok;
+  Final.m_Ran = Ran::Yes;
+  Final.m_HttpStatus = End.http_status();
+  Final.m_ContentType = End.content_type();
+  Final.m_Body = End.body();
+  Final.m_Duplicate = End.duplicate();
+  finish(std::move(Final));
+}
+
+void RequestFlow::onMoved(Millis Now, Attempt &From, const wire::End &End) {
+  if (fillGap(From, End.tokens()))
+    return;
+  From.m_State = AttemptState::Closed;
+  m_Excluded.push_back(From.m_Target.m_Agent);
+  m_KvLocation = End.kv_location();
+  startAttempt(Now);
+}
+
+bool RequestFlow::retry(Millis Now) {
+  if (lastAttempt() >= m_Settings.m_MaxAttempts || !m_Hooks.m_TakeRetry())
+    return false;
+  startAttempt(Now);
+  return true;
+}
+
+void RequestFlow::onNotRun(Millis Now, Attempt &From, const wire::End &End) {
+  From.m_MayHaveRun = false;
+  if (anyOpen())
+    return;
+  const ResultCode Code = codeOf(End);
+  const bool MayRetry = !keyed() || attemptLevel(Code);
+  // The home of a key stays its home.
+  if (!keyed())
+    m_Excluded.push_back(From.m_Target.m_Agent);
+  if (MayRetry && retry(Now))
+    return;
+  fail(Code, ranUnless(!attemptLevel(Code)), End.message(),
+       Millis(End.retry_after_ms()));
+}
+
+void RequestFlow::onFailed(Millis Now, Attempt &From, const wire::End &End) {
+  if (anyOpen())
+    return;
+  const ResultCode Code = codeOf(End);
+  m_Excluded.push_back(From.m_Target.m_Agent);
+  const bool Final =
+      Code == ResultCode::DeadlineExceeded || Code == ResultCode::Cancelled;
+  if (m_Spec.m_Idempotent && !Final && retry(Now))
+    return;
+  const bool Ended = End.ran() == wire::RAN_YES;
+  fail(Code, Ended ? Ran::Yes : Ran::Unknown, End.message(),
+       Millis(End.retry_after_ms()));
+}
+
+RequestFlow::Actions RequestFlow::onLinkLost(Millis Now,
+                                             const std::string &Agent) {
+  for (Attempt &Each : m_Attempts) {
+    if (Each.m_Target.m_Agent != Agent || Each.m_State != AttemptState::Open)
+      continue;
+    Each.m_State = AttemptState::Detached;
+    Each.m_DetachedAt = Now;
+  }
+  return {};
+}
+
+RequestFlow::Actions RequestFlow::onLinkUp(Millis Now, const std::string &Agent,
+                                           std::uint64_t Incarnation) {
+  const std::size_t Known = m_Attempts.size();
+  for (std::size_t Index = 0; Index < Known && !m_Finished; ++Index) {
+    Attempt &Each = m_Attempts[Index];
+    if (Each.m_Target.m_Agent != Agent || Each.m_State == AttemptState::Closed)
+      continue;
+    if (Each.m_Target.m_Incarnation != Incarnation) {
+      giveUp(Now, Each);
+      continue;
+    }
+    Each.m_State = AttemptState::Open;
+    sendAttach(Each);
+  }
+  return take();
+}
+
+void RequestFlow::giveUp(Millis Now, Attempt &Lost) {
+  Lost.m_State = AttemptState::Closed;
+  if (!keyed())
+    sendCancel(Lost);
+  if (anyOpen())
+    return;
+  m_Excluded.push_back(Lost.m_Target.m_Agent);
+  if (m_Spec.m_Idempotent && retry(Now))
+    return;
+  fail(ResultCode::OutcomeUnknown, Ran::Unknown, "", Millis(0));
+}
+
+RequestFlow::Actions RequestFlow::onCallerGone(Millis /*Now*/) {
+  closeAll();
+  m_Finished = true;
+  return take();
+}
+
+RequestFlow::Actions RequestFlow::onTimer(Millis Now) {
+  if (m_Finished)
+    return {};
+  if (Now >= m_Spec.m_Deadline) {
+    fail(ResultCode::DeadlineExceeded, ranUnless(false), "", Millis(0));
+    return take();
+  }
+  const std::size_t Known = m_Attempts.size();
+  for (std::size_t Index = 0; Index < Known && !m_Finished; ++Index) {
+    Attempt &Each = m_Attempts[Index];
+    if (Each.m_State == AttemptState::Detached &&
+        Now >= Each.m_DetachedAt + m_Settings.m_ReattachWait)
+      giveUp(Now, Each);
+  }
+  if (!m_Finished && m_HedgeAt && Now >= *m_HedgeAt) {
+    m_HedgeAt.reset();
+    if (m_Winner == 0 && anyOpen()) {
+      m_Excluded.push_back(m_Attempts.back().m_Target.m_Agent);
+      if (m_Hooks.m_Choose(Now, m_Excluded))
+        retry(Now);
+    }
+  }
+  return take();
+}
+
+std::optional<Millis> RequestFlow::nextTimer() const {
+  if (m_Finished)
+    return std::nullopt;
+  Millis Next = m_Spec.m_Deadline;
+  if (m_HedgeAt)
+    Next = std::min(Next, *m_HedgeAt);
+  for (const Attempt &Each : m_Attempts)
+    if (Each.m_State == AttemptState::Detached)
+      Next = std::min(Next, Each.m_DetachedAt + m_Settings.m_ReattachWait);
+  return Next;
+}
+
+void RequestFlow::fail(ResultCode Code, Ran Ran, std::string Message,
+                       Millis RetryAfter) {
+  Outcome Final;
+  const bool CutStream = m_NextToken > 0 && Code != ResultCode::Cancelled &&
+                         Code != ResultCode::DeadlineExceeded;
+  Final.m_Code = CutStream ? ResultCode::StreamBroken : Code;
+  Final.m_Ran = m_NextToken > 0 ? Ran::Unknown : Ran;
+  Final.m_Message = std::move(Message);
+  Final.m_RetryAfter =
+      RetryAfter.count() > 0 ? RetryAfter : m_Settings.m_RetryAfter;
+  finish(std::move(Final));
+}
+
+void RequestFlow::finish(Outcome Final) {
+  closeAll();
+  m_Finished = true;
+  Final.m_Tokens = m_NextToken;
+  Final.m_Attempts = lastAttempt();
+  m_Actions.emplace_back(Finish{std::move(Final)});
+}
+
+} // namespace corneldeck::request
--- /dev/null
+++ b/Source/Request/RequestFlow.h
@@ -0,0 +1,110 @@
+#ifndef CORNELDECK_REQUEST_REQUESTFLOW_H
+#define CORNELDECK_REQUEST_REQUESTFLOW_H
+
+#include "Request/RequestTypes.h"
+
+#include <optional>
+
+namespace corneldeck::request {
+
+/// The course of one request at an entry, from admission to its one final
+/// answer.
+///
+/// Each event returns the actions to carry out in order. After each event the
+/// caller of this class arms its timer for nextTimer().
+class RequestFlow {
+public:
+  using Actions = std::vector<FlowAction>;
+
+  RequestFlow(RequestSpec Spec, FlowSettings Settings, FlowHooks Hooks);
+
+  /// Chooses an agent and sends the first attempt.
+  Actions begin(base::Millis Now);
+
+  /// Takes a Begun, Chunk or End frame of this request.
+  Actions onFrame(base::Millis Now, const std::string &Agent,
+                  const wire::LinkFrame &Frame);
+
+  /// The connection to an agent was closed or is silent.
+  Actions onLinkLost(base::Millis Now, const std::string &Agent);
+
+  /// A new connection to an agent is in use.
+  Actions onLinkUp(base::Millis Now, const std::string &Agent,
+                   std::uint64_t Incarnation);
+
+  /// The caller went away: its work is cancelled, but for a request with a key.
+  Actions onCallerGone(base::Millis Now);
+
+  Actions onTimer(base::Millis Now);
+
+  /// \returns when to call onTimer(); none once finished.
+  [[nodiscard]] std::optional<base::Millis> nextTimer() const;
+
+  [[nodiscard]] bool finished() const { return m_Finished; }
+
+  /// \returns the number of the newest attempt; 0 before the first.
+  [[nodiscard]] std::uint32_t lastAttempt() const {
+    return static_cast<std::uint32_t>(m_Attempts.size());
+  }
+
+  [[nodiscard]] const RequestSpec &spec() const { return m_Spec; }
+
+private:
+  enum class AttemptState { Open, Detached, Closed };
+
+  struct Attempt {
+    std::uint32_t m_Number = 0;
+    Target m_Target;
+    AttemptState m_State = AttemptState::Open;
+    /// Cleared once the agent said that it did not and will not run.
+    bool m_MayHaveRun = true;
+    base::Millis m_DetachedAt{};
+    /// Token of the last Attach that filled a gap.
+    std::optional<std::uint32_t> m_GapAt;
+  };
+
+  bool keyed() const { return !m_Spec.m_Key.empty(); }
+  Attempt *find(std::uint32_t Number);
+  bool anyOpen() const;
+  bool mayHaveRun() const;
+
+  void startAttempt(base::Millis Now);
+  wire::Start startFrame(const Attempt &Sent) const;
+  void sendAttach(Attempt &Lost);
+  void sendCancel(const Attempt &Ended);
+  void closeOthers(std::uint32_t Winner);
+  void closeAll();
+
+  void onChunk(Attempt &From, const wire::Chunk &Chunk);
+  void onEnd(base::Millis Now, Attempt &From, const wire::End &End);
+  void onAnswer(Attempt &From, const wire::End &End);
+  void onMoved(base::Millis Now, Attempt &From, const wire::End &End);
+  void onNotRun(base::Millis Now, Attempt &From, const wire::End &End);
+  void onFailed(base::Millis Now, Attempt &From, const wire::End &End);
+  bool fillGap(Attempt &From, std::uint32_t UpTo);
+  void giveUp(base::Millis Now, Attempt &Lost);
+  bool retry(base::Millis Now);
+  void finish(Outcome Final);
+  void fail(base::ResultCode Code, base::Ran Ran, std::string Message,
+            base::Millis RetryAfter);
+  base::Ran ranUnless(bool KeyLevelNo) const;
+  Actions take();
+
+  const RequestSpec m_Spec;
+  const FlowSettings m_Settings;
+  const FlowHooks m_Hooks;
+  std::vector<Attempt> m_Attempts;
+  std::vector<std::string> m_Excluded;
+  /// The attempt whose tokens the caller gets; 0 before the first.
+  std::uint32_t m_Winner = 0;
+  std::uint32_t m_NextToken = 0;
+  std::string m_Text;
+  std::string m_KvLocation;
+  std::optional<base::Millis> m_HedgeAt;
+  bool m_Finished = false;
+  Actions m_Actions;
+};
+
+} // namespace corneldeck::request
+
+#endif
--- /dev/null
+++ b/Tests/Claims/ClaimHomeTest.cpp
@@ -0,0 +1,85 @@
+#include "Claims/ClaimHome.h"
+
+#include <gtest/gtest.h>
+
+using namespace corneldeck;
+using namespace corneldeck::claims;
+using base::Millis;
+
+namespace {
+
+constexpr Millis StartWall = base::minutes(1000);
+
+HomeQuestion question(const std::string &Key, Millis Created,
+                      std::uint64_t Offset) {
+  return {"pay", claimKey("pay", "c", Key), Created, Offset};
+}
+
+/// \returns a key whose home is \p Server among \p Servers.
+std::string keyAt(const std::string &Server,
+                  const std::vector<std::string> &Servers) {
+  for (int Number = 0;; ++Number) {
+    std::string Key = "k" + std::to_string(Number);
+    if (homeOf(claimKey("pay", "c", Key), Servers) == Server)
+      return Key;
+  }
+}
+
+} // namespace
+
+TEST(ClaimHome, RefusesKeysThatMayPredateItsMemory) {
+  ClaimHome Home("a", StartWall, {});
+  Home.onPlacement(Millis(0), "pay", 1, {"a"});
+  const Millis Wall = StartWall + base::seconds(10);
+  const auto verdict = [&](Millis Created) {
+    return Home.check(base::seconds(10), Wall, question("k", Created, 1))
+        .m_Verdict;
+  };
+  EXPECT_EQ(verdict(Millis(0)), HomeVerdict::Forgotten);
+  EXPECT_EQ(verdict(StartWall), HomeVerdict::Forgotten);
+  EXPECT_EQ(verdict(StartWall + base::seconds(6)), HomeVerdict::Home);
+  EXPECT_EQ(verdict(StartWall - base::minutes(11)), HomeVerdict::TooOld);
+}
+
+TEST(ClaimHome, AsksFormerHomesUntilWindowAndCutOffHavePassed) {
+  const std::vector<std::string> Both{"a", "b"};
+  const std::string Key = keyAt("b", Both);
+  ClaimHome Home("a", StartWall, {});
+  Home.onPlacement(Millis(0), "pay", 1, Both);
+  Home.onPlacement(base::minutes(20), "pay", 2, {"a"});
+  const auto check = [&](Millis Now) {
+    return Home.check(Now, StartWall + Now, question(Key, Millis(0), 2));
+  };
+  EXPECT_EQ(check(base::minutes(30)).m_Former, std::vector<std::string>{"b"});
+  EXPECT_EQ(check(base::minutes(41)).m_Verdict, HomeVerdict::Home);
+}
+
+TEST(ClaimHome, SettlesAnUnreachableFormerHomeOnceItsVmIsGone) {
+  const std::vector<std::string> Both{"a", "b"};
+  const std::string Key = keyAt("b", Both);
+  ClaimHome Home("a", StartWall, {});
+  Home.onPlacement(Millis(0), "pay", 1, Both);
+  Home.onPlacement(base::minutes(20), "pay", 2, {"a"});
+  const Millis Wall = StartWall + base::minutes(21);
+  Home.onServerGone("b", Wall);
+  const auto verdict = [&](Millis Created) {
+    return Home.check(base::minutes(21), Wall, question(Key, Created, 2))
+        .m_Verdict;
+  };
+  EXPECT_EQ(verdict(Wall - base::minutes(2)), HomeVerdict::Ask);
+  EXPECT_EQ(verdict(Wall + base::seconds(6)), HomeVerdict::Home);
+}
+
+TEST(ClaimHome, KnowsWhenItIsBehindOrNotHome) {
+  const std::vector<std::string> Both{"a", "b"};
+  ClaimHome Home("a", StartWall, {});
+  Home.onPlacement(Millis(0), "pay", 5, Both);
+  const Millis Wall = StartWall + base::minutes(20);
+  const auto verdict = [&](const std::string &Key, std::uint64_t Offset) {
+    return Home.check(base::minutes(20), Wall, question(Key, Wall, Offset))
+        .m_Verdict;
+  };
+  EXPECT_EQ(verdict(keyAt("a", Both), 6), HomeVerdict::Behind);
+  EXPECT_EQ(verdict(keyAt("b", Both), 5), HomeVerdict::NotHome);
+  EXPECT_EQ(verdict(keyAt("a", Both), 4), HomeVerdict::Home);
+}
--- /dev/null
+++ b/Tests/Claims/ClaimTableTest.cpp
@@ -0,0 +1,70 @@
+#include "Claims/ClaimTable.h"
+
+#include "Base/ResultCode.h"
+
+#include <gtest/gtest.h>
+
+using namespace corneldeck;
+using namespace corneldeck::claims;
+using base::Millis;
+
+namespace {
+
+const ClaimKey Key{1, 2};
+
+wire::End answer(const std::string &Body) {
+  wire::End End;
+  End.set_ran(wire::RAN_YES);
+  End.set_body(Body);
+  return End;
+}
+
+} // namespace
+
+TEST(ClaimTable, KeepsTheFirstAnswerForTheWindow) {
+  ClaimTable Table({});
+  ASSERT_TRUE(Table.take(Millis(0), Millis(0), Key, 7, 1));
+  Table.finish(Key, answer("first"));
+  Table.expire(base::minutes(10));
+  ASSERT_NE(Table.find(Key), nullptr);
+  const wire::End Duplicate = Table.duplicateAnswer(*Table.find(Key));
+  EXPECT_EQ(Duplicate.body(), "first");
+  EXPECT_TRUE(Duplicate.duplicate());
+  Table.expire(base::minutes(11));
+  EXPECT_EQ(Table.find(Key), nullptr);
+  EXPECT_EQ(Table.answerBytes(), 0U);
+}
+
+TEST(ClaimTable, NeverForgetsARunningClaim) {
+  ClaimTable Table({});
+  ASSERT_TRUE(Table.take(Millis(0), Millis(0), Key, 7, 1));
+  Table.expire(base::minutes(60));
+  EXPECT_NE(Table.find(Key), nullptr);
+}
+
+TEST(ClaimTable, RefusesRatherThanForgetsWhenFull) {
+  ClaimSettings Settings;
+  Settings.m_MaxClaims = 1;
+  ClaimTable Table(Settings);
+  ASSERT_TRUE(Table.take(Millis(0), Millis(0), Key, 7, 1));
+  EXPECT_FALSE(Table.take(Millis(0), Millis(0), {3, 4}, 7, 2));
+}
+
+TEST(ClaimTable, SaysThatItRanWhenTheAnswerIsTooLargeToKeep) {
+  ClaimSettings Settings;
+  Settings.m_MaxAnswerBytes = 4;
+  ClaimTable Table(Settings);
+  ASSERT_TRUE(Table.take(Millis(0), Millis(0), Key, 7, 1));
+  Table.finish(Key, answer("long answer"));
+  const wire::End Duplicate = Table.duplicateAnswer(*Table.find(Key));
+  EXPECT_EQ(Duplicate.code(),
+            static_cast<unsigned>(base::ResultCode::AnswerNotKept));
+  EXPECT_EQ(Duplicate.ran(), wire::RAN_YES);
+}
+
+TEST(ClaimTable, BarsFramesIssuedBeforeARefusal) {
+  ClaimTable Table({});
+  Table.refuse(Millis(100), Key);
+  EXPECT_TRUE(Table.refusedSince(Key, Millis(100)));
+  EXPECT_FALSE(Table.refusedSince(Key, Millis(101)));
+}
