Request: free the deadline of an ended attempt

Cause: deadlines stayed queued after the answer, minutes of requests at thousands a second. Done: an attempt erases its deadline when it ends; lint findings mended.

--- a/Source/Request/AttemptStop.cpp
+++ b/Source/Request/AttemptStop.cpp
@@ -6,7 +6,6 @@
 namespace corneldeck::request {
 
 using base::Millis;
-using base::Ran;
 using base::ResultCode;
 
 namespace {
@@ -186,9 +185,9 @@
   while (!m_Deadlines.empty() && m_Deadlines.begin()->first <= Now) {
     const AttemptKey Key = m_Deadlines.begin()->second;
     m_Deadlines.erase(m_Deadlines.begin());
-    Attempt *Late = findAttempt(Key);
-    if (Late != nullptr && !Late->m_End)
-      leaveRun(Now, Key, *Late, ResultCode::DeadlineExceeded);
+    Attempt &Late = m_Attempts[Key];
+    Late.m_Deadline.reset();
+    leaveRun(Now, Key, Late, ResultCode::DeadlineExceeded);
   }
   while (!m_RunDeadlines.empty() && m_RunDeadlines.begin()->first <= Now) {
     Run *Late = findRun(m_RunDeadlines.begin()->second);
--- a/Source/Request/AttemptTable.cpp
+++ b/Source/Request/AttemptTable.cpp
@@ -105,12 +105,12 @@
   Attempt &Added = addAttempt(Now, Key, Link);
   Added.m_Stream = Start.stream();
   Added.m_NextToken = Start.resume_from();
-  Added.m_Deadline = Millis(Start.issued_ms()) + Millis(Start.deadline_ms());
   if (const auto Late = checkArrival(Now, Start)) {
     refuse(Now, Key, *Late);
     return;
   }
-  m_Deadlines.emplace(Added.m_Deadline, Key);
+  Added.m_Deadline = m_Deadlines.emplace(
+      Millis(Start.issued_ms()) + Millis(Start.deadline_ms()), Key);
   if (!Start.key().empty()) {
     onKeyedStart(Now, Key, Start);
     return;
@@ -244,6 +244,9 @@
   End.set_attempt(Key.m_Attempt);
   Ended.m_End = std::move(End);
   Ended.m_EndedAt = Now;
+  if (Ended.m_Deadline)
+    m_Deadlines.erase(*Ended.m_Deadline);
+  Ended.m_Deadline.reset();
   sendEnd(Key, Ended);
 }
 
--- a/Source/Request/AttemptTable.h
+++ b/Source/Request/AttemptTable.h
@@ -122,6 +122,8 @@
     std::set<AttemptKey> m_Attempts;
   };
 
+  using DeadlineQueue = std::multimap<base::Millis, AttemptKey>;
+
   struct Attempt {
     /// Its run; 0 if it was refused.
     RunId m_Run = 0;
@@ -134,8 +136,8 @@
     bool m_EndOfRun = false;
     bool m_EndSent = false;
     base::Millis m_EndedAt;
-    base::Millis m_Deadline;
     base::Millis m_DetachedAt;
+    std::optional<DeadlineQueue::iterator> m_Deadline;
   };
 
   struct Due {
@@ -214,7 +216,7 @@
   std::map<AttemptKey, Attempt> m_Attempts;
   std::deque<Due> m_Expiries;
   std::deque<Due> m_Detached;
-  std::multimap<base::Millis, AttemptKey> m_Deadlines;
+  DeadlineQueue m_Deadlines;
   std::multimap<base::Millis, RunId> m_RunDeadlines;
   std::map<LinkId, std::set<AttemptKey>> m_Links;
   std::optional<base::Millis> m_MoveAt;
--- a/Tests/Claims/ClaimHomeTest.cpp
+++ b/Tests/Claims/ClaimHomeTest.cpp
@@ -31,14 +31,14 @@
   ClaimHome Home("a", StartWall, {});
   Home.onPlacement(Millis(0), "pay", 1, {"a"});
   const Millis Wall = StartWall + base::seconds(10);
-  const auto verdict = [&](Millis Created) {
+  const auto VerdictOf = [&](Millis Created) {
     return Home.check(base::seconds(10), Wall, question("k", Created, 1))
         .m_Verdict;
   };
-  EXPECT_EQ(verdict(Millis(0)), HomeVerdict::Forgotten);
-  EXPECT_EQ(verdict(StartWall), HomeVerdict::Forgotten);
-  EXPECT_EQ(verdict(StartWall + base::seconds(6)), HomeVerdict::Home);
-  EXPECT_EQ(verdict(StartWall - base::minutes(11)), HomeVerdict::TooOld);
+  EXPECT_EQ(VerdictOf(Millis(0)), HomeVerdict::Forgotten);
+  EXPECT_EQ(VerdictOf(StartWall), HomeVerdict::Forgotten);
+  EXPECT_EQ(VerdictOf(StartWall + base::seconds(6)), HomeVerdict::Home);
+  EXPECT_EQ(VerdictOf(StartWall - base::minutes(11)), HomeVerdict::TooOld);
 }
 
 TEST(ClaimHome, AsksFormerHomesUntilWindowAndCutOffHavePassed) {
@@ -47,11 +47,11 @@
   ClaimHome Home("a", StartWall, {});
   Home.onPlacement(Millis(0), "pay", 1, Both);
   Home.onPlacement(base::minutes(20), "pay", 2, {"a"});
-  const auto check = [&](Millis Now) {
+  const auto Check = [&](Millis Now) {
     return Home.check(Now, StartWall + Now, question(Key, Millis(0), 2));
   };
-  EXPECT_EQ(check(base::minutes(30)).m_Former, std::vector<std::string>{"b"});
-  EXPECT_EQ(check(base::minutes(41)).m_Verdict, HomeVerdict::Home);
+  EXPECT_EQ(Check(base::minutes(30)).m_Former, std::vector<std::string>{"b"});
+  EXPECT_EQ(Check(base::minutes(41)).m_Verdict, HomeVerdict::Home);
 }
 
 TEST(ClaimHome, SettlesAnUnreachableFormerHomeOnceItsVmIsGone) {
@@ -62,12 +62,12 @@
   Home.onPlacement(base::minutes(20), "pay", 2, {"a"});
   const Millis Wall = StartWall + base::minutes(21);
   Home.onServerGone("b", Wall);
-  const auto verdict = [&](Millis Created) {
+  const auto VerdictOf = [&](Millis Created) {
     return Home.check(base::minutes(21), Wall, question(Key, Created, 2))
         .m_Verdict;
   };
-  EXPECT_EQ(verdict(Wall - base::minutes(2)), HomeVerdict::Ask);
-  EXPECT_EQ(verdict(Wall + base::seconds(6)), HomeVerdict::Home);
+  EXPECT_EQ(VerdictOf(Wall - base::minutes(2)), HomeVerdict::Ask);
+  EXPECT_EQ(VerdictOf(Wall + base::seconds(6)), HomeVerdict::Home);
 }
 
 TEST(ClaimHome, KnowsWhenItIsBehindOrNotHome) {
@@ -75,11 +75,11 @@
   ClaimHome Home("a", StartWall, {});
   Home.onPlacement(Millis(0), "pay", 5, Both);
   const Millis Wall = StartWall + base::minutes(20);
-  const auto verdict = [&](const std::string &Key, std::uint64_t Offset) {
+  const auto VerdictOf = [&](const std::string &Key, std::uint64_t Offset) {
     return Home.check(base::minutes(20), Wall, question(Key, Wall, Offset))
         .m_Verdict;
   };
-  EXPECT_EQ(verdict(keyAt("a", Both), 6), HomeVerdict::Behind);
-  EXPECT_EQ(verdict(keyAt("b", Both), 5), HomeVerdict::NotHome);
-  EXPECT_EQ(verdict(keyAt("a", Both), 4), HomeVerdict::Home);
+  EXPECT_EQ(VerdictOf(keyAt("a", Both), 6), HomeVerdict::Behind);
+  EXPECT_EQ(VerdictOf(keyAt("b", Both), 5), HomeVerdict::NotHome);
+  EXPECT_EQ(VerdictOf(keyAt("a", Both), 4), HomeVerdict::Home);
 }
