--- a/Source/Net/LinkConnection.cpp
+++ b/Source/Net/LinkConnection.cpp
@@ -1,5 +1,6 @@
 #include "Net/LinkConnection.h"
 
+#include "Net/Endpoint.h"
 #include "Wire/Link.pb.h"
 
 #include <array>
@@ -202,8 +203,8 @@
   bool m_Finished = false;
 };
 
-void finish(const std::shared_ptr<Connecting> &Attempt, const Address &Where,
-            const std::string &Problem) {
+void finish(const std::shared_ptr<Connecting> &Attempt,
+            const std::string &Where, const std::string &Problem) {
   if (Attempt->m_Finished)
     return;
   Attempt->m_Finished = true;
@@ -215,14 +216,13 @@
   }
   ErrorCode Ignored;
   Attempt->m_Socket.close(Ignored);
-  Attempt->m_Done(
-      base::failure(base::ResultCode::ConnectionFailed,
-                    "Connection to " + toString(Where) + ": " + Problem));
+  Attempt->m_Done(base::failure(base::ResultCode::ConnectionFailed,
+                                "Connection to " + Where + ": " + Problem));
 }
 
 } // namespace
 
-void connectLink(boost::asio::io_context &Loop, const Address &Where,
+void connectLink(boost::asio::io_context &Loop, const std::string &Where,
                  base::Millis Timeout,
                  std::function<void(base::Result<LinkConnectionPtr>)> Done) {
   auto Attempt = std::make_shared<Connecting>(Loop);
@@ -232,10 +232,15 @@
     if (!Problem)
       finish(Attempt, Where, "no answer in time");
   });
-  const tcp::endpoint Endpoint(boost::asio::ip::make_address(Where.m_Ip),
-                               Where.m_Port);
+  const base::Result<tcp::endpoint> Endpoint = parseEndpoint(Where);
+  if (!Endpoint) {
+    boost::asio::post(Loop, [Attempt, Where, Problem = Endpoint.error()] {
+      finish(Attempt, Where, Problem.m_Message);
+    });
+    return;
+  }
   Attempt->m_Socket.async_connect(
-      Endpoint, [Attempt, Where](ErrorCode Problem) {
+      *Endpoint, [Attempt, Where](ErrorCode Problem) {
         finish(Attempt, Where, Problem ? Problem.message() : "");
       });
 }
@@ -246,22 +251,23 @@
   Impl(boost::asio::io_context &Loop, std::size_t MaxConnections)
       : m_Acceptor(Loop), m_Retry(Loop), m_MaxConnections(MaxConnections) {}
 
-  base::Result<void> listen(const Address &Where, AcceptHook OnAccept) {
+  base::Result<void> listen(const std::string &Where, AcceptHook OnAccept) {
     m_OnAccept = std::move(OnAccept);
+    const base::Result<tcp::endpoint> Endpoint = parseEndpoint(Where);
+    if (!Endpoint)
+      return tl::unexpected(Endpoint.error());
     ErrorCode Problem;
-    const tcp::endpoint Endpoint(boost::asio::ip::make_address(Where.m_Ip),
-                                 Where.m_Port);
-    m_Acceptor.open(Endpoint.protocol(), Problem);
+    m_Acceptor.open(Endpoint->protocol(), Problem);
     if (!Problem)
       m_Acceptor.set_option(tcp::acceptor::reuse_address(true), Problem);
     if (!Problem)
-      m_Acceptor.bind(Endpoint, Problem);
+      m_Acceptor.bind(*Endpoint, Problem);
     if (!Problem)
       m_Acceptor.listen(boost::asio::socket_base::max_listen_connections,
                         Problem);
     if (Problem)
       return base::failure(base::ResultCode::ConnectionFailed,
-                           "Can't listen at " + toString(Where) + ": " +
+                           "Can't listen at " + Where + ": " +
                                Problem.message() +
                                ". Choose a free address in the settings.");
     acceptNext();
@@ -319,7 +325,7 @@
 
 LinkServer::~LinkServer() { close(); }
 
-base::Result<void> LinkServer::listen(const Address &Where,
+base::Result<void> LinkServer::listen(const std::string &Where,
                                       AcceptHook OnAccept) {
   return m_Impl->listen(Where, std::move(OnAccept));
 }
--- a/Source/Net/LinkConnection.h
+++ b/Source/Net/LinkConnection.h
@@ -2,12 +2,12 @@
 #define CORNELDECK_NET_LINKCONNECTION_H
 
 #include "Base/Error.h"
-#include "Net/Address.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace corneldeck::wire {
 class LinkFrame;
@@ -54,7 +54,7 @@
 /// \param Where the agent's link address.
 /// \param Timeout the time after which the attempt fails.
 /// \param Done gets the connection, or ConnectionFailed.
-void connectLink(boost::asio::io_context &Loop, const Address &Where,
+void connectLink(boost::asio::io_context &Loop, const std::string &Where,
                  base::Millis Timeout,
                  std::function<void(base::Result<LinkConnectionPtr>)> Done);
 
@@ -71,7 +71,7 @@
 
   /// Begins to listen.
   /// \returns nothing, or ConnectionFailed if the address can't be bound.
-  base::Result<void> listen(const Address &Where, AcceptHook OnAccept);
+  base::Result<void> listen(const std::string &Where, AcceptHook OnAccept);
 
   /// Stops listening; connections stay open.
   void close();
--- a/Source/Net/PeerLink.cpp
+++ b/Source/Net/PeerLink.cpp
@@ -27,9 +27,9 @@
   base::Millis m_LastHeard{};
 };
 
-std::string url(const Address &Where) { return "tcp://" + toString(Where); }
+std::string url(const std::string &Where) { return "tcp://" + Where; }
 
-bool openOutlet(Outlet &Out, const Address &Where) {
+bool openOutlet(Outlet &Out, const std::string &Where) {
   if (nng_push0_open(&Out.m_Socket) != 0)
     return false;
   nng_socket_set_int(Out.m_Socket, NNG_OPT_SENDBUF, SendQueueLength);
@@ -51,7 +51,7 @@
       nng_aio_free(m_Receive);
   }
 
-  base::Result<void> listen(const Address &Where, MessageHook OnMessage) {
+  base::Result<void> listen(const std::string &Where, MessageHook OnMessage) {
     m_OnMessage = std::move(OnMessage);
     int Problem = nng_pull0_open(&m_Inlet);
     if (Problem == 0) {
@@ -63,14 +63,14 @@
       Problem = nng_aio_alloc(&m_Receive, &Impl::onReceived, this);
     if (Problem != 0)
       return base::failure(base::ResultCode::ConnectionFailed,
-                           "Can't listen at " + toString(Where) + ": " +
+                           "Can't listen at " + Where + ": " +
                                nng_strerror(Problem) +
                                ". Choose a free address in the settings.");
     nng_recv_aio(m_Inlet, m_Receive);
     return {};
   }
 
-  void send(const Address &Where, const wire::PeerMessage &Message) {
+  void send(const std::string &Where, const wire::PeerMessage &Message) {
     closeIdle();
     Outlet *Out = outlet(Where);
     if (Out == nullptr)
@@ -101,8 +101,8 @@
 
 private:
   /// \returns the open outlet to \p Where; replaces one that may be silent.
-  Outlet *outlet(const Address &Where) {
-    const std::string Key = toString(Where);
+  Outlet *outlet(const std::string &Where) {
+    const std::string Key = Where;
     const auto Found = m_Outlets.find(Key);
     if (Found != m_Outlets.end()) {
       if (!maybeSilent(Found->second))
@@ -187,12 +187,13 @@
 
 PeerLink::~PeerLink() { m_Impl->close(); }
 
-base::Result<void> PeerLink::listen(const Address &Where,
+base::Result<void> PeerLink::listen(const std::string &Where,
                                     MessageHook OnMessage) {
   return m_Impl->listen(Where, std::move(OnMessage));
 }
 
-void PeerLink::send(const Address &Where, const wire::PeerMessage &Message) {
+void PeerLink::send(const std::string &Where,
+                    const wire::PeerMessage &Message) {
   m_Impl->send(Where, Message);
 }
 
--- a/Source/Net/PeerLink.h
+++ b/Source/Net/PeerLink.h
@@ -3,11 +3,11 @@
 
 #include "Base/Clock.h"
 #include "Base/Error.h"
-#include "Net/Address.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace corneldeck::wire {
 class PeerMessage;
@@ -38,11 +38,11 @@
 
   /// Begins to take messages.
   /// \returns nothing, or ConnectionFailed if the address can't be bound.
-  base::Result<void> listen(const Address &Where, MessageHook OnMessage);
+  base::Result<void> listen(const std::string &Where, MessageHook OnMessage);
 
   /// Sends a message without waiting; drops it if the peer does not read.
   /// \param Where the peer's listening address.
-  void send(const Address &Where, const wire::PeerMessage &Message);
+  void send(const std::string &Where, const wire::PeerMessage &Message);
 
   /// \returns the number of bytes sent and taken so far, for metrics.
   [[nodiscard]] std::uint64_t bytes() const;
--- /dev/null
+++ b/Tests/Net/EndpointTest.cpp
@@ -0,0 +1,17 @@
+#include "Net/Endpoint.h"
+
+#include <gtest/gtest.h>
+
+using namespace corneldeck;
+
+TEST(Endpoint, ReadsIpNumberAndPort) {
+  const auto Where = net::parseEndpoint("10.1.2.3:7100");
+  ASSERT_TRUE(Where.has_value());
+  EXPECT_EQ(net::formatEndpoint(*Where), "10.1.2.3:7100");
+}
+
+TEST(Endpoint, RefusesWhatIsNoIpNumberAndPort) {
+  for (const char *Text : {"", "host:80", "10.1.2.3", "10.1.2.3:", "1.2.3:80",
+                           "10.1.2.3:65536", "10.1.2.3:8x"})
+    EXPECT_FALSE(net::parseEndpoint(Text).has_value()) << Text;
+}
--- a/Tests/Net/LinkConnectionTest.cpp
+++ b/Tests/Net/LinkConnectionTest.cpp
@@ -1,5 +1,6 @@
 #include "Net/LinkConnection.h"
 
+#include "Net/Endpoint.h"
 #include "Wire/Link.pb.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,10 +12,10 @@
 namespace {
 
 /// Finds a free port by binding one and letting it go.
-net::Address freeAddress(boost::asio::io_context &Loop) {
+std::string freeAddress(boost::asio::io_context &Loop) {
   boost::asio::ip::tcp::acceptor Probe(
       Loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", Probe.local_endpoint().port()};
+  return net::formatEndpoint(Probe.local_endpoint());
 }
 
 /// A server that keeps what it got.
@@ -38,8 +39,7 @@
   /// Sends raw bytes as a broken or hostile peer would.
   void sendRaw(const std::string &Bytes) {
     boost::asio::ip::tcp::socket Socket(m_Loop);
-    Socket.connect(
-        {boost::asio::ip::make_address("127.0.0.1"), m_Where.m_Port});
+    Socket.connect(*net::parseEndpoint(m_Where));
     boost::asio::write(Socket, boost::asio::buffer(Bytes));
     Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
     while (!m_Closed)
@@ -47,7 +47,7 @@
   }
 
   boost::asio::io_context m_Loop;
-  net::Address m_Where;
+  std::string m_Where;
   net::LinkServer m_Server{m_Loop, 4};
   net::LinkConnectionPtr m_Accepted;
   std::vector<wire::LinkFrame> m_Got;
@@ -100,7 +100,7 @@
 
 TEST(LinkConnect, RefusedConnectionIsAnError) {
   boost::asio::io_context Loop;
-  const net::Address Where = freeAddress(Loop);
+  const std::string Where = freeAddress(Loop);
   std::optional<base::ResultCode> Code;
   net::connectLink(Loop, Where, base::seconds(5),
                    [&](base::Result<net::LinkConnectionPtr> Link) {
--- a/Tests/Net/PeerLinkTest.cpp
+++ b/Tests/Net/PeerLinkTest.cpp
@@ -1,5 +1,6 @@
 #include "Net/PeerLink.h"
 
+#include "Net/Endpoint.h"
 #include "Wire/Peer.pb.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -10,10 +11,10 @@
 
 namespace {
 
-net::Address freeAddress(boost::asio::io_context &Loop) {
+std::string freeAddress(boost::asio::io_context &Loop) {
   boost::asio::ip::tcp::acceptor Probe(
       Loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", Probe.local_endpoint().port()};
+  return net::formatEndpoint(Probe.local_endpoint());
 }
 
 } // namespace
@@ -21,7 +22,7 @@
 TEST(PeerLink, DeliversMessagesToThePeer) {
   boost::asio::io_context Loop;
   const auto Work = boost::asio::make_work_guard(Loop);
-  const net::Address Where = freeAddress(Loop);
+  const std::string Where = freeAddress(Loop);
   net::PeerLink Receiver(Loop, base::steadyClock());
   std::vector<std::uint64_t> Got;
   ASSERT_TRUE(Receiver
@@ -47,7 +48,7 @@
 TEST(PeerLink, SilentConnectionIsReplaced) {
   boost::asio::io_context Loop;
   const auto Work = boost::asio::make_work_guard(Loop);
-  const net::Address Where = freeAddress(Loop);
+  const std::string Where = freeAddress(Loop);
   base::Millis Now{};
   net::PeerLink Sender(Loop, base::Clock([&] { return Now; }));
   wire::PeerMessage Message;
