--- a/Source/Catalogue/View.cpp
+++ b/Source/Catalogue/View.cpp
@@ -5,15 +5,22 @@
 namespace corneldeck::catalogue {
 
 View::View(std::uint64_t Offset, EntryMap Entries,
-           std::map<std::string, std::string> Unreadable)
+           std::map<std::string, std::string> Unreadable,
+           OffsetMap ChangeOffsets)
     : m_Offset(Offset), m_Entries(std::move(Entries)),
-      m_Unreadable(std::move(Unreadable)) {}
+      m_Unreadable(std::move(Unreadable)),
+      m_ChangeOffsets(std::move(ChangeOffsets)) {}
 
 std::shared_ptr<const Entry> View::find(std::string_view Name) const {
   const auto Found = m_Entries.find(Name);
   return Found == m_Entries.end() ? nullptr : Found->second;
 }
 
+std::uint64_t View::changeOffset(std::string_view Name) const {
+  const auto Found = m_ChangeOffsets.find(Name);
+  return Found == m_ChangeOffsets.end() ? 0 : Found->second;
+}
+
 const ViewBuilder::Parsed &ViewBuilder::parsed(const std::string &Name,
                                                const VersionedEntry &Source) {
   Parsed &Cached = m_Cache[Name];
@@ -34,7 +41,9 @@
 ViewPtr ViewBuilder::build(const State &Current) {
   View::EntryMap Entries;
   std::map<std::string, std::string> Unreadable;
+  View::OffsetMap Offsets;
   for (const auto &[Name, Source] : Current.entries()) {
+    Offsets[Name] = Source.m_Offset;
     if (Source.m_Deleted)
       continue;
     const Parsed &Result = parsed(Name, Source);
@@ -44,7 +53,8 @@
       Unreadable[Name] = Result.m_Reason;
   }
   return std::make_shared<const View>(Current.offset(), std::move(Entries),
-                                      std::move(Unreadable));
+                                      std::move(Unreadable),
+                                      std::move(Offsets));
 }
 
 } // namespace corneldeck::catalogue
--- a/Source/Catalogue/View.h
+++ b/Source/Catalogue/View.h
@@ -17,10 +17,11 @@
 public:
   using EntryMap =
       std::map<std::string, std::shared_ptr<const Entry>, std::less<>>;
+  using OffsetMap = std::map<std::string, std::uint64_t, std::less<>>;
 
   View() = default;
   View(std::uint64_t Offset, EntryMap Entries,
-       std::map<std::string, std::string> Unreadable);
+       std::map<std::string, std::string> Unreadable, OffsetMap ChangeOffsets);
 
   /// \returns the log offset that this picture is of.
   [[nodiscard]] std::uint64_t offset() const { return m_Offset; }
@@ -28,6 +29,16 @@
   /// \returns the entry named \p Name, or null.
   [[nodiscard]] std::shared_ptr<const Entry> find(std::string_view Name) const;
 
+  /// \returns the offset of the newest accepted change of an entry, deleted
+  /// ones too; 0 if there is none.
+  [[nodiscard]] std::uint64_t changeOffset(std::string_view Name) const;
+
+  /// \returns the offsets of the newest changes of all entries, with the
+  /// deleted ones.
+  [[nodiscard]] const OffsetMap &changeOffsets() const {
+    return m_ChangeOffsets;
+  }
+
   /// \returns the entries by name, without deleted and unreadable ones.
   [[nodiscard]] const EntryMap &entries() const { return m_Entries; }
 
@@ -41,6 +52,7 @@
   std::uint64_t m_Offset = 0;
   EntryMap m_Entries;
   std::map<std::string, std::string> m_Unreadable;
+  OffsetMap m_ChangeOffsets;
 };
 
 using ViewPtr = std::shared_ptr<const View>;
