Entry, Agent: carry a request end to end

Cause: the libraries had no processes around them.

An entry reads callers' HTTP, chooses a replica, keeps one watched connection to each agent and drives a RequestFlow for each request. An agent drives the AttemptTable, speaks HTTP to its backend server and answers heartbeats with the load. Both have a control thread that follows the catalogue.

--- /dev/null
+++ b/Source/Agent/AgentDaemon.h
@@ -0,0 +1,80 @@
+#ifndef CORNELDECK_AGENT_AGENTDAEMON_H
+#define CORNELDECK_AGENT_AGENTDAEMON_H
+
+#include "Agent/AgentSettings.h"
+#include "Agent/BackendRunner.h"
+#include "Agent/LinkHub.h"
+#include "Agent/LoadProbe.h"
+#include "Metrics/Registry.h"
+#include "Net/HttpServer.h"
+#include "Node/ControlLoop.h"
+#include "Request/AttemptTable.h"
+#include "Status/StatusPages.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <optional>
+
+namespace corneldeck::agent {
+
+/// The process beside one backend server: the only path to it, the memory of
+/// its requests and idempotency keys, and its graceful stop.
+///
+/// The caller's thread carries traffic; a ControlLoop has a thread of its own.
+class AgentDaemon {
+public:
+  AgentDaemon(boost::asio::io_context &Loop, AgentSettings Settings);
+  ~AgentDaemon();
+  AgentDaemon(const AgentDaemon &) = delete;
+  AgentDaemon &operator=(const AgentDaemon &) = delete;
+
+  /// Begins to serve.
+  /// \returns nothing, or the error of an address that can't be bound.
+  base::Result<void> start();
+
+  /// Begins a planned stop: takes no new work, ends what runs, and calls
+  /// \p Done when nothing is left or the settings' timeout is over.
+  void beginStop(std::function<void()> Done);
+
+private:
+  request::AttemptHooks attemptHooks();
+  LinkHubHooks hubHooks();
+  BackendHooks backendHooks();
+  void onView(const catalogue::ViewPtr &View);
+  void onPeerMessage(const wire::PeerMessage &Message);
+  void answerFence(const wire::PeerMessage &Message);
+  void sendFence(const request::SendFence &Order);
+  void carryOut(const request::AttemptActions &Actions);
+  void carryOut(const request::AttemptAction &Action);
+  void armTimer();
+  void checkDrained();
+  void fillLoad(request::LinkId Link, wire::Load &Load);
+  void handleHttp(net::HttpExchange &Exchange);
+  void beginDrain();
+  [[nodiscard]] base::Millis now() const { return m_Clock.now(); }
+
+  boost::asio::io_context &m_Loop;
+  const AgentSettings m_Settings;
+  const base::Clock m_Clock;
+  const std::uint64_t m_Incarnation;
+  base::Timeline m_Events;
+  metrics::Registry m_Metrics;
+  net::HttpClient m_Http;
+  request::AttemptTable m_Table;
+  BackendRunner m_Runner;
+  LinkHub m_Hub;
+  std::unique_ptr<LoadProbe> m_Probe;
+  node::ControlLoop m_Control;
+  status::StatusPages m_Pages;
+  net::HttpServer m_Server;
+  boost::asio::steady_timer m_Timer;
+  boost::asio::steady_timer m_StopTimer;
+  catalogue::ViewPtr m_View;
+  std::function<void()> m_Stopped;
+  metrics::Counter &m_Runs;
+  metrics::Counter &m_Tokens;
+};
+
+} // namespace corneldeck::agent
+
+#endif
--- /dev/null
+++ b/Source/Agent/BackendRunner.h
@@ -0,0 +1,71 @@
+#ifndef CORNELDECK_AGENT_BACKENDRUNNER_H
+#define CORNELDECK_AGENT_BACKENDRUNNER_H
+
+#include "Agent/AgentSettings.h"
+#include "Net/HttpClient.h"
+#include "Request/AttemptTypes.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace corneldeck::agent {
+
+/// What happens to a run at the backend server.
+struct BackendHooks {
+  std::function<void(request::RunId)> m_Began;
+  std::function<void(request::RunId, std::uint32_t Tokens,
+                     const std::string &Data)>
+      m_Chunk;
+  std::function<void(request::RunId, const request::BackendEnd &)> m_End;
+  std::function<void(request::RunId, const std::string &Location)> m_Exported;
+};
+
+/// Carries requests to the backend server over HTTP and their answers back.
+///
+/// Streams are passed on as whole server-sent events. An event with content
+/// counts as one token; a later one without is kept for the end.
+class BackendRunner {
+public:
+  /// \param Http must outlive this object.
+  BackendRunner(net::HttpClient &Http, BackendKind Kind, std::string Address,
+                BackendHooks Hooks);
+
+  void run(base::Millis Now, const request::RunBackend &Order);
+
+  /// Closes the connection, which cancels the run at an engine.
+  void cancel(request::RunId Run);
+
+  /// Stops a stream; the rest is computed anew from its text elsewhere.
+  void exportRun(request::RunId Run);
+
+private:
+  struct Running;
+
+  void onHead(Running &Of, const net::HttpAnswerHead &Head);
+  void onData(Running &Of, std::string_view Piece);
+  void onEvent(Running &Of, std::string_view Data);
+  void onEnd(request::RunId Run, const base::Result<void> &Ended);
+  void flush(Running &Of);
+  static request::BackendEnd endOf(Running &Of,
+                                   const base::Result<void> &Ended);
+  static request::BackendEnd failedEnd(const base::Error &Problem, bool Began);
+
+  net::HttpClient &m_Http;
+  const BackendKind m_Kind;
+  const std::string m_Address;
+  const BackendHooks m_Hooks;
+  std::map<request::RunId, std::shared_ptr<Running>> m_Running;
+};
+
+/// Adds the fields of a resume to the JSON body of a completion.
+///
+/// \param Events the server-sent events that the caller has already.
+/// \returns the new body; \p Body itself if it is no JSON object.
+std::string resumeBody(const std::string &Body, std::uint32_t From,
+                       const std::string &Events);
+
+} // namespace corneldeck::agent
+
+#endif
--- /dev/null
+++ b/Source/Agent/LinkHub.cpp
@@ -0,0 +1,142 @@
+#include "Agent/LinkHub.h"
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace corneldeck::agent {
+
+namespace {
+constexpr std::chrono::milliseconds SilenceCheckInterval{250};
+} // namespace
+
+LinkHub::LinkHub(boost::asio::io_context &Loop, LinkHubIdentity Identity,
+                 base::Timeline &Events, LinkHubHooks Hooks)
+    : m_Identity(std::move(Identity)), m_Events(Events),
+      m_Hooks(std::move(Hooks)), m_Clock(base::steadyClock()),
+      m_Server(Loop, MaxLinks), m_Timer(Loop) {}
+
+base::Result<void> LinkHub::listen(const std::string &Address) {
+  auto Listening = m_Server.listen(
+      Address, [this](const net::LinkConnectionPtr &New) { onAccept(New); });
+  if (Listening)
+    armSilenceTimer();
+  return Listening;
+}
+
+void LinkHub::send(request::LinkId Link, const wire::LinkFrame &Frame) {
+  const auto Found = m_Links.find(Link);
+  if (Found != m_Links.end())
+    Found->second.m_Connection->send(Frame);
+}
+
+void LinkHub::announceLoad() {
+  for (const auto &[Id, To] : m_Links)
+    if (To.m_Greeted)
+      sendLoad(Id, 0);
+}
+
+void LinkHub::close() {
+  m_Server.close();
+  m_Timer.cancel();
+  for (auto &[Id, Open] : m_Links)
+    Open.m_Connection->close();
+  m_Links.clear();
+}
+
+void LinkHub::onAccept(const net::LinkConnectionPtr &Connection) {
+  const request::LinkId Id = ++m_LastId;
+  m_Links[Id] = {Connection, m_Clock.now(), false, ""};
+  Connection->start([this, Id](wire::LinkFrame &Frame) { onFrame(Id, Frame); },
+                    [this, Id](const base::Error &Problem) {
+                      drop(Id, Problem.m_Code == base::ResultCode::BadMessage
+                                   ? base::EventId::BadFrame
+                                   : base::EventId::LinkClosed);
+                    });
+}
+
+void LinkHub::onFrame(request::LinkId Id, wire::LinkFrame &Frame) {
+  const auto Found = m_Links.find(Id);
+  if (Found == m_Links.end())
+    return;
+  Link &From = Found->second;
+  From.m_HeardAt = m_Clock.now();
+  m_Events.observe(Frame.stamp());
+  switch (Frame.body_case()) {
+  case wire::LinkFrame::kHello:
+    onHello(Id, From, Frame.hello());
+    return;
+  case wire::LinkFrame::kHeartbeat:
+    sendLoad(Id, Frame.heartbeat().sequence());
+    return;
+  case wire::LinkFrame::kStart:
+  case wire::LinkFrame::kAttach:
+  case wire::LinkFrame::kCancel:
+    if (From.m_Greeted) {
+      m_Hooks.m_Frame(Id, Frame);
+      return;
+    }
+    break;
+  default:
+    break;
+  }
+  drop(Id, base::EventId::BadFrame);
+}
+
+void LinkHub::onHello(request::LinkId Id, Link &From,
+                      const wire::Hello &Hello) {
+  From.m_Greeted = true;
+  From.m_Entry = Hello.node();
+  m_Events.record(base::EventId::LinkUp, {{"entry", Hello.node()}});
+  wire::LinkFrame Answer;
+  Answer.set_stamp(m_Events.stamp());
+  wire::Hello &Self = *Answer.mutable_hello();
+  Self.set_node(m_Identity.m_Server);
+  Self.set_incarnation(m_Identity.m_Incarnation);
+  Self.set_zone(m_Identity.m_Zone);
+  Self.set_address(m_Identity.m_HttpAddress);
+  Self.set_link(Id);
+  Self.set_clock_ms(m_Clock.now().count());
+  From.m_Connection->send(Answer);
+  sendLoad(Id, 0);
+}
+
+void LinkHub::sendLoad(request::LinkId Id, std::uint64_t Sequence) {
+  wire::LinkFrame Frame;
+  Frame.set_stamp(m_Events.stamp());
+  wire::Load &Load = *Frame.mutable_load();
+  Load.set_sequence(Sequence);
+  m_Hooks.m_FillLoad(Id, Load);
+  Load.set_clock_ms(m_Clock.now().count());
+  send(Id, Frame);
+}
+
+void LinkHub::drop(request::LinkId Id, base::EventId Why) {
+  auto Dropped = m_Links.extract(Id);
+  if (Dropped.empty())
+    return;
+  m_Events.record(Why, {{"entry", Dropped.mapped().m_Entry}});
+  Dropped.mapped().m_Connection->close();
+  m_Hooks.m_Closed(Id);
+}
+
+void LinkHub::dropSilent() {
+  std::vector<request::LinkId> Silent;
+  for (const auto &[Id, Open] : m_Links)
+    if (m_Clock.now() - Open.m_HeardAt > SilentAfter)
+      Silent.push_back(Id);
+  for (const request::LinkId Id : Silent)
+    drop(Id, base::EventId::LinkSilent);
+}
+
+void LinkHub::armSilenceTimer() {
+  m_Timer.expires_after(SilenceCheckInterval);
+  m_Timer.async_wait([this](const boost::system::error_code &Cancelled) {
+    if (Cancelled)
+      return;
+    dropSilent();
+    armSilenceTimer();
+  });
+}
+
+} // namespace corneldeck::agent
--- /dev/null
+++ b/Source/Entry/EntryDaemon.cpp
@@ -0,0 +1,141 @@
+#include "Entry/EntryDaemon.h"
+
+#include "Log/EventLog.h"
+#include "Net/Target.h"
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace corneldeck::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds StopCheckInterval{20};
+
+node::ControlSettings controlSettings(const EntrySettings &Settings,
+                                      std::uint64_t Incarnation) {
+  node::ControlSettings Control;
+  Control.m_Node = Settings.m_Node;
+  Control.m_Incarnation = Incarnation;
+  Control.m_Zone = Settings.m_Zone;
+  Control.m_PeerAddress = Settings.m_ControlAddress;
+  Control.m_HttpAddress = Settings.m_HttpAddress;
+  Control.m_CallerAddress = Settings.m_HttpAddress;
+  Control.m_LogAddress = Settings.m_LogAddress;
+  Control.m_Seeds = Settings.m_Entries;
+  return Control;
+}
+
+net::HttpServerOptions serverOptions(const EntrySettings &Settings) {
+  net::HttpServerOptions Options;
+  Options.m_MaxConnections = Settings.m_MaxConnections;
+  return Options;
+}
+
+} // namespace
+
+EntryDaemon::EntryDaemon(boost::asio::io_context &Loop, EntrySettings Settings)
+    : m_Loop(Loop), m_Settings(std::move(Settings)),
+      m_Incarnation(static_cast<std::uint64_t>(base::wallTime().count())),
+      m_Clock(base::steadyClock()),
+      m_Events(m_Settings.m_Node, m_Settings.m_TimelineEvents), m_Http(Loop),
+      m_Control(controlSettings(m_Settings, m_Incarnation), m_Events),
+      m_Front(Loop, m_Settings.m_Node, m_Settings.m_Zone, m_Incarnation,
+              m_Events, m_Metrics),
+      m_Operators(Loop, m_Control, m_Front.links(), m_Http),
+      m_Pages(m_Metrics, m_Events, [this] { return readiness(); }),
+      m_Server(Loop, serverOptions(m_Settings),
+               [this](const ExchangePtr &Exchange) { handle(Exchange); }),
+      m_StopTimer(Loop) {
+  log::attachLog(m_Events, {m_Settings.m_LogRequests});
+}
+
+EntryDaemon::~EntryDaemon() { m_Control.stop(); }
+
+base::Result<void> EntryDaemon::start() {
+  m_Control.setViewHook([this](const catalogue::ViewPtr &View, bool Ready) {
+    boost::asio::post(m_Loop, [this, View, Ready] {
+      m_Ready = Ready;
+      m_Front.onView(View, Ready);
+    });
+  });
+  if (auto Listening = m_Server.listen(m_Settings.m_HttpAddress); !Listening)
+    return tl::unexpected(Listening.error());
+  if (auto Started = m_Control.start(); !Started)
+    return Started;
+  m_Events.record(base::EventId::ProcessStarted,
+                  {{"incarnation", std::to_string(m_Incarnation)}});
+  return {};
+}
+
+void EntryDaemon::beginStop(std::function<void()> Done) {
+  m_Events.record(base::EventId::ProcessStopping);
+  m_Stopping = true;
+  m_Stopped = std::move(Done);
+  m_Control.beginLeaving();
+  m_ServeUntil = m_Control.serveUntil(m_Clock.now());
+  m_StopBy = m_ServeUntil + m_Settings.m_StopTimeout;
+  checkStopped();
+}
+
+void EntryDaemon::checkStopped() {
+  const base::Millis Now = m_Clock.now();
+  if (Now >= m_ServeUntil) {
+    m_Server.stopAccepting();
+    m_Server.closeAfterAnswers();
+  }
+  const bool Idle = m_Front.inFlight() == 0 && m_Server.requestsInFlight() == 0;
+  if ((Now >= m_ServeUntil && Idle) || Now >= m_StopBy) {
+    m_Events.record(base::EventId::ProcessStopped);
+    m_Stopped();
+    return;
+  }
+  m_StopTimer.expires_after(StopCheckInterval);
+  m_StopTimer.async_wait([this](const boost::system::error_code &Cancelled) {
+    if (!Cancelled)
+      checkStopped();
+  });
+}
+
+status::Readiness EntryDaemon::readiness() const {
+  if (m_Stopping)
+    return {false, "stopping"};
+  if (!m_Ready)
+    return {false, "no catalogue that is fresh enough"};
+  return {true, ""};
+}
+
+void EntryDaemon::handle(const ExchangePtr &Exchange) {
+  const std::string_view Path = Exchange->target();
+  if (Path == ChatPath || Path.starts_with(ServicesPath)) {
+    m_Front.handle(Exchange);
+    return;
+  }
+  if (Path.starts_with(AddressesPath)) {
+    addresses(Exchange);
+    return;
+  }
+  if (m_Pages.handle(*Exchange) || m_Operators.handle(Exchange))
+    return;
+  Exchange->replyError({base::ResultCode::UnknownService,
+                        "No such path. Use /v1/chat/completions, "
+                        "/services/NAME/..., /v1/addresses or /operator/...",
+                        {}});
+}
+
+void EntryDaemon::addresses(const ExchangePtr &Exchange) {
+  const std::string Zone =
+      net::Target(Exchange->target()).text("zone").value_or("");
+  m_Control.post([this, Exchange, Zone] {
+    const membership::Advice Advice = m_Control.advise(Zone);
+    const nlohmann::json Body = {{"addresses", Advice.m_Addresses},
+                                 {"lifetime_ms", Advice.m_Lifetime.count()}};
+    boost::asio::post(m_Loop, [Exchange, Text = Body.dump()] {
+      Exchange->reply(net::jsonReply(Text));
+    });
+  });
+}
+
+} // namespace corneldeck::entry
--- /dev/null
+++ b/Source/Entry/EntryDaemon.h
@@ -0,0 +1,66 @@
+#ifndef CORNELDECK_ENTRY_ENTRYDAEMON_H
+#define CORNELDECK_ENTRY_ENTRYDAEMON_H
+
+#include "Entry/EntrySettings.h"
+#include "Entry/OperatorFront.h"
+#include "Entry/RequestFront.h"
+#include "Metrics/Registry.h"
+#include "Net/HttpServer.h"
+#include "Node/ControlLoop.h"
+#include "Status/StatusPages.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace corneldeck::entry {
+
+/// The process on an entry VM: takes callers' and operators' requests.
+///
+/// The caller's thread carries traffic; a ControlLoop has a thread of its own.
+class EntryDaemon {
+public:
+  EntryDaemon(boost::asio::io_context &Loop, EntrySettings Settings);
+  ~EntryDaemon();
+  EntryDaemon(const EntryDaemon &) = delete;
+  EntryDaemon &operator=(const EntryDaemon &) = delete;
+
+  /// Begins to serve.
+  /// \returns nothing, or the error of an address that can't be bound.
+  base::Result<void> start();
+
+  /// Begins a planned stop: leaves the "which address" answers, serves until
+  /// those that name this entry have expired and its requests are answered,
+  /// then calls \p Done.
+  void beginStop(std::function<void()> Done);
+
+private:
+  using ExchangePtr = std::shared_ptr<net::HttpExchange>;
+
+  void handle(const ExchangePtr &Exchange);
+  void addresses(const ExchangePtr &Exchange);
+  void checkStopped();
+  [[nodiscard]] status::Readiness readiness() const;
+
+  boost::asio::io_context &m_Loop;
+  const EntrySettings m_Settings;
+  const std::uint64_t m_Incarnation;
+  const base::Clock m_Clock;
+  base::Timeline m_Events;
+  metrics::Registry m_Metrics;
+  net::HttpClient m_Http;
+  node::ControlLoop m_Control;
+  RequestFront m_Front;
+  OperatorFront m_Operators;
+  status::StatusPages m_Pages;
+  net::HttpServer m_Server;
+  boost::asio::steady_timer m_StopTimer;
+  bool m_Ready = false;
+  bool m_Stopping = false;
+  base::Millis m_ServeUntil{};
+  base::Millis m_StopBy{};
+  std::function<void()> m_Stopped;
+};
+
+} // namespace corneldeck::entry
+
+#endif
--- /dev/null
+++ b/Source/Entry/OperatorFront.h
@@ -0,0 +1,47 @@
+#ifndef CORNELDECK_ENTRY_OPERATORFRONT_H
+#define CORNELDECK_ENTRY_OPERATORFRONT_H
+
+#include "Admin/Messages.h"
+#include "Entry/AgentLinks.h"
+#include "Net/HttpClient.h"
+#include "Net/HttpExchange.h"
+#include "Node/ControlLoop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <memory>
+
+namespace corneldeck::entry {
+
+/// Answers operators: publishes changes, lists entries and their history, tells
+/// what is in force where, and drains backend servers.
+class OperatorFront {
+public:
+  /// \param Loop the thread of the HTTP exchanges.
+  OperatorFront(boost::asio::io_context &Loop, node::ControlLoop &Control,
+                const AgentLinks &Links, net::HttpClient &Http);
+
+  /// Answers \p Exchange if its path begins with /operator/.
+  /// \returns whether it did.
+  bool handle(const std::shared_ptr<net::HttpExchange> &Exchange);
+
+private:
+  using ExchangePtr = std::shared_ptr<net::HttpExchange>;
+
+  void publish(const ExchangePtr &Exchange);
+  void entries(const ExchangePtr &Exchange);
+  void history(const ExchangePtr &Exchange);
+  void status(const ExchangePtr &Exchange);
+  void drain(const ExchangePtr &Exchange);
+  void reply(const ExchangePtr &Exchange, std::string Body);
+  std::vector<admin::NodeStatus> agentStatus() const;
+
+  boost::asio::io_context &m_Loop;
+  node::ControlLoop &m_Control;
+  const AgentLinks &m_Links;
+  net::HttpClient &m_Http;
+};
+
+} // namespace corneldeck::entry
+
+#endif
--- /dev/null
+++ b/Source/Entry/RequestFront.h
@@ -0,0 +1,101 @@
+#ifndef CORNELDECK_ENTRY_REQUESTFRONT_H
+#define CORNELDECK_ENTRY_REQUESTFRONT_H
+
+#include "Base/Timeline.h"
+#include "Catalogue/View.h"
+#include "Entry/AgentLinks.h"
+#include "Entry/CallerRequest.h"
+#include "Entry/ServiceTraffic.h"
+#include "Metrics/Registry.h"
+#include "Net/HttpExchange.h"
+#include "Request/RequestFlow.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace corneldeck::entry {
+
+/// Takes callers' requests and carries each to its one final answer.
+class RequestFront {
+public:
+  RequestFront(boost::asio::io_context &Loop, std::string Node,
+               std::string Zone, std::uint64_t Incarnation,
+               base::Timeline &Events, metrics::Registry &Metrics);
+  RequestFront(const RequestFront &) = delete;
+  RequestFront &operator=(const RequestFront &) = delete;
+
+  /// Takes over a new picture of the catalogue.
+  /// \param Ready false if requests must be refused.
+  void onView(const catalogue::ViewPtr &View, bool Ready);
+
+  /// Answers a request to ChatPath or below ServicesPath.
+  void handle(const std::shared_ptr<net::HttpExchange> &Exchange);
+
+  [[nodiscard]] std::size_t inFlight() const { return m_Active.size(); }
+
+  [[nodiscard]] const AgentLinks &links() const { return m_Links; }
+
+private:
+  struct Active {
+    std::shared_ptr<net::HttpExchange> m_Exchange;
+    std::shared_ptr<ServiceTraffic> m_Traffic;
+    std::unique_ptr<request::RequestFlow> m_Flow;
+    routing::ChoiceQuery m_Query;
+    bool m_StreamStarted = false;
+    base::Millis m_Since{};
+    base::Millis m_Timer{};
+  };
+  using ActivePtr = std::shared_ptr<Active>;
+
+  AgentLinksHooks linkHooks();
+  void begin(const std::shared_ptr<net::HttpExchange> &Exchange,
+             CallerRequest Request);
+  request::FlowHooks flowHooks(const std::weak_ptr<Active> &Of);
+  base::Result<request::Target> choose(Active &Of, base::Millis Now,
+                                       const std::vector<std::string> &Out);
+  base::Result<request::Target> target(const std::string &Agent) const;
+  void onFrame(const std::string &Agent, const wire::LinkFrame &Frame);
+  void noteAttempt(Active &Of, const wire::LinkFrame &Frame);
+  void carryOut(const ActivePtr &Of,
+                const request::RequestFlow::Actions &Actions);
+  void send(Active &Of, const request::SendFrame &Order);
+  void deliver(Active &Of, const request::DeliverChunk &Chunk);
+  void finish(const ActivePtr &Of, const request::Outcome &Outcome);
+  void answer(Active &Of, const request::Outcome &Outcome);
+  void endStream(Active &Of, const request::Outcome &Outcome);
+  void forEachFlow(
+      const std::function<request::RequestFlow::Actions(request::RequestFlow &)>
+          &Event);
+  void setTimer(const ActivePtr &Of);
+  void clearTimer(const Active &Of);
+  void armTimer();
+  void onTimer();
+  [[nodiscard]] base::Millis now() const { return m_Clock.now(); }
+
+  const std::string m_Node;
+  const std::string m_Zone;
+  const std::uint64_t m_Incarnation;
+  const base::Clock m_Clock;
+  base::Timeline &m_Events;
+  AgentLinks m_Links;
+  catalogue::ViewPtr m_View;
+  bool m_Ready = false;
+  std::uint64_t m_LastRequest = 0;
+  std::map<std::string, std::shared_ptr<ServiceTraffic>> m_Services;
+  std::unordered_map<std::string, ActivePtr> m_Active;
+  std::set<std::pair<base::Millis, std::string>> m_Timers;
+  base::Millis m_ArmedFor{};
+  boost::asio::steady_timer m_Timer;
+  metrics::Counter &m_Accepted;
+  metrics::Counter &m_Refused;
+  metrics::Counter &m_Failed;
+  metrics::Histogram &m_Latency;
+};
+
+} // namespace corneldeck::entry
+
+#endif
--- /dev/null
+++ b/Source/Entry/ServiceTraffic.h
@@ -0,0 +1,49 @@
+#ifndef CORNELDECK_ENTRY_SERVICETRAFFIC_H
+#define CORNELDECK_ENTRY_SERVICETRAFFIC_H
+
+#include "Catalogue/Entry.h"
+#include "Routing/ReplicaChooser.h"
+#include "Routing/RetryBudget.h"
+#include "Wire/Link.pb.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace corneldeck::entry {
+
+/// What one entry keeps for the requests of one service: the choice of
+/// replicas and the retry budget.
+class ServiceTraffic {
+public:
+  /// \param Zone the entry's availability zone. \param Seed differs between
+  /// entries.
+  ServiceTraffic(std::string Zone, std::uint64_t Seed);
+
+  /// Takes over a change of the catalogue entry.
+  void setEntry(const std::shared_ptr<const catalogue::Entry> &Entry);
+
+  /// Takes an agent's report, if the agent serves this service.
+  void onLoad(base::Millis Now, const std::string &Agent,
+              const wire::Load &Load);
+
+  /// \returns whether \p Agent serves this service.
+  [[nodiscard]] bool has(const std::string &Agent) const;
+
+  /// \returns the names of the service's backend servers.
+  [[nodiscard]] const std::vector<std::string> &servers() const {
+    return m_Servers;
+  }
+
+  [[nodiscard]] routing::ReplicaChooser &chooser() { return m_Chooser; }
+  [[nodiscard]] routing::RetryBudget &budget() { return m_Budget; }
+
+private:
+  std::vector<std::string> m_Servers;
+  routing::ReplicaChooser m_Chooser;
+  routing::RetryBudget m_Budget;
+};
+
+} // namespace corneldeck::entry
+
+#endif
--- a/Source/Net/PeerLink.cpp
+++ b/Source/Net/PeerLink.cpp
@@ -102,8 +102,7 @@
 private:
   /// \returns the open outlet to \p Where; replaces one that may be silent.
   Outlet *outlet(const std::string &Where) {
-    const std::string Key = Where;
-    const auto Found = m_Outlets.find(Key);
+    const auto Found = m_Outlets.find(Where);
     if (Found != m_Outlets.end()) {
       if (!maybeSilent(Found->second))
         return &Found->second;
@@ -114,7 +113,7 @@
     if (!openOutlet(Fresh, Where))
       return nullptr;
     Fresh.m_OpenedAt = m_Time.now();
-    return &m_Outlets.emplace(Key, Fresh).first->second;
+    return &m_Outlets.emplace(Where, Fresh).first->second;
   }
 
   [[nodiscard]] bool maybeSilent(const Outlet &Out) const {
--- a/Source/Node/ControlLoop.cpp
+++ b/Source/Node/ControlLoop.cpp
@@ -15,6 +15,7 @@
 constexpr base::Millis AgentGossipInterval = base::seconds(1);
 /// Nodes not heard for longer are no longer shown to operators.
 constexpr base::Millis ForgetAfter = base::minutes(2);
+constexpr std::size_t MaxHistory = 100;
 
 catalogue::FollowerSettings followerSettings(const ControlSettings &Settings) {
   catalogue::FollowerSettings Follower;
@@ -148,7 +149,7 @@
   });
 }
 
-void ControlLoop::carryOut(catalogue::FollowerActions Actions) {
+void ControlLoop::carryOut(const catalogue::FollowerActions &Actions) {
   for (const catalogue::FollowerEvent Event : Actions.m_Events)
     record(Event);
   for (const catalogue::ReadRequest &Read : Actions.m_Reads)
@@ -163,7 +164,8 @@
   }
   if (Actions.m_Append) {
     m_Events.record(base::EventId::SnapshotWritten);
-    m_Log.m_Append(*Actions.m_Append, [](base::Result<std::uint64_t>) {});
+    m_Log.m_Append(*Actions.m_Append,
+                   [](const base::Result<std::uint64_t> &) {});
   }
   if (Actions.m_Changed) {
     publishView();
@@ -171,7 +173,7 @@
   }
 }
 
-void ControlLoop::carryOut(catalogue::PublisherActions Actions) {
+void ControlLoop::carryOut(const catalogue::PublisherActions &Actions) {
   for (const wire::LogRecord &Record : Actions.m_Append)
     append(Record);
   for (const catalogue::PublishAnswer &Answer : Actions.m_Answers) {
@@ -300,16 +302,40 @@
   if (Moved) {
     const catalogue::ViewPtr Before = m_View;
     m_View = m_Views.build(m_Follower.state());
-    for (const auto &[Name, Offset] : m_View->changeOffsets())
-      if (!Before || Before->changeOffset(Name) != Offset)
-        m_Events.record(base::EventId::ChangeAccepted,
-                        {{"entry", Name}, {"offset", std::to_string(Offset)}});
+    for (const auto &[Name, Entry] : m_Follower.state().entries())
+      if (!Before || Before->changeOffset(Name) != Entry.m_Offset)
+        noteChange(Name, Entry);
   }
   m_WasReady = Ready;
   if (m_OnView)
     m_OnView(m_View, Ready);
 }
 
+void ControlLoop::noteChange(const std::string &Entry,
+                             const catalogue::VersionedEntry &Change) {
+  m_Events.record(base::EventId::ChangeAccepted,
+                  {{"entry", Entry},
+                   {"version", std::to_string(Change.m_Version)},
+                   {"offset", std::to_string(Change.m_Offset)}});
+  admin::History &Past = m_Histories[Entry];
+  Past.m_Entry = Entry;
+  Past.m_Changes.push_back({Change.m_Offset, Change.m_Version, Change.m_Owner,
+                            true, Change.m_Deleted ? "deleted" : ""});
+  if (Past.m_Changes.size() > MaxHistory)
+    Past.m_Changes.erase(Past.m_Changes.begin());
+  Past.m_Since = Past.m_Changes.front().m_Offset;
+}
+
+admin::History ControlLoop::history(const std::string &Entry) const {
+  const auto Found = m_Histories.find(Entry);
+  if (Found != m_Histories.end())
+    return Found->second;
+  admin::History None;
+  None.m_Entry = Entry;
+  None.m_Since = m_Follower.state().offset();
+  return None;
+}
+
 void ControlLoop::recordMembers() {
   for (const membership::MemberEvent &Event : m_Members.tick(now()))
     m_Events.record(eventOf(Event.m_Type), {{"peer", Event.m_Node}});
--- a/Source/Node/ControlLoop.h
+++ b/Source/Node/ControlLoop.h
@@ -1,6 +1,7 @@
 #ifndef CORNELDECK_NODE_CONTROLLOOP_H
 #define CORNELDECK_NODE_CONTROLLOOP_H
 
+#include "Admin/Messages.h"
 #include "Base/Timeline.h"
 #include "Catalogue/Follower.h"
 #include "Catalogue/InForce.h"
@@ -107,6 +108,13 @@
   /// its connection. Control thread only.
   void noteNode(const PeerStatus &Heard);
 
+  /// \returns the accepted changes of an entry that this process saw. Control
+  /// thread only.
+  [[nodiscard]] admin::History history(const std::string &Entry) const;
+
+  /// \returns whether this process leaves. Control thread only.
+  [[nodiscard]] bool leaving() const { return m_Leaving; }
+
   /// \returns the follower's state. Control thread only.
   [[nodiscard]] const catalogue::Follower &follower() const {
     return m_Follower;
@@ -121,8 +129,8 @@
 
 private:
   void tick();
-  void carryOut(catalogue::FollowerActions Actions);
-  void carryOut(catalogue::PublisherActions Actions);
+  void carryOut(const catalogue::FollowerActions &Actions);
+  void carryOut(const catalogue::PublisherActions &Actions);
   void append(const wire::LogRecord &Record);
   void onMessage(wire::PeerMessage &Message);
   void onGossip(const wire::PeerMessage &Message);
@@ -131,6 +139,7 @@
   void publishView();
   wire::EntryGossip describeSelf() const;
   void sendNow(const std::string &Address, wire::PeerMessage Message);
+  void noteChange(const std::string &Entry, const catalogue::VersionedEntry &);
   void recordMembers();
   void record(catalogue::FollowerEvent Event);
 
@@ -150,6 +159,7 @@
   std::map<std::string, PeerStatus> m_Nodes;
   std::map<std::string, std::function<void(catalogue::PublishAnswer)>>
       m_Publishing;
+  std::map<std::string, admin::History> m_Histories;
   std::set<std::string> m_PeerAddresses;
   ViewHook m_OnView;
   MessageHook m_OnMessage;
--- /dev/null
+++ b/Source/Node/DaemonMain.h
@@ -0,0 +1,73 @@
+#ifndef CORNELDECK_NODE_DAEMONMAIN_H
+#define CORNELDECK_NODE_DAEMONMAIN_H
+
+#include "Base/Error.h"
+#include "Settings/Reader.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <iostream>
+#include <optional>
+#include <string>
+
+namespace corneldeck::node {
+
+/// Exit codes of the daemons.
+enum class ExitCode { Ok = 0, Failed = 1, Usage = 2, BadSettings = 3 };
+
+/// What a daemon's command line asks for.
+struct DaemonArguments {
+  std::string m_Config;
+  bool m_CheckOnly = false;
+};
+
+/// Reads the command line; prints the help or the version where asked.
+/// \returns the arguments, or the exit code to end with at once.
+tl::expected<DaemonArguments, ExitCode>
+parseDaemonArguments(int Count, char **Words, const std::string &Program);
+
+/// Runs \p Loop until a planned stop is done.
+///
+/// The first SIGTERM or SIGINT calls \p BeginStop, whose hook ends the loop; a
+/// second one ends it at once.
+void runUntilStopped(
+    boost::asio::io_context &Loop,
+    const std::function<void(std::function<void()> Done)> &BeginStop);
+
+void startDaemonLog(const std::string &Program);
+
+/// Runs a daemon from its settings to its planned stop.
+///
+/// \param Read reads and checks the settings of \p Daemon.
+/// \returns the exit code.
+template <typename Daemon, typename ReadSettings>
+int daemonMain(int Count, char **Words, const std::string &Program,
+               ReadSettings Read) {
+  const auto Arguments = parseDaemonArguments(Count, Words, Program);
+  if (!Arguments)
+    return static_cast<int>(Arguments.error());
+  const auto Settings = Read(settings::Reader::fromFile(Arguments->m_Config));
+  if (!Settings) {
+    std::cerr << Settings.error().m_Message << '\n';
+    return static_cast<int>(ExitCode::BadSettings);
+  }
+  if (Arguments->m_CheckOnly) {
+    std::cout << Arguments->m_Config << ": the settings are right.\n";
+    return static_cast<int>(ExitCode::Ok);
+  }
+  startDaemonLog(Program);
+  boost::asio::io_context Loop(1);
+  Daemon Process(Loop, *Settings);
+  if (const auto Started = Process.start(); !Started) {
+    std::cerr << Started.error().m_Message << '\n';
+    return static_cast<int>(ExitCode::Failed);
+  }
+  runUntilStopped(Loop, [&Process](std::function<void()> Done) {
+    Process.beginStop(std::move(Done));
+  });
+  return static_cast<int>(ExitCode::Ok);
+}
+
+} // namespace corneldeck::node
+
+#endif
