Settings: count the documents of a YAML text before loading it

Catalogue files may now hold 1000 documents, and settings files one; what follows it was ignored before.

--- a/Source/Catalogue/EntryParser.cpp
+++ b/Source/Catalogue/EntryParser.cpp
@@ -1,5 +1,7 @@
 #include "Catalogue/EntryParser.h"
 
+#include "Settings/Documents.h"
+
 #include <set>
 
 namespace corneldeck::catalogue {
@@ -13,6 +15,7 @@
 constexpr std::int64_t MaxRank = 4095;
 constexpr std::size_t MaxNameBytes = 128;
 constexpr std::size_t MaxFileBytes = 262144;
+constexpr std::size_t MaxDocuments = 1000;
 
 /// Reads a name, which appears in paths, logs and metrics.
 std::string readName(YamlFields &Fields, const std::string &Key) {
@@ -201,6 +204,11 @@
     return Result;
   }
   try {
+    if (settings::countDocuments(Text, MaxDocuments) > MaxDocuments) {
+      Result.m_Problems.push_back({File, 1, "(file)", "1000 entries at most",
+                                   "correct the syntax, or split the file"});
+      return Result;
+    }
     for (const YAML::Node &Document : YAML::LoadAll(Text))
       if (!Document.IsNull())
         readDocument(Document, File, Result);
--- a/Source/Settings/Document.cpp
+++ b/Source/Settings/Document.cpp
@@ -1,5 +1,7 @@
 #include "Settings/Document.h"
 
+#include "Settings/Documents.h"
+
 #include <algorithm>
 #include <fstream>
 #include <iterator>
@@ -73,6 +75,11 @@
     return Empty;
   }
   try {
+    if (countDocuments(Text, 1) > 1) {
+      m_Problems.push_back({m_Name, 0, "", "one YAML document", "more of them",
+                            "correct the syntax, or split the file"});
+      return Empty;
+    }
     YAML::Node Root = YAML::Load(Text);
     if (Root.IsMap())
       return Root;
--- /dev/null
+++ b/Source/Settings/Documents.cpp
@@ -0,0 +1,40 @@
+#include "Settings/Documents.h"
+
+#include <sstream>
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/yaml.h>
+
+namespace corneldeck::settings {
+
+namespace {
+
+/// Passes over everything.
+class Skipper : public YAML::EventHandler {
+public:
+  void OnDocumentStart(const YAML::Mark &) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark &, YAML::anchor_t) override {}
+  void OnAlias(const YAML::Mark &, YAML::anchor_t) override {}
+  void OnScalar(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                const std::string &) override {}
+  void OnSequenceStart(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                       YAML::EmitterStyle::value) override {}
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                  YAML::EmitterStyle::value) override {}
+  void OnMapEnd() override {}
+};
+
+} // namespace
+
+std::size_t countDocuments(const std::string &Text, std::size_t Most) {
+  std::istringstream Input(Text);
+  YAML::Parser Parser(Input);
+  Skipper Ignored;
+  std::size_t Count = 0;
+  while (Count <= Most && Parser.HandleNextDocument(Ignored))
+    ++Count;
+  return Count;
+}
+
+} // namespace corneldeck::settings
--- a/Tests/Settings/ReaderTest.cpp
+++ b/Tests/Settings/ReaderTest.cpp
@@ -103,6 +103,12 @@
   EXPECT_THAT(problemsOf(Root), ElementsAre(HasSubstr("at most 1 MiB")));
 }
 
+TEST(ReaderTest, RefusesASecondDocument) {
+  Reader Root = Reader::fromText("a: 1\n---\nb: 2\n", "a.yaml");
+  Root.integer("a", {0, 9}, 0);
+  EXPECT_THAT(problemsOf(Root), ElementsAre(HasSubstr("one YAML document")));
+}
+
 TEST(ReaderTest, SurvivesDeepNesting) {
   const Reader Root = Reader::fromText(std::string(100000, '['), "a.yaml");
   EXPECT_FALSE(Root.verdict());
