--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -90,10 +90,10 @@
 
 base::Result<void> AgentDaemon::start() {
   m_Control.setViewHook([this](const catalogue::ViewPtr &View, bool) {
-    boost::asio::post(m_Loop, [this, View] { onView(View); });
+    postToTraffic([this, View] { onView(View); });
   });
   m_Control.setMessageHook([this](const wire::PeerMessage &Message) {
-    boost::asio::post(m_Loop, [this, Message] { onPeerMessage(Message); });
+    postToTraffic([this, Message] { onPeerMessage(Message); });
   });
   if (auto Listening = m_Hub.listen(m_Settings.m_LinkAddress); !Listening)
     return Listening;
@@ -108,6 +108,14 @@
   return {};
 }
 
+void AgentDaemon::postToTraffic(std::function<void()> Todo) {
+  boost::asio::post(
+      m_Loop, [Alive = std::weak_ptr<int>(m_Alive), Todo = std::move(Todo)] {
+        if (!Alive.expired())
+          Todo();
+      });
+}
+
 void AgentDaemon::beginStop(std::function<void()> Done) {
   m_Stopped = std::move(Done);
   beginDrain();
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -51,6 +51,7 @@
   void fillLoad(request::LinkId Link, wire::Load &Load);
   void handleHttp(net::HttpExchange &Exchange);
   void beginDrain();
+  void postToTraffic(std::function<void()> Todo);
   [[nodiscard]] base::Millis now() const { return m_Clock.now(); }
 
   boost::asio::io_context &m_Loop;
@@ -71,6 +72,8 @@
   boost::asio::steady_timer m_StopTimer;
   catalogue::ViewPtr m_View;
   std::function<void()> m_Stopped;
+  /// Lets what the control thread posted be dropped once this object is gone.
+  std::shared_ptr<int> m_Alive = std::make_shared<int>(0);
   metrics::Counter &m_Runs;
   metrics::Counter &m_Tokens;
 };
--- a/Source/Agent/LinkHub.h
+++ b/Source/Agent/LinkHub.h
@@ -41,6 +41,9 @@
 
   LinkHub(boost::asio::io_context &Loop, LinkHubIdentity Identity,
           base::Timeline &Events, LinkHubHooks Hooks);
+  ~LinkHub() { close(); }
+  LinkHub(const LinkHub &) = delete;
+  LinkHub &operator=(const LinkHub &) = delete;
 
   base::Result<void> listen(const std::string &Address);
 
--- a/Source/Entry/AgentLinks.h
+++ b/Source/Entry/AgentLinks.h
@@ -47,6 +47,9 @@
   AgentLinks(boost::asio::io_context &Loop, std::string Node, std::string Zone,
              std::uint64_t Incarnation, base::Timeline &Events,
              AgentLinksHooks Hooks);
+  ~AgentLinks() { close(); }
+  AgentLinks(const AgentLinks &) = delete;
+  AgentLinks &operator=(const AgentLinks &) = delete;
 
   /// Connects to the agents of \p View and lets go of the others.
   void setView(const catalogue::View &View);
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -56,7 +56,7 @@
 
 base::Result<void> EntryDaemon::start() {
   m_Control.setViewHook([this](const catalogue::ViewPtr &View, bool Ready) {
-    boost::asio::post(m_Loop, [this, View, Ready] {
+    postToTraffic([this, View, Ready] {
       m_Ready = Ready;
       m_Front.onView(View, Ready);
     });
@@ -70,6 +70,14 @@
   return {};
 }
 
+void EntryDaemon::postToTraffic(std::function<void()> Todo) {
+  boost::asio::post(
+      m_Loop, [Alive = std::weak_ptr<int>(m_Alive), Todo = std::move(Todo)] {
+        if (!Alive.expired())
+          Todo();
+      });
+}
+
 void EntryDaemon::beginStop(std::function<void()> Done) {
   m_Events.record(base::EventId::ProcessStopping);
   m_Stopping = true;
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -39,6 +39,7 @@
   void handle(const ExchangePtr &Exchange);
   void addresses(const ExchangePtr &Exchange);
   void checkStopped();
+  void postToTraffic(std::function<void()> Todo);
   [[nodiscard]] status::Readiness readiness() const;
 
   boost::asio::io_context &m_Loop;
@@ -59,6 +60,8 @@
   base::Millis m_ServeUntil{};
   base::Millis m_StopBy{};
   std::function<void()> m_Stopped;
+  /// Lets what the control thread posted be dropped once this object is gone.
+  std::shared_ptr<int> m_Alive = std::make_shared<int>(0);
 };
 
 } // namespace corneldeck::entry
--- a/Source/Node/ControlLoop.cpp
+++ b/Source/Node/ControlLoop.cpp
@@ -65,7 +65,7 @@
     if (Seed != m_Settings.m_PeerAddress)
       m_PeerAddresses.insert(Seed);
   setPeers();
-  const auto Listening = m_Peers.listen(
+  auto Listening = m_Peers.listen(
       m_Settings.m_PeerAddress,
       [this](wire::PeerMessage &Message) { onMessage(Message); });
   if (!Listening)
