--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,9 +1,13 @@
-#include "Bench/Scenario.h"
+#include "Bench/Scenarios.h"
 
 namespace corneldeck::bench {
 
 std::vector<Scenario> allScenarios() { return {}; }
 
-std::vector<Promise> allPromises() { return {}; }
+std::vector<Promise> allPromises() {
+  return {
+      cataloguePromise(),
+  };
+}
 
 } // namespace corneldeck::bench
--- /dev/null
+++ b/Source/Bench/Scenarios.h
@@ -0,0 +1,12 @@
+#ifndef CORNELDECK_BENCH_SCENARIOS_H
+#define CORNELDECK_BENCH_SCENARIOS_H
+
+#include "Bench/Scenario.h"
+
+namespace corneldeck::bench {
+
+Promise cataloguePromise();
+
+} // namespace corneldeck::bench
+
+#endif
--- a/Source/Catalogue/Follower.cpp
+++ b/Source/Catalogue/Follower.cpp
@@ -245,7 +245,7 @@
   const bool Newer =
       Snapshot.covers_offset() > m_State.offset() ||
       (!m_Loaded && Snapshot.covers_offset() == m_State.offset());
-  if (!Newer && !m_Settings.m_Plants.m_AnyPeerSnapshot)
+  if (!Newer)
     return Actions;
   load(Now, Snapshot);
   applyPending(Now, Actions);
--- a/Source/Catalogue/Follower.h
+++ b/Source/Catalogue/Follower.h
@@ -21,8 +21,6 @@
   bool m_SnapshotUndoesLater = false;
   /// Goes on from the oldest retained record after a gap.
   bool m_SkipGap = false;
-  /// Takes whatever a peer offers.
-  bool m_AnyPeerSnapshot = false;
 };
 
 /// How a follower is set.
@@ -112,6 +110,8 @@
   /// \returns the send time of the newest read whose records are all applied.
   [[nodiscard]] base::Millis currentAsOf() const { return m_CurrentAsOf; }
 
+  /// \returns whether the state is the whole catalogue as of its offset.
+  [[nodiscard]] bool loaded() const { return m_Loaded; }
   [[nodiscard]] bool logReachable() const { return m_LogReachable; }
   [[nodiscard]] bool hasGap() const { return m_GapReported; }
   [[nodiscard]] const State &state() const { return m_State; }
--- /dev/null
+++ b/Source/Catalogue/InForceBarrier.cpp
@@ -0,0 +1,48 @@
+#include "Catalogue/InForceBarrier.h"
+
+#include <algorithm>
+
+namespace corneldeck::catalogue {
+
+InForceBarrier::InForceBarrier(BarrierSettings Settings, base::Millis Now)
+    : m_Settings(Settings), m_StartedAt(Now) {}
+
+void InForceBarrier::setPeers(const std::vector<std::string> &Peers) {
+  std::map<std::string, Known> Kept;
+  for (const std::string &Peer : Peers)
+    Kept[Peer] = m_Peers[Peer];
+  m_Peers = std::move(Kept);
+}
+
+void InForceBarrier::peerHeard(base::Millis Now, const std::string &Peer,
+                               std::uint64_t LogOffset) {
+  const auto Found = m_Peers.find(Peer);
+  if (Found == m_Peers.end())
+    return;
+  Found->second.m_HeardAt = Now;
+  Found->second.m_Offset = std::max(Found->second.m_Offset, LogOffset);
+}
+
+bool InForceBarrier::allKnow(base::Millis Now, std::uint64_t Offset) const {
+  return std::all_of(m_Peers.begin(), m_Peers.end(), [&](const auto &Item) {
+    const Known &Peer = Item.second;
+    const base::Millis Heard = std::max(Peer.m_HeardAt, m_StartedAt);
+    return Peer.m_Offset >= Offset || Now >= Heard + m_Settings.m_SilentAfter;
+  });
+}
+
+bool InForceBarrier::mayPass(base::Millis Now, std::uint64_t Offset) {
+  if (Offset <= m_Passed || m_Settings.m_PlantOff)
+    return true;
+  if (!m_IsWaiting) {
+    m_IsWaiting = true;
+    m_WaitingSince = Now;
+  }
+  if (!allKnow(Now, Offset) && Now < m_WaitingSince + m_Settings.m_Limit)
+    return false;
+  m_IsWaiting = false;
+  m_Passed = Offset;
+  return true;
+}
+
+} // namespace corneldeck::catalogue
--- a/Source/Catalogue/State.cpp
+++ b/Source/Catalogue/State.cpp
@@ -1,5 +1,6 @@
 #include "Catalogue/State.h"
 
+#include <algorithm>
 #include <set>
 
 namespace corneldeck::catalogue {
@@ -80,6 +81,7 @@
 void State::accept(const wire::CatalogueChange &Change) {
   VersionedEntry &Target = m_Entries[Change.entry()];
   ++Target.m_Version;
+  m_ChangeOffset = m_Offset;
   Target.m_Offset = m_Offset;
   Target.m_Owner = Change.owner();
   Target.m_Deleted = Change.deletion();
@@ -122,9 +124,11 @@
 void State::load(const wire::CatalogueSnapshot &Snapshot) {
   *this = State();
   m_Offset = Snapshot.covers_offset();
-  for (const wire::SnapshotEntry &Saved : Snapshot.entries())
+  for (const wire::SnapshotEntry &Saved : Snapshot.entries()) {
     m_Entries[Saved.entry()] = {Saved.version(), Saved.offset(), Saved.owner(),
                                 Saved.body(), Saved.deleted()};
+    m_ChangeOffset = std::max(m_ChangeOffset, Saved.offset());
+  }
   for (const wire::ChangeOutcome &Saved : Snapshot.outcomes())
     remember({Saved.append_id(), Saved.offset(),
               base::resultCodeFromNumber(static_cast<int>(Saved.code()))
--- a/Source/Catalogue/State.h
+++ b/Source/Catalogue/State.h
@@ -66,6 +66,9 @@
   /// \returns the offset of the last applied record; 0 before the first.
   [[nodiscard]] std::uint64_t offset() const { return m_Offset; }
 
+  /// \returns the offset of the newest accepted change; 0 if there is none.
+  [[nodiscard]] std::uint64_t changeOffset() const { return m_ChangeOffset; }
+
   /// \returns all entries by name, with the deleted ones.
   [[nodiscard]] const std::map<std::string, VersionedEntry> &entries() const {
     return m_Entries;
@@ -89,6 +92,7 @@
   void remember(const Outcome &Result);
 
   std::uint64_t m_Offset = 0;
+  std::uint64_t m_ChangeOffset = 0;
   std::map<std::string, VersionedEntry> m_Entries;
   std::map<std::string, Outcome> m_Outcomes;
   std::deque<std::string> m_OutcomeOrder;
--- a/Source/Fakes/FakeLog.cpp
+++ b/Source/Fakes/FakeLog.cpp
@@ -1,12 +1,21 @@
 #include "Fakes/FakeLog.h"
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace corneldeck::fakes {
 
 using catalogue::LogClient;
 using catalogue::ReadRequest;
 
+namespace {
+
+/// A client gives an append up after this time.
+constexpr base::Millis AppendTimeout = base::seconds(2);
+
+} // namespace
+
 LogClient FakeLog::client(const std::string &Node) {
   LogClient Client;
   Client.m_Append = [this, Node](const wire::LogRecord &Record,
@@ -39,7 +48,15 @@
 }
 
 void FakeLog::append(const std::string &Node, const wire::LogRecord &Record,
-                     const LogClient::AppendDone &Done) {
+                     const LogClient::AppendDone &OnDone) {
+  const auto Answered = std::make_shared<bool>(false);
+  const LogClient::AppendDone Done = [Answered, OnDone](auto Result) {
+    if (!std::exchange(*Answered, true))
+      OnDone(std::move(Result));
+  };
+  m_Time.after(AppendTimeout, [Done] {
+    Done(base::failure(base::ResultCode::Timeout, "no answer"));
+  });
   const AppendFault Fault = takeFault(Node);
   if (Fault == AppendFault::Refuse) {
     m_Time.after(m_Delay, [Done] {
--- a/Source/Fakes/FakeLog.h
+++ b/Source/Fakes/FakeLog.h
@@ -57,6 +57,8 @@
 
   /// \returns every record ever appended; offset 1 first.
   [[nodiscard]] const std::vector<Stored> &history() const { return m_History; }
+  /// \returns the oldest retained offset, as of the last read.
+  [[nodiscard]] std::uint64_t oldest() const { return m_Oldest; }
   [[nodiscard]] std::uint64_t next() const { return m_History.size() + 1; }
 
 private:
@@ -69,7 +71,7 @@
   [[nodiscard]] bool unreachable(const std::string &Node) const;
   AppendFault takeFault(const std::string &Node);
   void append(const std::string &Node, const wire::LogRecord &Record,
-              const catalogue::LogClient::AppendDone &Done);
+              const catalogue::LogClient::AppendDone &OnDone);
   void land(const std::string &Node, const wire::LogRecord &Record,
             const catalogue::LogClient::AppendDone &Done, bool Answer);
   void read(const std::string &Node, const catalogue::ReadRequest &Request,
--- a/Tests/Membership/MembersTest.cpp
+++ b/Tests/Membership/MembersTest.cpp
@@ -90,6 +90,7 @@
 
 TEST(Subset, IsStableAndHalfNear) {
   std::vector<membership::Candidate> Nodes;
+  Nodes.reserve(40);
   for (int Index = 0; Index < 40; ++Index)
     Nodes.push_back({"a" + std::to_string(Index), Index % 4 ? "far" : "near"});
   const auto Before = membership::chooseSubset("me", "near", Nodes, 8);
