--- a/Source/Bench/ControlCluster.cpp
+++ b/Source/Bench/ControlCluster.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// How often entries and agents tell their offsets on their connections.
-constexpr Millis HeartbeatEvery(250);
-
 /// \returns the text of an entry in which only \p Number differs.
 std::string bodyOf(const std::string &Entry, const std::string &Owner,
                    std::uint64_t Number) {
@@ -26,7 +23,7 @@
 /// One simulated process and what its address remembers over restarts.
 struct ControlCluster::Process {
   std::string m_Name;
-  node::Role m_Role = node::Role::Entry;
+  bool m_IsAgent = false;
   std::uint64_t m_Incarnation = 0;
   std::unique_ptr<node::ControlCore> m_Core;
   bool m_Paused = false;
@@ -51,13 +48,11 @@
   for (const std::string &Name : m_Names) {
     auto New = std::make_unique<Process>();
     New->m_Name = Name;
-    New->m_Role =
-        Name.starts_with("entry") ? node::Role::Entry : node::Role::Agent;
+    New->m_IsAgent = Name.starts_with("agent");
     m_Processes[Name] = std::move(New);
   }
   for (const std::string &Name : m_Names)
     start(Name);
-  heartbeats();
 }
 
 ControlCluster::~ControlCluster() = default;
@@ -125,17 +120,18 @@
           ToSelf([Done, Answer] { Done(Answer); });
         });
   };
-  Hooks.m_Send = [this, Name](const node::Peer &To,
+  Hooks.m_Send = [this, Name](const std::string &To,
                               const wire::PeerMessage &Message) {
-    m_Network.send(Name, To.m_Node, [this, To, Message] {
-      deliver(To.m_Node, [this, To, Message] {
-        if (node::ControlCore *Core = core(To.m_Node))
+    m_Network.send(Name, To, [this, To, Message] {
+      deliver(To, [this, To, Message] {
+        if (node::ControlCore *Core = core(To))
           Core->heard(Message);
       });
     });
   };
-  Hooks.m_ViewChanged = [this, Name](const catalogue::ViewPtr &View) {
-    viewChanged(Name, View);
+  Hooks.m_View = [this, Name](const catalogue::ViewPtr &View, bool Ready) {
+    if (Ready)
+      viewChanged(Name, View);
   };
 }
 
@@ -145,20 +141,18 @@
   Target.m_Held.clear();
   Target.m_Paused = false;
   node::ControlSettings Settings;
-  Settings.m_Role = Target.m_Role;
+  Settings.m_Agent = Target.m_IsAgent;
   Settings.m_Node = Node;
   Settings.m_Incarnation = Target.m_Incarnation;
   Settings.m_Zone = "z";
-  Settings.m_ControlAddress = Node;
-  if (Target.m_Role == node::Role::Entry)
+  Settings.m_PeerAddress = Node;
+  if (!Target.m_IsAgent)
     Settings.m_CallerAddress = Node + ":80";
-  for (const std::string &Other : m_EntryNames)
-    if (Other != Node)
-      Settings.m_Entries.push_back({Other, Other});
+  Settings.m_Seeds = m_EntryNames;
   Settings.m_Follower.m_Node = Node;
   Settings.m_Follower.m_SnapshotInterval = m_Settings.m_SnapshotInterval;
   Settings.m_Follower.m_Plants = m_Settings.m_Plants;
-  Settings.m_Follower.m_WritesSnapshots = Target.m_Role == node::Role::Entry;
+  Settings.m_Follower.m_WritesSnapshots = !Target.m_IsAgent;
   Settings.m_Publisher.m_Node = Node;
   Settings.m_Publisher.m_PlantBlindRepeat = m_Settings.m_PlantBlindRepeat;
   Settings.m_Barrier.m_PlantOff = m_Settings.m_PlantNoBarrier;
@@ -182,26 +176,6 @@
   });
 }
 
-void ControlCluster::heartbeats() {
-  for (const std::string &Entry : m_EntryNames)
-    for (const std::string &Name : m_Names) {
-      if (process(Name).m_Role != node::Role::Agent || !core(Entry) ||
-          isPaused(Entry))
-        continue;
-      const std::uint64_t Offset = core(Entry)->follower().state().offset();
-      m_Network.send(Entry, Name, [=, this] {
-        deliver(Name, [=, this] {
-          core(Name)->heardOffset(Entry, Offset);
-          const std::uint64_t Own = core(Name)->follower().state().offset();
-          m_Network.send(Name, Entry, [=, this] {
-            deliver(Entry, [=, this] { core(Entry)->heardOffset(Name, Own); });
-          });
-        });
-      });
-    }
-  m_Time.after(HeartbeatEvery, [this] { heartbeats(); });
-}
-
 void ControlCluster::kill(const std::string &Node) {
   Process &Target = process(Node);
   Target.m_Core.reset();
@@ -380,7 +354,8 @@
   if (isStateLost()) {
     m_LostWithLog = true;
     for (const std::string &Name : m_Names)
-      if (core(Name) && (core(Name)->ready() || !core(Name)->status().m_Gap))
+      if (core(Name) &&
+          (core(Name)->ready() || !core(Name)->follower().hasGap()))
         violate(Name + " does not report that the catalogue is lost");
     return;
   }
--- a/Source/Bench/ControlCluster.h
+++ b/Source/Bench/ControlCluster.h
@@ -115,7 +115,6 @@
   void hookUp(Process &Target, node::ControlHooks &Hooks);
   void scheduleTick(const std::string &Node, std::uint64_t Incarnation);
   void viewChanged(const std::string &Node, const catalogue::ViewPtr &View);
-  void heartbeats();
   wire::CatalogueChange changeOf(const std::string &Node,
                                  const std::string &Entry,
                                  const std::string &Owner, bool Deletion);
--- a/Source/Catalogue/InForceBarrier.cpp
+++ b/Source/Catalogue/InForceBarrier.cpp
@@ -9,18 +9,19 @@
 
 void InForceBarrier::setPeers(const std::vector<std::string> &Peers) {
   std::map<std::string, Known> Kept;
+  for (const auto &[Name, Peer] : m_Peers)
+    if (Peer.m_HeardAt.count() >= 0)
+      Kept[Name] = Peer;
   for (const std::string &Peer : Peers)
-    Kept[Peer] = m_Peers[Peer];
+    Kept.try_emplace(Peer);
   m_Peers = std::move(Kept);
 }
 
 void InForceBarrier::peerHeard(base::Millis Now, const std::string &Peer,
                                std::uint64_t LogOffset) {
-  const auto Found = m_Peers.find(Peer);
-  if (Found == m_Peers.end())
-    return;
-  Found->second.m_HeardAt = Now;
-  Found->second.m_Offset = std::max(Found->second.m_Offset, LogOffset);
+  Known &Heard = m_Peers[Peer];
+  Heard.m_HeardAt = Now;
+  Heard.m_Offset = std::max(Heard.m_Offset, LogOffset);
 }
 
 bool InForceBarrier::allKnow(base::Millis Now, std::uint64_t Offset) const {
--- a/Source/Catalogue/InForceBarrier.h
+++ b/Source/Catalogue/InForceBarrier.h
@@ -10,7 +10,7 @@
 
 namespace corneldeck::catalogue {
 
-/// How long a change waits for the other entries to hear of it.
+/// How long a change waits for the other processes to hear of it.
 struct BarrierSettings {
   /// A change waits no longer than this.
   base::Millis m_Limit = base::seconds(1);
@@ -20,18 +20,20 @@
   bool m_PlantOff = false;
 };
 
-/// Lets a change come into force once every live entry has heard of it.
+/// Lets a change come into force once every live peer has heard of it.
 ///
 /// If a node that has a change in force is replaced while the log is out, some
-/// other entry then knows that the change exists, and the new process does not
-/// begin with an older catalogue.
+/// other process then knows that the change exists, and the new process does
+/// not begin with an older catalogue.
 class InForceBarrier {
 public:
   InForceBarrier(BarrierSettings Settings, base::Millis Now);
 
+  /// Names the entries, which are waited for even before they were heard.
   void setPeers(const std::vector<std::string> &Peers);
 
-  /// \p Peer knows of all offsets up to and with \p LogOffset.
+  /// \p Peer, an entry or an agent, knows of all offsets up to and with
+  /// \p LogOffset.
   void peerHeard(base::Millis Now, const std::string &Peer,
                  std::uint64_t LogOffset);
 
--- a/Source/Node/ControlCore.cpp
+++ b/Source/Node/ControlCore.cpp
@@ -1,82 +1,40 @@
 #include "Node/ControlCore.h"
 
-#include "Base/RendezvousHash.h"
+#include "Node/ControlEvents.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace corneldeck::node {
 
 using base::EventId;
-using catalogue::FollowerEvent;
 
 namespace {
 
-/// A node that was not heard for longer counts as silent to `publish --wait`.
+constexpr base::Millis GossipInterval{250};
+constexpr base::Millis AgentGossipInterval = base::seconds(1);
+/// Processes not heard for longer are no longer shown to operators, and
+/// entries that are not in the settings are no longer peers.
+constexpr base::Millis ForgetAfter = base::minutes(2);
+/// A process that was not heard for longer is silent to `publish --wait`.
 constexpr base::Millis InForceLiveWithin = base::seconds(3);
 
-std::vector<std::string> namesOf(const std::vector<Peer> &Peers) {
-  std::vector<std::string> Names;
-  Names.reserve(Peers.size());
-  for (const Peer &Known : Peers)
-    Names.push_back(Known.m_Node);
-  return Names;
-}
-
-EventId eventOf(FollowerEvent Event) {
-  switch (Event) {
-  case FollowerEvent::LogUnavailable:
-    return EventId::LogUnavailable;
-  case FollowerEvent::LogBack:
-    return EventId::LogBack;
-  case FollowerEvent::LogGap:
-    return EventId::LogGap;
-  case FollowerEvent::SnapshotLoaded:
-    return EventId::SnapshotLoaded;
-  case FollowerEvent::FromPeer:
-    return EventId::CatalogueFromPeer;
-  }
-  return EventId::LogGap;
-}
-
-/// \returns the event to tell, if operators need to see \p Type.
-std::optional<EventId> eventOf(membership::MemberEvent::Type Type) {
-  using Kind = membership::MemberEvent::Type;
-  switch (Type) {
-  case Kind::Leaving:
-    return EventId::NodeLeaving;
-  case Kind::Silent:
-  case Kind::Replaced:
-    return EventId::NodeLost;
-  case Kind::Returned:
-  case Kind::Joined:
-    return EventId::NodeReturned;
-  case Kind::Lost:
-    return std::nullopt;
-  }
-  return std::nullopt;
-}
-
 } // namespace
 
 ControlCore::ControlCore(ControlSettings Settings, ControlHooks Hooks,
                          base::Clock Clock)
     : m_Settings(std::move(Settings)), m_Hooks(std::move(Hooks)),
-      m_Clock(std::move(Clock)), m_Entries(m_Settings.m_Entries),
+      m_Clock(std::move(Clock)),
       m_Follower(m_Settings.m_Follower, m_Clock.now()),
-      m_Publisher(m_Settings.m_Publisher), m_InForce(InForceLiveWithin),
+      m_Publisher(m_Settings.m_Publisher),
       m_Barrier(m_Settings.m_Barrier, m_Clock.now()),
-      m_Members(m_Settings.m_Members),
+      m_InForce(InForceLiveWithin), m_Members(membership::MemberSettings{}),
+      m_Advisor(membership::AdvisorSettings{}),
       m_Self(std::make_shared<ControlCore *>(this)) {
-  m_Follower.setPeers(namesOf(m_Entries));
-  m_Barrier.setPeers(namesOf(m_Entries));
-}
-
-ControlCore::~ControlCore() = default;
-
-void ControlCore::setEntries(std::vector<Peer> Entries) {
-  m_Entries = std::move(Entries);
-  m_Follower.setPeers(namesOf(m_Entries));
-  m_Barrier.setPeers(namesOf(m_Entries));
+  for (const std::string &Seed : m_Settings.m_Seeds)
+    if (Seed != m_Settings.m_PeerAddress)
+      m_Entries[Seed] = m_Clock.now();
+  setPeers();
 }
 
 void ControlCore::event(EventId Id, std::vector<base::EventField> Fields) {
@@ -84,42 +42,33 @@
     m_Hooks.m_Event(Id, std::move(Fields));
 }
 
-std::string ControlCore::holderName() const {
-  return m_Settings.m_Node + "#" + std::to_string(m_Settings.m_Incarnation);
-}
-
 void ControlCore::tick() {
-  const base::Millis Now = m_Clock.now();
-  run(m_Follower.tick(Now));
-  run(m_Publisher.tick(Now, m_Follower.state()));
+  run(m_Follower.tick(now()));
+  run(m_Publisher.tick(now(), m_Follower.state()));
   tickLeases();
-  if (Now >= m_NextGossip) {
-    m_NextGossip =
-        Now + (m_Settings.m_Role == Role::Entry ? m_Settings.m_GossipEvery
-                                                : m_Settings.m_AgentTellsEvery);
+  if (now() >= m_NextGossip)
     gossip();
-  }
-  tellMembers();
+  recordMembers();
+  forgetSilent();
   updateView();
 }
 
 void ControlCore::run(const catalogue::FollowerActions &Actions) {
   const std::weak_ptr<ControlCore *> Weak = m_Self;
-  for (const catalogue::ReadRequest &Request : Actions.m_Reads)
+  for (const catalogue::ReadRequest &Read : Actions.m_Reads)
     m_Hooks.m_Log.m_Read(
-        Request, [Weak, Id = Request.m_Id](
-                     const base::Result<catalogue::ReadAnswer> &Answer) {
+        Read, [Weak, Id = Read.m_Id](
+                  const base::Result<catalogue::ReadAnswer> &Answer) {
           const auto Self = Weak.lock();
           if (!Self)
             return;
           ControlCore &Core = **Self;
-          Core.run(
-              Core.m_Follower.readAnswered(Core.m_Clock.now(), Id, Answer));
+          Core.run(Core.m_Follower.readAnswered(Core.now(), Id, Answer));
         });
   if (Actions.m_AskPeer) {
-    wire::PeerMessage Ask = message();
+    wire::PeerMessage Ask;
     Ask.mutable_catalogue_ask()->set_have_offset(m_Follower.state().offset());
-    sendTo(*Actions.m_AskPeer, Ask);
+    send(*Actions.m_AskPeer, std::move(Ask));
   }
   if (Actions.m_Append) {
     event(EventId::SnapshotWritten,
@@ -127,21 +76,22 @@
             std::to_string(Actions.m_Append->snapshot().covers_offset())}});
     append(*Actions.m_Append);
   }
-  tellEvents(Actions.m_Events);
-  if (Actions.m_Changed)
-    stateChanged();
-  // The log's answer is followed at once by the next read.
-  if (Actions.m_Reads.empty() && Actions.m_Changed)
-    run(m_Follower.tick(m_Clock.now()));
+  for (const catalogue::FollowerEvent Event : Actions.m_Events)
+    event(eventOf(Event),
+          {{"offset", std::to_string(m_Follower.state().offset())}});
+  if (!Actions.m_Changed)
+    return;
+  stateChanged();
+  // The next read follows at once, without waiting for a tick.
+  run(m_Follower.tick(now()));
 }
 
 void ControlCore::stateChanged() {
-  const base::Millis Now = m_Clock.now();
   for (const std::shared_ptr<lease::LeaseHolder> &Holder : m_Holders)
-    Holder->observe(Now, m_Follower.leases());
-  run(m_Publisher.tick(Now, m_Follower.state()));
+    Holder->observe(now(), m_Follower.leases());
+  run(m_Publisher.tick(now(), m_Follower.state()));
   const std::uint64_t Change = m_Follower.state().changeOffset();
-  if (Change > m_GossipedChange) {
+  if (Change > m_GossipedChange && m_Follower.loaded()) {
     m_GossipedChange = Change;
     gossip();
   }
@@ -149,27 +99,35 @@
 }
 
 void ControlCore::updateView() {
-  const base::Millis Now = m_Clock.now();
   const catalogue::State &State = m_Follower.state();
   const bool Older = !m_View || m_View->offset() < State.offset();
-  const bool Passes = Older && m_Follower.ready(Now) &&
-                      m_Barrier.mayPass(Now, State.changeOffset());
-  if (Passes)
-    m_View = m_ViewBuilder.build(State);
+  const bool Moved = Older && m_Follower.ready(now()) &&
+                     m_Barrier.mayPass(now(), State.changeOffset());
+  if (Moved) {
+    const catalogue::ViewPtr Before = m_View;
+    m_View = m_Views.build(State);
+    recordChanges(Before);
+  }
   const bool Ready = ready();
+  if (!Moved && Ready == m_WasReady)
+    return;
   if (m_WasReady && !Ready)
     event(EventId::CatalogueTooOld,
           {{"offset", std::to_string(State.offset())},
            {"heard", std::to_string(m_Follower.heardOffset())}});
-  const bool Told = Ready == m_WasReady && !Passes;
   m_WasReady = Ready;
-  if (!Told && m_Hooks.m_ViewChanged)
-    m_Hooks.m_ViewChanged(Ready ? m_View : nullptr);
+  if (m_Hooks.m_View)
+    m_Hooks.m_View(m_View, Ready);
+}
+
+void ControlCore::recordChanges(const catalogue::ViewPtr &Before) {
+  for (const auto &[Name, Offset] : m_View->changeOffsets())
+    if (!Before || Before->changeOffset(Name) != Offset)
+      event(EventId::ChangeAccepted,
+            {{"entry", Name}, {"offset", std::to_string(Offset)}});
 }
 
 void ControlCore::append(const wire::LogRecord &Record) {
-  // Whether it landed shows in the log; only the publisher needs to know of a
-  // request that was never sent.
   const std::weak_ptr<ControlCore *> Weak = m_Self;
   m_Hooks.m_Log.m_Append(
       Record, [Weak, Id = Record.append_id()](
@@ -188,179 +146,225 @@
     append(Record);
   }
   for (const catalogue::PublishAnswer &Answer : Actions.m_Answers) {
-    const bool Accepted = Answer.m_Code == base::ResultCode::Ok;
-    event(Accepted ? EventId::ChangeAccepted : EventId::ChangeRejected,
-          {{"change", Answer.m_ChangeId},
-           {"offset", std::to_string(Answer.m_Offset)},
-           {"result", std::string(base::name(Answer.m_Code))}});
-    auto Asked = m_Asked.extract(Answer.m_ChangeId);
-    if (Asked.empty())
+    if (Answer.m_Code != base::ResultCode::Ok)
+      event(EventId::ChangeRejected,
+            {{"change", Answer.m_ChangeId},
+             {"result", std::string(base::name(Answer.m_Code))}});
+    auto Waiting = m_Publishing.extract(Answer.m_ChangeId);
+    if (Waiting.empty())
       continue;
-    for (const PublishDone &Done : Asked.mapped())
+    for (const PublishDone &Done : Waiting.mapped())
       Done(Answer);
   }
 }
 
 void ControlCore::publish(const catalogue::PublishRequest &Request,
                           PublishDone Done) {
-  std::vector<PublishDone> &Waiting = m_Asked[Request.m_ChangeId];
+  std::vector<PublishDone> &Waiting = m_Publishing[Request.m_ChangeId];
   Waiting.push_back(std::move(Done));
-  if (Waiting.size() > 1)
-    return;
-  run(m_Publisher.publish(m_Clock.now(), Request, m_Follower.state()));
+  if (Waiting.size() == 1)
+    run(m_Publisher.publish(now(), Request, m_Follower.state()));
 }
 
 std::shared_ptr<lease::LeaseHolder>
 ControlCore::contend(lease::LeaseSettings Settings) {
-  Settings.m_Holder = holderName();
+  Settings.m_Holder =
+      m_Settings.m_Node + "#" + std::to_string(m_Settings.m_Incarnation);
   m_Holders.push_back(
       std::make_shared<lease::LeaseHolder>(std::move(Settings)));
   return m_Holders.back();
 }
 
 void ControlCore::tickLeases() {
-  // A node without the log's end would claim on old news and lose anyway.
+  // A node that does not know the log's end would claim on old news.
   if (!m_Follower.logReachable() || m_Follower.currentAsOf().count() < 0)
     return;
   for (const std::shared_ptr<lease::LeaseHolder> &Holder : m_Holders)
-    if (const std::optional<wire::LogRecord> Claim =
-            Holder->tick(m_Clock.now(), m_Follower.leases()))
+    if (const auto Claim = Holder->tick(now(), m_Follower.leases()))
       append(*Claim);
 }
 
-wire::PeerMessage ControlCore::message() const {
-  wire::PeerMessage Message;
-  Message.set_from(m_Settings.m_Node);
-  Message.set_incarnation(m_Settings.m_Incarnation);
-  Message.set_reply_address(m_Settings.m_ControlAddress);
-  return Message;
+void ControlCore::heard(const wire::PeerMessage &Message) {
+  switch (Message.body_case()) {
+  case wire::PeerMessage::kGossip:
+    onGossip(Message);
+    return;
+  case wire::PeerMessage::kCatalogueAsk:
+    if (auto Reply = m_Follower.answerPeer(Message.catalogue_ask())) {
+      wire::PeerMessage Answer;
+      *Answer.mutable_catalogue_reply() = std::move(*Reply);
+      send(Message.reply_address(), std::move(Answer));
+    }
+    return;
+  case wire::PeerMessage::kCatalogueReply:
+    run(m_Follower.peerSnapshot(now(), Message.catalogue_reply().snapshot()));
+    return;
+  case wire::PeerMessage::kLogTail:
+    run(m_Follower.tailHeard(now(), Message.log_tail()));
+    return;
+  default:
+    if (m_Hooks.m_Message)
+      m_Hooks.m_Message(Message);
+  }
 }
 
-void ControlCore::sendTo(const std::string &Node,
-                         const wire::PeerMessage &Message) {
-  const auto Address = m_ReplyAddresses.find(Node);
-  if (Address != m_ReplyAddresses.end() && m_Hooks.m_Send)
-    m_Hooks.m_Send({Node, Address->second}, Message);
+void ControlCore::onGossip(const wire::PeerMessage &Message) {
+  const wire::EntryGossip &News = Message.gossip();
+  PeerStatus Heard;
+  Heard.m_Node = Message.from();
+  Heard.m_Agent = News.agent();
+  Heard.m_Zone = News.zone();
+  Heard.m_PeerAddress = Message.reply_address();
+  Heard.m_HttpAddress = News.http_address();
+  Heard.m_CatalogueOffset = News.catalogue_offset();
+  Heard.m_Leaving = News.leaving();
+  Heard.m_HeardAt = now();
+  noteNode(Heard);
+  if (!News.agent())
+    noteEntry(Message);
+  m_Follower.peerHeard(now(), Message.reply_address(), News.catalogue_offset(),
+                       News.log_offset());
+  m_Barrier.peerHeard(now(), Message.reply_address(), News.log_offset());
+  answerNews(Message);
+  updateView();
+  if (!News.agent() && m_Hooks.m_Gossip)
+    m_Hooks.m_Gossip(Message);
 }
 
-void ControlCore::hearSelf() {
-  m_InForce.observe(m_Clock.now(), m_Settings.m_Node,
-                    m_View ? m_View->offset() : 0);
-  if (m_Settings.m_Role != Role::Entry)
+void ControlCore::answerNews(const wire::PeerMessage &Message) {
+  const wire::EntryGossip &News = Message.gossip();
+  const bool Changed = News.change_offset() > m_AnsweredChange &&
+                       News.change_offset() > m_GossipedChange;
+  // An agent learns the entries and their offsets from this answer.
+  const bool AgentAsks = News.agent() && !m_Settings.m_Agent;
+  if (!Changed && !AgentAsks)
     return;
-  m_Members.heard(m_Clock.now(), {m_Settings.m_Node, m_Settings.m_Incarnation,
-                                  m_Settings.m_CallerAddress, m_Settings.m_Zone,
-                                  m_Leaving || !ready()});
+  wire::PeerMessage Answer;
+  *Answer.mutable_gossip() = describeSelf();
+  send(Message.reply_address(), std::move(Answer));
 }
 
-void ControlCore::gossip() {
-  hearSelf();
-  wire::PeerMessage Message = message();
-  wire::EntryGossip &Gossip = *Message.mutable_gossip();
-  Gossip.set_zone(m_Settings.m_Zone);
-  Gossip.set_caller_address(m_Settings.m_CallerAddress);
-  Gossip.set_catalogue_offset(m_Follower.loaded() ? m_Follower.state().offset()
-                                                  : 0);
-  Gossip.set_log_offset(m_Follower.heardOffset());
-  Gossip.set_log_reachable(m_Follower.logReachable());
-  Gossip.set_leaving(m_Leaving || !ready());
-  if (m_Hooks.m_FillGossip)
-    m_Hooks.m_FillGossip(Gossip);
-  if (!m_Hooks.m_Send)
-    return;
-  for (const Peer &Known : gossipTargets())
-    m_Hooks.m_Send(Known, Message);
+void ControlCore::noteEntry(const wire::PeerMessage &Message) {
+  const wire::EntryGossip &News = Message.gossip();
+  m_Members.heard(now(), {Message.from(), Message.incarnation(),
+                          News.caller_address(), News.zone(), News.leaving()});
+  const std::size_t Before = m_Entries.size();
+  m_Entries[Message.reply_address()] = now();
+  for (const std::string &Other : News.entries())
+    if (Other != m_Settings.m_PeerAddress)
+      m_Entries.try_emplace(Other, now());
+  if (m_Entries.size() != Before)
+    setPeers();
 }
 
-std::vector<Peer> ControlCore::gossipTargets() const {
-  if (m_Settings.m_Role == Role::Entry)
-    return m_Entries;
-  const std::vector<std::string> Names = namesOf(m_Entries);
-  std::vector<Peer> Targets;
-  for (const std::size_t Index :
-       base::rankByRendezvous(m_Settings.m_Node, Names))
-    if (Targets.size() < m_Settings.m_AgentTells)
-      Targets.push_back(m_Entries[Index]);
-  return Targets;
+void ControlCore::noteNode(const PeerStatus &Heard) {
+  m_Nodes[Heard.m_Node] = Heard;
+  m_InForce.observe(now(), Heard.m_Node, Heard.m_CatalogueOffset);
 }
 
-void ControlCore::heard(const wire::PeerMessage &Message) {
-  const base::Millis Now = m_Clock.now();
-  if (!Message.reply_address().empty())
-    m_ReplyAddresses[Message.from()] = Message.reply_address();
-  if (Message.has_gossip()) {
-    const wire::EntryGossip &Gossip = Message.gossip();
-    m_InForce.observe(Now, Message.from(), Gossip.catalogue_offset());
-    if (!Gossip.caller_address().empty())
-      m_Members.heard(Now, {Message.from(), Message.incarnation(),
-                            Gossip.caller_address(), Gossip.zone(),
-                            Gossip.leaving()});
-    peerHeard(Message.from(), Gossip.catalogue_offset(), Gossip.log_offset());
-  } else if (Message.has_catalogue_ask()) {
-    std::optional<wire::CatalogueReply> Reply =
-        m_Follower.answerPeer(Message.catalogue_ask());
-    if (!Reply || !m_Hooks.m_Send)
-      return;
-    wire::PeerMessage Answer = message();
-    *Answer.mutable_catalogue_reply() = std::move(*Reply);
-    m_Hooks.m_Send({Message.from(), Message.reply_address()}, Answer);
-  } else if (Message.has_catalogue_reply()) {
-    run(m_Follower.peerSnapshot(Now, Message.catalogue_reply().snapshot()));
-  } else if (Message.has_log_tail()) {
-    run(m_Follower.tailHeard(Now, Message.log_tail()));
-  }
+void ControlCore::forgetSilent() {
+  std::erase_if(m_Nodes, [this](const auto &Item) {
+    return now() - Item.second.m_HeardAt > ForgetAfter;
+  });
+  const auto Forgotten = std::erase_if(m_Entries, [this](const auto &Item) {
+    const auto &Seeds = m_Settings.m_Seeds;
+    const bool IsSeed =
+        std::find(Seeds.begin(), Seeds.end(), Item.first) != Seeds.end();
+    return !IsSeed && now() - Item.second > ForgetAfter;
+  });
+  if (Forgotten > 0)
+    setPeers();
 }
 
-void ControlCore::heardOffset(const std::string &Node,
-                              std::uint64_t CatalogueOffset) {
-  const base::Millis Now = m_Clock.now();
-  m_InForce.observe(Now, Node, CatalogueOffset);
-  peerHeard(Node, CatalogueOffset, CatalogueOffset);
+void ControlCore::setPeers() {
+  std::vector<std::string> Addresses;
+  Addresses.reserve(m_Entries.size());
+  for (const auto &[Address, HeardAt] : m_Entries)
+    Addresses.push_back(Address);
+  m_Follower.setPeers(Addresses);
+  m_Barrier.setPeers(Addresses);
 }
 
-void ControlCore::peerHeard(const std::string &Node,
-                            std::uint64_t CatalogueOffset,
-                            std::uint64_t LogOffset) {
-  const base::Millis Now = m_Clock.now();
-  m_Follower.peerHeard(Now, Node, CatalogueOffset, LogOffset);
-  m_Barrier.peerHeard(Now, Node, std::max(CatalogueOffset, LogOffset));
-  updateView();
+void ControlCore::gossip() {
+  m_NextGossip =
+      now() + (m_Settings.m_Agent ? AgentGossipInterval : GossipInterval);
+  wire::PeerMessage Message;
+  *Message.mutable_gossip() = describeSelf();
+  for (const auto &[Address, HeardAt] : m_Entries)
+    send(Address, Message);
+  // Agents hear of a change at once; otherwise they ask.
+  if (m_Settings.m_Agent || m_GossipedChange == m_AnsweredChange)
+    return;
+  m_AnsweredChange = m_GossipedChange;
+  for (const auto &[Name, Known] : m_Nodes)
+    if (Known.m_Agent)
+      send(Known.m_PeerAddress, Message);
+}
+
+wire::EntryGossip ControlCore::describeSelf() const {
+  wire::EntryGossip Self;
+  Self.set_agent(m_Settings.m_Agent);
+  Self.set_zone(m_Settings.m_Zone);
+  Self.set_caller_address(m_Settings.m_CallerAddress);
+  Self.set_http_address(m_Settings.m_HttpAddress);
+  if (m_Follower.loaded()) {
+    Self.set_catalogue_offset(m_Follower.state().offset());
+    Self.set_change_offset(m_Follower.state().changeOffset());
+  }
+  Self.set_log_offset(m_Follower.heardOffset());
+  Self.set_log_reachable(m_Follower.logReachable());
+  Self.set_leaving(m_Leaving || !m_WasReady);
+  for (const auto &[Name, Known] : m_Nodes)
+    if (!Known.m_Agent)
+      Self.add_entries(Known.m_PeerAddress);
+  return Self;
 }
 
-void ControlCore::leave() {
+void ControlCore::send(const std::string &Address, wire::PeerMessage Message) {
+  Message.set_from(m_Settings.m_Node);
+  Message.set_incarnation(m_Settings.m_Incarnation);
+  Message.set_reply_address(m_Settings.m_PeerAddress);
+  if (m_Hooks.m_Send)
+    m_Hooks.m_Send(Address, std::move(Message));
+}
+
+void ControlCore::beginLeaving() {
   m_Leaving = true;
   gossip();
 }
 
-void ControlCore::tellEvents(const std::vector<FollowerEvent> &Events) {
-  for (const FollowerEvent Event : Events)
-    event(eventOf(Event),
-          {{"offset", std::to_string(m_Follower.state().offset())}});
+membership::Advice ControlCore::advise(const std::string &Zone) {
+  // This entry is a member of its own list only while it may be named.
+  m_Members.heard(now(), {m_Settings.m_Node, m_Settings.m_Incarnation,
+                          m_Settings.m_CallerAddress, m_Settings.m_Zone,
+                          m_Leaving || !m_WasReady});
+  return m_Advisor.advise(now(), m_Members, Zone);
 }
 
-void ControlCore::tellMembers() {
-  for (const membership::MemberEvent &Change : m_Members.tick(m_Clock.now()))
-    if (const std::optional<EventId> Id = eventOf(Change.m_Type))
-      event(*Id, {{"node", Change.m_Node}});
+base::Millis ControlCore::serveUntil(base::Millis LeftAt) const {
+  return m_Advisor.serveUntil(LeftAt, membership::MemberSettings{});
 }
 
-bool ControlCore::ready() const {
-  return m_View && m_Follower.ready(m_Clock.now());
+void ControlCore::recordMembers() {
+  for (const membership::MemberEvent &Event : m_Members.tick(now()))
+    event(eventOf(Event.m_Type), {{"peer", Event.m_Node}});
 }
 
-ControlStatus ControlCore::status() const {
-  ControlStatus Status;
-  Status.m_Node = m_Settings.m_Node;
-  Status.m_Offset = m_Follower.state().offset();
-  Status.m_HeardOffset = m_Follower.heardOffset();
-  Status.m_LogReachable = m_Follower.logReachable();
-  Status.m_Ready = ready();
-  Status.m_TooOld = m_Follower.tooOld(m_Clock.now());
-  Status.m_Gap = m_Follower.hasGap();
-  if (m_View)
-    Status.m_Unreadable = m_View->unreadable();
-  Status.m_Nodes = m_InForce.offsets();
-  return Status;
+std::vector<PeerStatus> ControlCore::peers() const {
+  std::vector<PeerStatus> All;
+  All.reserve(m_Nodes.size());
+  for (const auto &[Name, Known] : m_Nodes)
+    All.push_back(Known);
+  return All;
 }
 
+catalogue::InForceReport ControlCore::inForce(std::uint64_t Offset) const {
+  catalogue::InForceReport Report = m_InForce.report(now(), Offset);
+  const bool Here = m_View && m_View->offset() >= Offset;
+  (Here ? Report.m_InForce : Report.m_Lagging).push_back(m_Settings.m_Node);
+  return Report;
+}
+
+bool ControlCore::ready() const { return m_View && m_Follower.ready(now()); }
+
 } // namespace corneldeck::node
--- a/Source/Node/ControlCore.h
+++ b/Source/Node/ControlCore.h
@@ -10,87 +10,75 @@
 #include "Catalogue/Publisher.h"
 #include "Catalogue/View.h"
 #include "Lease/LeaseHolder.h"
+#include "Membership/AddressAdvisor.h"
 #include "Membership/Members.h"
 #include "Wire/Peer.pb.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace corneldeck::node {
 
-/// What a process is.
-enum class Role { Entry, Agent };
-
-/// A process that shares the control state.
-struct Peer {
-  std::string m_Node;
-  /// Where it takes control messages, as "IP:PORT".
-  std::string m_Address;
-};
-
-/// How the control state of one process is set.
+/// What a process's control state has to know of the process.
 struct ControlSettings {
-  Role m_Role = Role::Entry;
   std::string m_Node;
   /// Higher at each start of the process.
-  std::uint64_t m_Incarnation = 1;
+  std::uint64_t m_Incarnation = 0;
+  bool m_Agent = false;
   std::string m_Zone;
-  /// Where this process takes control messages, as "IP:PORT".
-  std::string m_ControlAddress;
-  /// Where callers reach an entry; "" for an agent.
+  /// Where this process takes peer messages, "ip:port".
+  std::string m_PeerAddress;
+  std::string m_HttpAddress;
+  /// Where callers reach an entry; empty for an agent.
   std::string m_CallerAddress;
-  /// The entries, without this process.
-  std::vector<Peer> m_Entries;
-  base::Millis m_GossipEvery = base::Millis(250);
-  /// An agent tells its offset to this many entries, which may then take the
-  /// catalogue from it when all entries were replaced.
-  std::size_t m_AgentTells = 3;
-  base::Millis m_AgentTellsEvery = base::seconds(1);
-  catalogue::FollowerSettings m_Follower;
-  catalogue::PublisherSettings m_Publisher;
-  membership::MemberSettings m_Members;
-  catalogue::BarrierSettings m_Barrier;
+  std::string m_LogAddress;
+  /// Peer addresses of entries to begin with.
+  std::vector<std::string> m_Seeds;
+  catalogue::FollowerSettings m_Follower = {};
+  catalogue::PublisherSettings m_Publisher = {};
+  catalogue::BarrierSettings m_Barrier = {};
+};
+
+/// What the control state knows of another process.
+struct PeerStatus {
+  std::string m_Node;
+  bool m_Agent = false;
+  std::string m_Zone;
+  std::string m_PeerAddress;
+  std::string m_HttpAddress;
+  std::uint64_t m_CatalogueOffset = 0;
+  bool m_Leaving = false;
+  base::Millis m_HeardAt{};
 };
 
 /// What the control state needs of the process around it.
 struct ControlHooks {
   catalogue::LogClient m_Log;
-  /// Sends a message to a peer; it may get lost.
-  std::function<void(const Peer &, const wire::PeerMessage &)> m_Send;
-  /// Takes each new picture of the catalogue, and null when the node must
-  /// not admit requests.
-  std::function<void(catalogue::ViewPtr)> m_ViewChanged;
-  /// Adds what the traffic side has to tell the other entries.
-  std::function<void(wire::EntryGossip &)> m_FillGossip;
+  /// Sends a message to a peer address; it may get lost.
+  std::function<void(const std::string &, wire::PeerMessage)> m_Send;
+  /// Takes each new view, and each change of whether this node may admit
+  /// requests by it.
+  std::function<void(catalogue::ViewPtr, bool Ready)> m_View;
+  /// Takes the messages that the control state does not handle.
+  std::function<void(const wire::PeerMessage &)> m_Message;
+  /// Takes other entries' gossip, after it was noted.
+  std::function<void(const wire::PeerMessage &)> m_Gossip;
   std::function<void(base::EventId, std::vector<base::EventField>)> m_Event;
 };
 
-/// What operators see of one node.
-struct ControlStatus {
-  std::string m_Node;
-  std::uint64_t m_Offset = 0;
-  std::uint64_t m_HeardOffset = 0;
-  bool m_LogReachable = false;
-  bool m_Ready = false;
-  bool m_TooOld = false;
-  bool m_Gap = false;
-  std::map<std::string, std::string> m_Unreadable;
-  /// Offset in force at each node, as last told.
-  std::map<std::string, std::uint64_t> m_Nodes;
-};
-
-/// The control state of one process: follower, publisher, leases and members.
+/// The control state of one process: follower, publisher, leases and what is
+/// known of the other processes.
 ///
-/// Owns no thread and no socket. All members are called from one thread;
-/// answers of the log come on that thread too.
+/// Owns no thread and no socket. All members are called from one thread, and
+/// the log's answers come on that thread too.
 class ControlCore {
 public:
-  using PublishDone = std::function<void(const catalogue::PublishAnswer &)>;
+  using PublishDone = std::function<void(catalogue::PublishAnswer)>;
 
   ControlCore(ControlSettings Settings, ControlHooks Hooks, base::Clock Clock);
-  ~ControlCore();
   ControlCore(const ControlCore &) = delete;
   ControlCore &operator=(const ControlCore &) = delete;
 
@@ -100,76 +88,83 @@
   /// Takes a message of another process.
   void heard(const wire::PeerMessage &Message);
 
-  /// Takes what another process said of its catalogue outside of gossip, such
-  /// as on a connection between an entry and an agent.
-  void heardOffset(const std::string &Node, std::uint64_t CatalogueOffset);
+  /// Notes a process that was heard outside of gossip.
+  void noteNode(const PeerStatus &Heard);
 
   /// Publishes an operator's changes; \p Done is called once.
   void publish(const catalogue::PublishRequest &Request, PublishDone Done);
 
-  /// Adds a contender for a lease. The holder's name gets this incarnation.
+  /// Adds a contender for a lease. The holder's name is this incarnation's.
   std::shared_ptr<lease::LeaseHolder> contend(lease::LeaseSettings Settings);
 
   /// Takes this entry out of the answers to "which address".
-  void leave();
+  void beginLeaving();
 
-  /// Replaces the other entries that this process knows of.
-  void setEntries(std::vector<Peer> Entries);
+  /// Chooses entries for a caller.
+  membership::Advice advise(const std::string &Zone);
+
+  /// \returns when the last answers that name this entry have expired, if it
+  /// left them at \p LeftAt.
+  [[nodiscard]] base::Millis serveUntil(base::Millis LeftAt) const;
+
+  /// Asks for a read of the log to its end, such as for an order gate.
+  void requestRead() { m_Follower.requestRead(); }
 
   /// \returns whether this node may admit requests by view().
   [[nodiscard]] bool ready() const;
-  /// \returns the newest picture of the catalogue; null before the first.
+  /// \returns the newest view; null before the first.
   [[nodiscard]] catalogue::ViewPtr view() const { return m_View; }
-  [[nodiscard]] ControlStatus status() const;
+  /// \returns the other processes heard lately.
+  [[nodiscard]] std::vector<PeerStatus> peers() const;
+  /// \returns which live processes have \p Offset in force.
+  [[nodiscard]] catalogue::InForceReport inForce(std::uint64_t Offset) const;
   [[nodiscard]] const catalogue::Follower &follower() const {
     return m_Follower;
   }
-  /// Asks for a read of the log to its end, for an order gate.
-  void requestRead() { m_Follower.requestRead(); }
-  [[nodiscard]] const catalogue::InForce &inForce() const { return m_InForce; }
-  /// \returns the entries, as told by gossip, with this one.
-  [[nodiscard]] membership::Members &members() { return m_Members; }
+  [[nodiscard]] base::Millis now() const { return m_Clock.now(); }
 
 private:
   void run(const catalogue::FollowerActions &Actions);
   void run(const catalogue::PublisherActions &Actions);
   void stateChanged();
   void updateView();
-  void peerHeard(const std::string &Node, std::uint64_t CatalogueOffset,
-                 std::uint64_t LogOffset);
+  void recordChanges(const catalogue::ViewPtr &Before);
   void append(const wire::LogRecord &Record);
   void tickLeases();
   void gossip();
-  [[nodiscard]] std::vector<Peer> gossipTargets() const;
-  void hearSelf();
-  void tellEvents(const std::vector<catalogue::FollowerEvent> &Events);
-  void tellMembers();
+  void onGossip(const wire::PeerMessage &Message);
+  void answerNews(const wire::PeerMessage &Message);
+  void noteEntry(const wire::PeerMessage &Message);
+  void forgetSilent();
+  void setPeers();
+  void recordMembers();
   void event(base::EventId Id, std::vector<base::EventField> Fields = {});
-  wire::PeerMessage message() const;
-  void sendTo(const std::string &Node, const wire::PeerMessage &Message);
-  [[nodiscard]] std::string holderName() const;
+  [[nodiscard]] wire::EntryGossip describeSelf() const;
+  void send(const std::string &Address, wire::PeerMessage Message);
 
   const ControlSettings m_Settings;
   const ControlHooks m_Hooks;
   const base::Clock m_Clock;
-  std::vector<Peer> m_Entries;
-  /// Where to answer each process that was heard.
-  std::map<std::string, std::string> m_ReplyAddresses;
   catalogue::Follower m_Follower;
   catalogue::Publisher m_Publisher;
-  catalogue::ViewBuilder m_ViewBuilder;
-  catalogue::ViewPtr m_View;
-  catalogue::InForce m_InForce;
   catalogue::InForceBarrier m_Barrier;
+  catalogue::InForce m_InForce;
+  catalogue::ViewBuilder m_Views;
+  catalogue::ViewPtr m_View;
   membership::Members m_Members;
+  membership::AddressAdvisor m_Advisor;
   std::vector<std::shared_ptr<lease::LeaseHolder>> m_Holders;
-  std::map<std::string, std::vector<PublishDone>> m_Asked;
+  std::map<std::string, PeerStatus> m_Nodes;
+  /// Addresses of the other entries, and when each was last heard of.
+  std::map<std::string, base::Millis> m_Entries;
+  std::map<std::string, std::vector<PublishDone>> m_Publishing;
   base::Millis m_NextGossip{};
-  bool m_Leaving = false;
-  bool m_WasReady = false;
   std::uint64_t m_GossipedChange = 0;
-  /// Callbacks of the log hold a weak reference, so that late answers find
-  /// out that this object is gone.
+  std::uint64_t m_AnsweredChange = 0;
+  bool m_WasReady = false;
+  bool m_Leaving = false;
+  /// The log's callbacks hold a weak reference, so that late answers find out
+  /// that this object is gone.
   std::shared_ptr<ControlCore *> m_Self;
 };
 
