--- /dev/null
+++ b/Source/Bench/FleetModel.cpp
@@ -0,0 +1,477 @@
+#include "Bench/FleetModel.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corneldeck::bench {
+namespace {
+
+constexpr base::Millis ReportEvery(100);
+constexpr base::Millis HousekeepEvery(50);
+/// How long a broken connection takes to be noticed.
+constexpr base::Millis BreakDelay(1);
+/// A prompt token costs about this much of an answer token.
+constexpr double PromptTokenWork = 0.1;
+
+std::string attemptId(std::size_t Index, std::uint32_t Attempt) {
+  return std::to_string(Index) + '.' + std::to_string(Attempt);
+}
+
+std::pair<std::size_t, std::uint32_t> parseAttempt(const std::string &Id) {
+  const std::size_t Dot = Id.find('.');
+  return {std::stoul(Id.substr(0, Dot)),
+          static_cast<std::uint32_t>(std::stoul(Id.substr(Dot + 1)))};
+}
+
+bool usesChooser(RoutingPolicy Policy) {
+  return Policy == RoutingPolicy::Corneldeck ||
+         Policy == RoutingPolicy::AllSeeing;
+}
+
+} // namespace
+
+std::string policyName(RoutingPolicy Policy) {
+  switch (Policy) {
+  case RoutingPolicy::Corneldeck:
+    return "corneldeck";
+  case RoutingPolicy::RoundRobin:
+    return "round-robin";
+  case RoutingPolicy::LeastReportedLoad:
+    return "least-reported-load";
+  case RoutingPolicy::TwoChoices:
+    return "two-choices";
+  case RoutingPolicy::AllSeeing:
+    return "all-seeing";
+  }
+  return {};
+}
+
+FleetModel::FleetModel(FleetOptions Options)
+    : m_Options(std::move(Options)), m_Random(m_Options.m_Seed) {
+  makeReplicas();
+  makeEntries();
+  startReports();
+}
+
+void FleetModel::makeReplicas() {
+  const FleetSpec &Spec = m_Options.m_Spec;
+  fakes::EngineSettings Settings = Spec.m_Engine;
+  if (m_Options.m_Policy == RoutingPolicy::AllSeeing) {
+    Settings.m_CacheEventDelay = base::Millis(0);
+    Settings.m_CacheEventLoss = 0;
+  }
+  for (std::uint32_t Index = 0; Index < Spec.m_Replicas; ++Index) {
+    Replica New;
+    New.m_Name = "replica-" + std::to_string(Index);
+    New.m_Zone = Spec.m_Zones[Index % Spec.m_Zones.size()];
+    New.m_Engine = std::make_unique<fakes::EngineModel>(
+        Settings, m_Options.m_Seed * 1'000 + Index);
+    m_Replicas.push_back(std::move(New));
+  }
+}
+
+void FleetModel::makeEntries() {
+  const FleetSpec &Spec = m_Options.m_Spec;
+  const bool One = m_Options.m_Policy == RoutingPolicy::AllSeeing;
+  std::vector<routing::ReplicaInfo> Infos;
+  for (const Replica &Each : m_Replicas)
+    Infos.push_back({Each.m_Name, Each.m_Zone});
+  routing::ChooserSettings Settings;
+  Settings.m_BlockTokens = Spec.m_Engine.m_BlockTokens;
+  if (One)
+    Settings.m_Load.m_ReportLag = base::Millis(0);
+  for (std::uint32_t Index = 0; Index < (One ? 1 : Spec.m_Entries); ++Index) {
+    Entry New;
+    New.m_Zone = Spec.m_Zones[Index % Spec.m_Zones.size()];
+    New.m_Chooser = std::make_unique<routing::ReplicaChooser>(
+        Settings, New.m_Zone, m_Options.m_Seed * 100 + Index);
+    New.m_Chooser->setReplicas(Infos);
+    New.m_Admission = std::make_unique<admission::AdmissionControl>(
+        admission::AdmissionSettings{});
+    New.m_Budget =
+        std::make_unique<routing::RetryBudget>(routing::RetryBudgetSettings{});
+    New.m_NextRoundRobin =
+        static_cast<std::uint32_t>(m_Random.below(m_Replicas.size()));
+    New.m_Reported.assign(m_Replicas.size(), 0);
+    New.m_NextCacheEvent.assign(m_Replicas.size(), 0);
+    New.m_Reachable.assign(m_Replicas.size(), true);
+    m_Entries.push_back(std::move(New));
+  }
+}
+
+void FleetModel::startReports() {
+  for (std::uint32_t At = 0; At < m_Entries.size(); ++At) {
+    const base::Millis First(7 * At);
+    m_Time.after(First, [this, At] { housekeep(At); });
+    for (std::uint32_t Of = 0; Of < m_Replicas.size(); ++Of) {
+      const auto Phase = static_cast<std::int64_t>(
+          m_Random.below(static_cast<std::uint64_t>(ReportEvery.count())));
+      m_Time.after(base::Millis(Phase), [this, At, Of] { reportTo(At, Of); });
+    }
+  }
+}
+
+void FleetModel::reportTo(std::uint32_t EntryIndex,
+                          std::uint32_t ReplicaIndex) {
+  if (m_Replicas[ReplicaIndex].m_Alive)
+    takeReport(EntryIndex, ReplicaIndex);
+  m_Time.after(ReportEvery, [this, EntryIndex, ReplicaIndex] {
+    reportTo(EntryIndex, ReplicaIndex);
+  });
+}
+
+void FleetModel::takeReport(std::uint32_t EntryIndex,
+                            std::uint32_t ReplicaIndex) {
+  Entry &At = m_Entries[EntryIndex];
+  const Replica &Of = m_Replicas[ReplicaIndex];
+  const base::Millis Now = m_Time.now();
+  const bool SeesAll = m_Options.m_Policy == RoutingPolicy::AllSeeing;
+  const fakes::EngineLoad Load =
+      SeesAll ? Of.m_Engine->trueLoad() : Of.m_Engine->loadReport(Now);
+  At.m_Reported[ReplicaIndex] = Load.m_Running + Load.m_Queued;
+  if (!usesChooser(m_Options.m_Policy))
+    return;
+  routing::ReplicaReport Report;
+  Report.m_Running = Load.m_Running;
+  Report.m_Queued = Load.m_Queued;
+  Report.m_Capacity = Load.m_Capacity;
+  Report.m_TokensAhead = Load.m_TokensAhead;
+  Report.m_StepMicros = Load.m_StepMicros;
+  At.m_Chooser->report(Now, Of.m_Name, Report);
+  for (;;) {
+    std::uint64_t &Next = At.m_NextCacheEvent[ReplicaIndex];
+    const fakes::EngineCacheEvents Events = Of.m_Engine->cacheEvents(Now, Next);
+    const std::size_t Count = Events.m_Added.size() + Events.m_Evicted.size();
+    if (Count == 0)
+      break;
+    At.m_Chooser->cacheEvents(Now, Of.m_Name, Events.m_FirstSequence,
+                              Events.m_Added, Events.m_Evicted);
+    Next = Events.m_FirstSequence + Count;
+  }
+  if (!SeesAll)
+    pump(EntryIndex);
+}
+
+void FleetModel::lookAtAll(Entry &At) {
+  const auto Index = static_cast<std::uint32_t>(&At - m_Entries.data());
+  for (std::uint32_t Of = 0; Of < m_Replicas.size(); ++Of)
+    if (m_Replicas[Of].m_Alive)
+      takeReport(Index, Of);
+}
+
+void FleetModel::add(const TrafficItem &Item,
+                     std::optional<std::uint32_t> EntryIndex) {
+  const std::size_t Index = m_Records.size();
+  RequestRecord New;
+  New.m_Item = Item;
+  const auto Count = static_cast<std::uint32_t>(m_Entries.size());
+  New.m_Entry = EntryIndex ? *EntryIndex % Count
+                           : static_cast<std::uint32_t>(m_Random.below(Count));
+  m_Records.push_back(std::move(New));
+  m_Where.push_back(0);
+  const base::Millis Wait =
+      Item.m_At - m_Time.now() + m_Options.m_Spec.m_ClientDelay;
+  m_Time.after(Wait, [this, Index] { arrive(Index); });
+}
+
+void FleetModel::closedLoop(std::uint32_t Count,
+                            std::function<TrafficItem(base::Millis)> Refill) {
+  m_Refill = std::move(Refill);
+  for (std::uint32_t Number = 0; Number < Count; ++Number)
+    add(m_Refill(m_Time.now()));
+}
+
+void FleetModel::arrive(std::size_t Index) {
+  RequestRecord &Of = m_Records[Index];
+  Entry &At = m_Entries[Of.m_Entry];
+  const base::Millis Left = Of.m_Item.m_Deadline - m_Time.now();
+  m_Time.after(Left, [this, Index] { onDeadline(Index); });
+  At.m_Budget->firstAttempt();
+  offer(Index);
+}
+
+routing::ChoiceQuery FleetModel::queryFor(const RequestRecord &Of) const {
+  routing::ChoiceQuery Query;
+  Query.m_PromptTokens = Of.m_Item.m_PromptTokens;
+  Query.m_PrefixBlocks = Of.m_Item.m_Blocks;
+  return Query;
+}
+
+void FleetModel::offer(std::size_t Index) {
+  RequestRecord &Of = m_Records[Index];
+  Entry &At = m_Entries[Of.m_Entry];
+  if (!usesChooser(m_Options.m_Policy)) {
+    const std::optional<std::uint32_t> Where = chooseBaseline(At);
+    if (Where)
+      dispatch(Index, *Where, nullptr);
+    else
+      refuse(Index);
+    return;
+  }
+  const base::Millis Now = m_Time.now();
+  admission::Ticket New;
+  New.m_Request = std::to_string(Index);
+  New.m_Customer = std::to_string(Of.m_Item.m_Customer);
+  New.m_Class = Of.m_Item.m_Class;
+  New.m_Work =
+      At.m_Chooser->meanOutput() + PromptTokenWork * Of.m_Item.m_PromptTokens;
+  New.m_Deadline = Of.m_Item.m_Deadline;
+  if (m_Options.m_Admission)
+    New.m_RunTime = At.m_Chooser->runTime(Now, queryFor(Of));
+  const admission::Offer Outcome = At.m_Admission->offer(Now, New);
+  for (const admission::Refusal &Each : Outcome.m_Displaced)
+    refuse(std::stoul(Each.m_Request));
+  if (Outcome.m_Refused)
+    refuse(Index);
+  else
+    pump(Of.m_Entry);
+}
+
+void FleetModel::refuse(std::size_t Index) {
+  m_Records[Index].m_Refused = true;
+  close(Index);
+}
+
+std::optional<std::uint32_t> FleetModel::chooseBaseline(Entry &At) {
+  std::vector<std::uint32_t> Open;
+  for (std::uint32_t Index = 0; Index < m_Replicas.size(); ++Index)
+    if (At.m_Reachable[Index])
+      Open.push_back(Index);
+  if (Open.empty())
+    return std::nullopt;
+  if (m_Options.m_Policy == RoutingPolicy::RoundRobin)
+    return Open[At.m_NextRoundRobin++ % Open.size()];
+  if (m_Options.m_Policy == RoutingPolicy::TwoChoices) {
+    const std::uint32_t First = Open[m_Random.below(Open.size())];
+    const std::uint32_t Second = Open[m_Random.below(Open.size())];
+    return At.m_Reported[First] <= At.m_Reported[Second] ? First : Second;
+  }
+  std::uint32_t Least = At.m_Reported[Open.front()];
+  for (const std::uint32_t Index : Open)
+    Least = std::min(Least, At.m_Reported[Index]);
+  std::erase_if(
+      Open, [&](std::uint32_t Index) { return At.m_Reported[Index] > Least; });
+  return Open[m_Random.below(Open.size())];
+}
+
+void FleetModel::pump(std::uint32_t EntryIndex) {
+  Entry &At = m_Entries[EntryIndex];
+  const base::Millis Now = m_Time.now();
+  if (m_Options.m_Policy == RoutingPolicy::AllSeeing && At.m_Admission->peek())
+    lookAtAll(At);
+  while (const admission::Ticket *Next = At.m_Admission->peek()) {
+    const std::size_t Index = std::stoul(Next->m_Request);
+    const routing::Choice Where =
+        At.m_Chooser->choose(Now, queryFor(m_Records[Index]));
+    if (Where.m_Kind != routing::ChoiceKind::Chosen)
+      return;
+    At.m_Admission->take(Now);
+    const auto Found = std::find_if(
+        m_Replicas.begin(), m_Replicas.end(),
+        [&](const Replica &Each) { return Each.m_Name == Where.m_Replica; });
+    dispatch(Index, static_cast<std::uint32_t>(Found - m_Replicas.begin()),
+             &Where);
+  }
+}
+
+void FleetModel::housekeep(std::uint32_t EntryIndex) {
+  if (usesChooser(m_Options.m_Policy)) {
+    Entry &At = m_Entries[EntryIndex];
+    if (m_Options.m_Admission)
+      for (const admission::Refusal &Each :
+           At.m_Admission->expire(m_Time.now()))
+        refuse(std::stoul(Each.m_Request));
+    pump(EntryIndex);
+  }
+  m_Time.after(HousekeepEvery, [this, EntryIndex] { housekeep(EntryIndex); });
+}
+
+void FleetModel::dispatch(std::size_t Index, std::uint32_t ReplicaIndex,
+                          const routing::Choice *Where) {
+  RequestRecord &Of = m_Records[Index];
+  Entry &At = m_Entries[Of.m_Entry];
+  const std::uint32_t Attempt = ++Of.m_Attempts;
+  ++m_AttemptsSent;
+  m_Where[Index] = ReplicaIndex;
+  if (Where)
+    At.m_Chooser->started(m_Time.now(), attemptId(Index, Attempt), *Where,
+                          Of.m_Item.m_Blocks);
+  m_Time.after(delay(Of.m_Entry, ReplicaIndex),
+               [this, Index, Attempt, ReplicaIndex] {
+                 submit(Index, Attempt, ReplicaIndex);
+               });
+}
+
+void FleetModel::submit(std::size_t Index, std::uint32_t Attempt,
+                        std::uint32_t ReplicaIndex) {
+  const RequestRecord &Of = m_Records[Index];
+  Replica &To = m_Replicas[ReplicaIndex];
+  if (!To.m_Alive) {
+    m_Time.after(BreakDelay,
+                 [this, Index, Attempt] { onBroken(Index, Attempt); });
+    return;
+  }
+  if (Of.m_Closed)
+    return;
+  fakes::EngineRequest Request;
+  Request.m_Id = attemptId(Index, Attempt);
+  Request.m_PromptTokens = Of.m_Item.m_PromptTokens;
+  Request.m_PrefixBlocks = Of.m_Item.m_Blocks;
+  Request.m_OutputTokens = Of.m_Item.m_OutputTokens;
+  if (usesChooser(m_Options.m_Policy))
+    Request.m_Priority = Of.m_Item.m_Class;
+  To.m_Engine->submit(m_Time.now(), std::move(Request));
+  scheduleTick(ReplicaIndex);
+}
+
+void FleetModel::scheduleTick(std::uint32_t ReplicaIndex) {
+  Replica &Of = m_Replicas[ReplicaIndex];
+  const std::optional<base::Millis> Next = Of.m_Engine->nextStep();
+  if (!Next || Of.m_TickAt)
+    return;
+  Of.m_TickAt = Next;
+  const base::Millis Wait = std::max(*Next - m_Time.now(), base::Millis(0));
+  m_Time.after(Wait, [this, ReplicaIndex] { tick(ReplicaIndex); });
+}
+
+void FleetModel::tick(std::uint32_t ReplicaIndex) {
+  Replica &Of = m_Replicas[ReplicaIndex];
+  Of.m_TickAt.reset();
+  for (const fakes::EngineOutput &Output : Of.m_Engine->advance(m_Time.now()))
+    deliver(ReplicaIndex, Output);
+  scheduleTick(ReplicaIndex);
+}
+
+void FleetModel::deliver(std::uint32_t ReplicaIndex,
+                         const fakes::EngineOutput &Output) {
+  if (Output.m_Token > 0 && !Output.m_Finished)
+    return;
+  const auto [Index, Attempt] = parseAttempt(Output.m_Id);
+  const base::Millis Way = delay(m_Records[Index].m_Entry, ReplicaIndex);
+  if (Output.m_Token == 0)
+    m_Time.after(Way, [this, Index = Index, Attempt = Attempt] {
+      onFirstToken(Index, Attempt);
+    });
+  if (Output.m_Finished)
+    m_Time.after(Way, [this, Index = Index, Attempt = Attempt] {
+      onFinished(Index, Attempt);
+    });
+}
+
+void FleetModel::onFirstToken(std::size_t Index, std::uint32_t Attempt) {
+  RequestRecord &Of = m_Records[Index];
+  m_Entries[Of.m_Entry].m_Chooser->firstToken(attemptId(Index, Attempt));
+  if (!Of.m_FirstTokenAt && Attempt == Of.m_Attempts)
+    Of.m_FirstTokenAt = m_Time.now() + m_Options.m_Spec.m_ClientDelay;
+}
+
+void FleetModel::onFinished(std::size_t Index, std::uint32_t Attempt) {
+  RequestRecord &Of = m_Records[Index];
+  if (Of.m_Closed || Attempt != Of.m_Attempts)
+    return;
+  Of.m_DoneAt = m_Time.now() + m_Options.m_Spec.m_ClientDelay;
+  m_Entries[Of.m_Entry].m_Chooser->ended(
+      m_Time.now(), attemptId(Index, Attempt), Of.m_Item.m_OutputTokens);
+  close(Index);
+  pump(Of.m_Entry);
+}
+
+void FleetModel::close(std::size_t Index) {
+  if (std::exchange(m_Records[Index].m_Closed, true))
+    return;
+  if (m_Refill)
+    add(m_Refill(m_Time.now()));
+}
+
+void FleetModel::onBroken(std::size_t Index, std::uint32_t Attempt) {
+  RequestRecord &Of = m_Records[Index];
+  if (Of.m_Closed || Attempt != Of.m_Attempts)
+    return;
+  Entry &At = m_Entries[Of.m_Entry];
+  At.m_Chooser->ended(m_Time.now(), attemptId(Index, Attempt), 0);
+  // What the caller saw of a broken attempt isn't part of an answer.
+  Of.m_FirstTokenAt.reset();
+  const bool Allowed = Of.m_Attempts < m_Options.m_MaxAttempts &&
+                       (!m_Options.m_RetryBudget || At.m_Budget->takeRetry());
+  if (Allowed)
+    offer(Index);
+  else
+    refuse(Index);
+}
+
+void FleetModel::onDeadline(std::size_t Index) {
+  RequestRecord &Of = m_Records[Index];
+  if (Of.m_Closed)
+    return;
+  close(Index);
+  Entry &At = m_Entries[Of.m_Entry];
+  At.m_Admission->cancel(m_Time.now(), std::to_string(Index));
+  if (Of.m_Attempts == 0)
+    return;
+  const std::string Id = attemptId(Index, Of.m_Attempts);
+  At.m_Chooser->ended(m_Time.now(), Id, 0);
+  const std::uint32_t ReplicaIndex = m_Where[Index];
+  m_Time.after(delay(Of.m_Entry, ReplicaIndex), [this, ReplicaIndex, Id] {
+    Replica &From = m_Replicas[ReplicaIndex];
+    From.m_Engine->cancel(m_Time.now(), Id);
+    scheduleTick(ReplicaIndex);
+  });
+  pump(Of.m_Entry);
+}
+
+void FleetModel::killReplica(base::Millis At, std::uint32_t ReplicaIndex) {
+  m_Time.after(At - m_Time.now(), [this, ReplicaIndex] {
+    Replica &Of = m_Replicas[ReplicaIndex];
+    Of.m_Alive = false;
+    Of.m_Engine->restart(m_Time.now());
+    for (Entry &Each : m_Entries) {
+      Each.m_Reachable[ReplicaIndex] = false;
+      Each.m_Chooser->setReachable(Of.m_Name, false);
+    }
+    for (std::size_t Index = 0; Index < m_Records.size(); ++Index) {
+      const RequestRecord &Run = m_Records[Index];
+      if (Run.m_Closed || Run.m_Attempts == 0 || m_Where[Index] != ReplicaIndex)
+        continue;
+      m_Time.after(BreakDelay, [this, Index, Attempt = Run.m_Attempts] {
+        onBroken(Index, Attempt);
+      });
+    }
+  });
+}
+
+void FleetModel::returnReplica(base::Millis At, std::uint32_t ReplicaIndex) {
+  m_Time.after(At - m_Time.now(), [this, ReplicaIndex] {
+    Replica &Of = m_Replicas[ReplicaIndex];
+    Of.m_Alive = true;
+    for (Entry &Each : m_Entries) {
+      Each.m_Reachable[ReplicaIndex] = true;
+      Each.m_Chooser->setReachable(Of.m_Name, true);
+    }
+  });
+}
+
+void FleetModel::straggle(base::Millis At, std::uint32_t ReplicaIndex,
+                          double Factor) {
+  m_Time.after(At - m_Time.now(), [this, ReplicaIndex, Factor] {
+    m_Replicas[ReplicaIndex].m_Engine->setStraggler(Factor);
+  });
+}
+
+double FleetModel::prefixHitRatio() const {
+  std::uint64_t Hit = 0;
+  std::uint64_t Seen = 0;
+  for (const Replica &Each : m_Replicas) {
+    Hit += Each.m_Engine->prefixTokensHit();
+    Seen += Each.m_Engine->promptTokensSeen();
+  }
+  return Seen == 0 ? 0 : static_cast<double>(Hit) / static_cast<double>(Seen);
+}
+
+base::Millis FleetModel::delay(std::uint32_t EntryIndex,
+                               std::uint32_t ReplicaIndex) const {
+  const bool SameZone =
+      m_Entries[EntryIndex].m_Zone == m_Replicas[ReplicaIndex].m_Zone;
+  return SameZone ? base::Millis(0) : m_Options.m_Spec.m_ZoneDelay;
+}
+
+} // namespace corneldeck::bench
--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,8 +1,12 @@
-#include "Bench/Scenario.h"
+#include "Bench/Scenarios.h"
 
 namespace corneldeck::bench {
 
-std::vector<Scenario> allScenarios() { return {}; }
+std::vector<Scenario> allScenarios() {
+  return {
+      routingScenario(),
+  };
+}
 
 std::vector<Promise> allPromises() { return {}; }
 
--- /dev/null
+++ b/Source/Bench/Scenarios.h
@@ -0,0 +1,12 @@
+#ifndef CORNELDECK_BENCH_SCENARIOS_H
+#define CORNELDECK_BENCH_SCENARIOS_H
+
+#include "Bench/Scenario.h"
+
+namespace corneldeck::bench {
+
+Scenario routingScenario();
+
+} // namespace corneldeck::bench
+
+#endif
--- a/Source/Routing/ReplicaChooser.h
+++ b/Source/Routing/ReplicaChooser.h
@@ -121,6 +121,9 @@
   [[nodiscard]] base::Millis runTime(base::Millis Now,
                                      const ChoiceQuery &Query) const;
 
+  /// \returns the mean tokens of earlier answers.
+  [[nodiscard]] double meanOutput() const { return m_MeanOutput; }
+
   /// \returns attempts sent and not ended.
   [[nodiscard]] std::size_t inFlight() const { return m_Attempts.size(); }
 
