--- a/Source/Admission/AdmissionControl.cpp
+++ b/Source/Admission/AdmissionControl.cpp
@@ -68,25 +68,30 @@
   return Loser;
 }
 
-const Ticket *AdmissionControl::peek() const {
-  for (const auto &[Class, Queue] : m_Classes)
-    if (const Ticket *First = Queue.front())
-      return First;
-  return nullptr;
+std::vector<const Ticket *> AdmissionControl::next(std::size_t Count) const {
+  std::vector<const Ticket *> Order;
+  for (const auto &[Class, Queue] : m_Classes) {
+    const auto Part = Queue.next(Count - Order.size());
+    Order.insert(Order.end(), Part.begin(), Part.end());
+  }
+  return Order;
 }
 
-std::optional<Ticket> AdmissionControl::take(base::Millis Now) {
-  for (auto &[Class, Queue] : m_Classes) {
-    std::optional<Ticket> First = Queue.pop();
-    if (!First)
-      continue;
-    // One that found room at once says nothing of the rate under load.
-    if (First->m_Since < Now)
-      m_Rate.drained(Now, First->m_Work);
-    forget(*First);
-    return First;
-  }
-  return std::nullopt;
+std::optional<Ticket> AdmissionControl::take(base::Millis Now,
+                                             const std::string &Request) {
+  const auto Found = m_Places.find(Request);
+  if (Found == m_Places.end())
+    return std::nullopt;
+  const Place Where = Found->second;
+  std::optional<Ticket> Taken =
+      m_Classes[Where.m_Class].serve(Request, Where.m_Customer);
+  if (!Taken)
+    return std::nullopt;
+  // One that found room at once says nothing of the rate under load.
+  if (Taken->m_Since < Now)
+    m_Rate.drained(Now, Taken->m_Work);
+  forget(*Taken);
+  return Taken;
 }
 
 bool AdmissionControl::cancel(base::Millis Now, const std::string &Request) {
--- a/Source/Admission/AdmissionControl.h
+++ b/Source/Admission/AdmissionControl.h
@@ -53,12 +53,13 @@
   /// Queues a request or refuses it.
   Offer offer(base::Millis Now, Ticket New);
 
-  /// \returns the request to be dispatched next, without taking it out;
-  /// nothing if none waits. Valid until the next call that changes the queue.
-  [[nodiscard]] const Ticket *peek() const;
+  /// \returns the next \p Count requests in the order of service. Valid until
+  /// the next call that changes the queue.
+  [[nodiscard]] std::vector<const Ticket *> next(std::size_t Count) const;
 
-  /// Takes the request of peek() out, to be dispatched at once.
-  std::optional<Ticket> take(base::Millis Now);
+  /// Takes a queued request out, to be dispatched at once.
+  /// \returns nothing if it isn't queued.
+  std::optional<Ticket> take(base::Millis Now, const std::string &Request);
 
   /// Forgets a queued request whose caller has gone.
   /// \returns false if it isn't queued.
--- a/Source/Admission/FairQueue.cpp
+++ b/Source/Admission/FairQueue.cpp
@@ -1,6 +1,7 @@
 #include "Admission/FairQueue.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace corneldeck::admission {
@@ -46,33 +47,66 @@
   Own.m_Waiting.push_back(std::move(New));
 }
 
-FairQueue::Lines::const_iterator FairQueue::nextLine() const {
-  auto Best = m_Lines.end();
-  for (auto Item = m_Lines.begin(); Item != m_Lines.end(); ++Item) {
-    if (Item->second.m_Waiting.empty())
+std::vector<const Ticket *> FairQueue::next(std::size_t Count) const {
+  /// A customer's place in the order of service after some of its requests.
+  struct Turn {
+    double m_Served = 0;
+    const Line *m_Line = nullptr;
+    std::size_t m_Index = 0;
+  };
+  const auto Later = [](const Turn &Left, const Turn &Right) {
+    return Left.m_Served > Right.m_Served;
+  };
+  std::vector<Turn> Turns;
+  for (const auto &[Name, Item] : m_Lines)
+    if (!Item.m_Waiting.empty())
+      Turns.push_back({Item.m_Served, &Item, 0});
+  std::make_heap(Turns.begin(), Turns.end(), Later);
+  std::vector<const Ticket *> Order;
+  while (!Turns.empty() && Order.size() < Count) {
+    std::pop_heap(Turns.begin(), Turns.end(), Later);
+    Turn First = Turns.back();
+    Turns.pop_back();
+    const Ticket &Each = First.m_Line->m_Waiting[First.m_Index];
+    Order.push_back(&Each);
+    First.m_Served += Each.m_Work;
+    ++First.m_Index;
+    if (First.m_Index == First.m_Line->m_Waiting.size())
       continue;
-    if (Best == m_Lines.end() || Item->second.m_Served < Best->second.m_Served)
-      Best = Item;
+    Turns.push_back(First);
+    std::push_heap(Turns.begin(), Turns.end(), Later);
   }
-  return Best;
+  return Order;
 }
 
-const Ticket *FairQueue::front() const {
-  const auto Next = nextLine();
-  return Next == m_Lines.end() ? nullptr : &Next->second.m_Waiting.front();
+std::optional<Ticket> FairQueue::serve(const std::string &Request,
+                                       const std::string &Customer) {
+  const auto Own = m_Lines.find(Customer);
+  if (Own == m_Lines.end())
+    return std::nullopt;
+  const double Before = Own->second.m_Served;
+  const double Work = workOf(Request, Own->second);
+  if (Work <= 0)
+    return std::nullopt;
+  // Requests may be served out of turn, so the level never goes back.
+  m_Level = std::max(m_Level, leastServed());
+  Own->second.m_Served = Before + Work;
+  return remove(Request, Customer);
 }
 
-std::optional<Ticket> FairQueue::pop() {
-  const auto Next = nextLine();
-  if (Next == m_Lines.end())
-    return std::nullopt;
-  const auto Own = m_Lines.find(Next->first);
-  Ticket First = std::move(Own->second.m_Waiting.front());
-  Own->second.m_Waiting.pop_front();
-  m_Level = Own->second.m_Served;
-  Own->second.m_Served += First.m_Work;
-  shrink(Own, First.m_Work);
-  return First;
+double FairQueue::workOf(const std::string &Request, const Line &In) {
+  for (const Ticket &Each : In.m_Waiting)
+    if (Each.m_Request == Request)
+      return Each.m_Work;
+  return 0;
+}
+
+double FairQueue::leastServed() const {
+  double Least = std::numeric_limits<double>::max();
+  for (const auto &[Name, Item] : m_Lines)
+    if (!Item.m_Waiting.empty())
+      Least = std::min(Least, Item.m_Served);
+  return Least;
 }
 
 void FairQueue::shrink(Lines::iterator From, double Work) {
--- a/Source/Admission/FairQueue.h
+++ b/Source/Admission/FairQueue.h
@@ -39,13 +39,15 @@
   /// Adds a request behind the others of its customer.
   void push(Ticket New);
 
-  /// \returns the next request, nothing if empty. It stays queued.
-  [[nodiscard]] const Ticket *front() const;
+  /// \returns the next \p Count requests in the order of service; they stay
+  /// queued. Valid until the next change.
+  [[nodiscard]] std::vector<const Ticket *> next(std::size_t Count) const;
 
-  /// Takes the next request out and charges its customer.
-  std::optional<Ticket> pop();
+  /// Takes a request out to be served and charges its customer.
+  std::optional<Ticket> serve(const std::string &Request,
+                              const std::string &Customer);
 
-  /// Takes one request out without a charge.
+  /// Takes a request out without a charge.
   std::optional<Ticket> remove(const std::string &Request,
                                const std::string &Customer);
 
@@ -82,11 +84,12 @@
   };
   using Lines = std::map<std::string, Line>;
 
-  [[nodiscard]] Lines::const_iterator nextLine() const;
+  static double workOf(const std::string &Request, const Line &In);
+  [[nodiscard]] double leastServed() const;
   void shrink(Lines::iterator From, double Work);
 
   Lines m_Lines;
-  /// Work served to the customer served last, when it was chosen.
+  /// Work served to the least served waiting customer at the last service.
   double m_Level = 0;
   double m_Work = 0;
   std::size_t m_Size = 0;
--- a/Source/Bench/FleetModel.cpp
+++ b/Source/Bench/FleetModel.cpp
@@ -10,8 +10,8 @@
 constexpr base::Millis HousekeepEvery(50);
 /// How long a broken connection takes to be noticed.
 constexpr base::Millis BreakDelay(1);
-/// A prompt token costs about this much of an answer token.
-constexpr double PromptTokenWork = 0.1;
+/// The all-seeing router doesn't see what is still on the wire.
+constexpr base::Millis TrueReportLag(2);
 
 std::string attemptId(std::size_t Index, std::uint32_t Attempt) {
   return std::to_string(Index) + '.' + std::to_string(Attempt);
@@ -76,18 +76,20 @@
   std::vector<routing::ReplicaInfo> Infos;
   for (const Replica &Each : m_Replicas)
     Infos.push_back({Each.m_Name, Each.m_Zone});
-  routing::ChooserSettings Settings;
-  Settings.m_BlockTokens = Spec.m_Engine.m_BlockTokens;
-  if (One)
-    Settings.m_Load.m_ReportLag = base::Millis(0);
+  routing::DispatcherSettings Settings;
+  Settings.m_Chooser.m_BlockTokens = Spec.m_Engine.m_BlockTokens;
+  if (One) {
+    Settings.m_Chooser.m_Load.m_OwnWeight = 0;
+    Settings.m_Chooser.m_Load.m_ReportLag = TrueReportLag;
+    Settings.m_Admission.m_MaxQueued *= Spec.m_Entries;
+    Settings.m_Window *= 3;
+  }
   for (std::uint32_t Index = 0; Index < (One ? 1 : Spec.m_Entries); ++Index) {
     Entry New;
     New.m_Zone = Spec.m_Zones[Index % Spec.m_Zones.size()];
-    New.m_Chooser = std::make_unique<routing::ReplicaChooser>(
+    New.m_Dispatcher = std::make_unique<routing::Dispatcher>(
         Settings, New.m_Zone, m_Options.m_Seed * 100 + Index);
-    New.m_Chooser->setReplicas(Infos);
-    New.m_Admission = std::make_unique<admission::AdmissionControl>(
-        admission::AdmissionSettings{});
+    New.m_Dispatcher->chooser().setReplicas(Infos);
     New.m_Budget =
         std::make_unique<routing::RetryBudget>(routing::RetryBudgetSettings{});
     New.m_NextRoundRobin =
@@ -137,15 +139,16 @@
   Report.m_Capacity = Load.m_Capacity;
   Report.m_TokensAhead = Load.m_TokensAhead;
   Report.m_StepMicros = Load.m_StepMicros;
-  At.m_Chooser->report(Now, Of.m_Name, Report);
+  At.m_Dispatcher->chooser().report(Now, Of.m_Name, Report);
   for (;;) {
     std::uint64_t &Next = At.m_NextCacheEvent[ReplicaIndex];
     const fakes::EngineCacheEvents Events = Of.m_Engine->cacheEvents(Now, Next);
     const std::size_t Count = Events.m_Added.size() + Events.m_Evicted.size();
     if (Count == 0)
       break;
-    At.m_Chooser->cacheEvents(Now, Of.m_Name, Events.m_FirstSequence,
-                              Events.m_Added, Events.m_Evicted);
+    At.m_Dispatcher->chooser().cacheEvents(Now, Of.m_Name,
+                                           Events.m_FirstSequence,
+                                           Events.m_Added, Events.m_Evicted);
     Next = Events.m_FirstSequence + Count;
   }
   if (!SeesAll)
@@ -190,37 +193,28 @@
   offer(Index);
 }
 
-routing::ChoiceQuery FleetModel::queryFor(const RequestRecord &Of) const {
-  routing::ChoiceQuery Query;
-  Query.m_PromptTokens = Of.m_Item.m_PromptTokens;
-  Query.m_PrefixBlocks = Of.m_Item.m_Blocks;
-  return Query;
-}
-
 void FleetModel::offer(std::size_t Index) {
   RequestRecord &Of = m_Records[Index];
   Entry &At = m_Entries[Of.m_Entry];
   if (!usesChooser(m_Options.m_Policy)) {
     const std::optional<std::uint32_t> Where = chooseBaseline(At);
     if (Where)
-      dispatch(Index, *Where, nullptr);
+      dispatch(Index, *Where);
     else
       refuse(Index);
     return;
   }
-  const base::Millis Now = m_Time.now();
-  admission::Ticket New;
-  New.m_Request = std::to_string(Index);
+  routing::DispatchRequest New;
+  New.m_Id = attemptId(Index, Of.m_Attempts + 1);
   New.m_Customer = std::to_string(Of.m_Item.m_Customer);
   New.m_Class = Of.m_Item.m_Class;
-  New.m_Work =
-      At.m_Chooser->meanOutput() + PromptTokenWork * Of.m_Item.m_PromptTokens;
   New.m_Deadline = Of.m_Item.m_Deadline;
-  if (m_Options.m_Admission)
-    New.m_RunTime = At.m_Chooser->runTime(Now, queryFor(Of));
-  const admission::Offer Outcome = At.m_Admission->offer(Now, New);
+  New.m_PromptTokens = Of.m_Item.m_PromptTokens;
+  New.m_PrefixBlocks = Of.m_Item.m_Blocks;
+  const admission::Offer Outcome =
+      At.m_Dispatcher->offer(m_Time.now(), std::move(New));
   for (const admission::Refusal &Each : Outcome.m_Displaced)
-    refuse(std::stoul(Each.m_Request));
+    refuse(parseAttempt(Each.m_Request).first);
   if (Outcome.m_Refused)
     refuse(Index);
   else
@@ -255,47 +249,37 @@
 }
 
 void FleetModel::pump(std::uint32_t EntryIndex) {
+  if (!usesChooser(m_Options.m_Policy))
+    return;
   Entry &At = m_Entries[EntryIndex];
-  const base::Millis Now = m_Time.now();
-  if (m_Options.m_Policy == RoutingPolicy::AllSeeing && At.m_Admission->peek())
+  if (m_Options.m_Policy == RoutingPolicy::AllSeeing &&
+      At.m_Dispatcher->queued() > 0)
     lookAtAll(At);
-  while (const admission::Ticket *Next = At.m_Admission->peek()) {
-    const std::size_t Index = std::stoul(Next->m_Request);
-    const routing::Choice Where =
-        At.m_Chooser->choose(Now, queryFor(m_Records[Index]));
-    if (Where.m_Kind != routing::ChoiceKind::Chosen)
-      return;
-    At.m_Admission->take(Now);
+  for (const routing::Dispatch &Each : At.m_Dispatcher->poll(m_Time.now())) {
     const auto Found = std::find_if(
-        m_Replicas.begin(), m_Replicas.end(),
-        [&](const Replica &Each) { return Each.m_Name == Where.m_Replica; });
-    dispatch(Index, static_cast<std::uint32_t>(Found - m_Replicas.begin()),
-             &Where);
+        m_Replicas.begin(), m_Replicas.end(), [&](const Replica &Item) {
+          return Item.m_Name == Each.m_Where.m_Replica;
+        });
+    dispatch(parseAttempt(Each.m_Request).first,
+             static_cast<std::uint32_t>(Found - m_Replicas.begin()));
   }
 }
 
 void FleetModel::housekeep(std::uint32_t EntryIndex) {
   if (usesChooser(m_Options.m_Policy)) {
     Entry &At = m_Entries[EntryIndex];
-    if (m_Options.m_Admission)
-      for (const admission::Refusal &Each :
-           At.m_Admission->expire(m_Time.now()))
-        refuse(std::stoul(Each.m_Request));
+    for (const admission::Refusal &Each : At.m_Dispatcher->expire(m_Time.now()))
+      refuse(parseAttempt(Each.m_Request).first);
     pump(EntryIndex);
   }
   m_Time.after(HousekeepEvery, [this, EntryIndex] { housekeep(EntryIndex); });
 }
 
-void FleetModel::dispatch(std::size_t Index, std::uint32_t ReplicaIndex,
-                          const routing::Choice *Where) {
+void FleetModel::dispatch(std::size_t Index, std::uint32_t ReplicaIndex) {
   RequestRecord &Of = m_Records[Index];
-  Entry &At = m_Entries[Of.m_Entry];
   const std::uint32_t Attempt = ++Of.m_Attempts;
   ++m_AttemptsSent;
   m_Where[Index] = ReplicaIndex;
-  if (Where)
-    At.m_Chooser->started(m_Time.now(), attemptId(Index, Attempt), *Where,
-                          Of.m_Item.m_Blocks);
   m_Time.after(delay(Of.m_Entry, ReplicaIndex),
                [this, Index, Attempt, ReplicaIndex] {
                  submit(Index, Attempt, ReplicaIndex);
@@ -360,7 +344,8 @@
 
 void FleetModel::onFirstToken(std::size_t Index, std::uint32_t Attempt) {
   RequestRecord &Of = m_Records[Index];
-  m_Entries[Of.m_Entry].m_Chooser->firstToken(attemptId(Index, Attempt));
+  m_Entries[Of.m_Entry].m_Dispatcher->chooser().firstToken(
+      attemptId(Index, Attempt));
   if (!Of.m_FirstTokenAt && Attempt == Of.m_Attempts)
     Of.m_FirstTokenAt = m_Time.now() + m_Options.m_Spec.m_ClientDelay;
 }
@@ -370,7 +355,7 @@
   if (Of.m_Closed || Attempt != Of.m_Attempts)
     return;
   Of.m_DoneAt = m_Time.now() + m_Options.m_Spec.m_ClientDelay;
-  m_Entries[Of.m_Entry].m_Chooser->ended(
+  m_Entries[Of.m_Entry].m_Dispatcher->chooser().ended(
       m_Time.now(), attemptId(Index, Attempt), Of.m_Item.m_OutputTokens);
   close(Index);
   pump(Of.m_Entry);
@@ -388,7 +373,7 @@
   if (Of.m_Closed || Attempt != Of.m_Attempts)
     return;
   Entry &At = m_Entries[Of.m_Entry];
-  At.m_Chooser->ended(m_Time.now(), attemptId(Index, Attempt), 0);
+  At.m_Dispatcher->chooser().ended(m_Time.now(), attemptId(Index, Attempt), 0);
   // What the caller saw of a broken attempt isn't part of an answer.
   Of.m_FirstTokenAt.reset();
   const bool Allowed = Of.m_Attempts < m_Options.m_MaxAttempts &&
@@ -405,11 +390,11 @@
     return;
   close(Index);
   Entry &At = m_Entries[Of.m_Entry];
-  At.m_Admission->cancel(m_Time.now(), std::to_string(Index));
+  At.m_Dispatcher->cancel(m_Time.now(), attemptId(Index, Of.m_Attempts + 1));
   if (Of.m_Attempts == 0)
     return;
   const std::string Id = attemptId(Index, Of.m_Attempts);
-  At.m_Chooser->ended(m_Time.now(), Id, 0);
+  At.m_Dispatcher->chooser().ended(m_Time.now(), Id, 0);
   const std::uint32_t ReplicaIndex = m_Where[Index];
   m_Time.after(delay(Of.m_Entry, ReplicaIndex), [this, ReplicaIndex, Id] {
     Replica &From = m_Replicas[ReplicaIndex];
@@ -426,7 +411,7 @@
     Of.m_Engine->restart(m_Time.now());
     for (Entry &Each : m_Entries) {
       Each.m_Reachable[ReplicaIndex] = false;
-      Each.m_Chooser->setReachable(Of.m_Name, false);
+      Each.m_Dispatcher->chooser().setReachable(Of.m_Name, false);
     }
     for (std::size_t Index = 0; Index < m_Records.size(); ++Index) {
       const RequestRecord &Run = m_Records[Index];
@@ -445,7 +430,7 @@
     Of.m_Alive = true;
     for (Entry &Each : m_Entries) {
       Each.m_Reachable[ReplicaIndex] = true;
-      Each.m_Chooser->setReachable(Of.m_Name, true);
+      Each.m_Dispatcher->chooser().setReachable(Of.m_Name, true);
     }
   });
 }
--- a/Source/Bench/FleetModel.h
+++ b/Source/Bench/FleetModel.h
@@ -1,11 +1,10 @@
 #ifndef CORNELDECK_BENCH_FLEETMODEL_H
 #define CORNELDECK_BENCH_FLEETMODEL_H
 
-#include "Admission/AdmissionControl.h"
 #include "Bench/Workload.h"
 #include "Fakes/EngineModel.h"
 #include "Fakes/VirtualTime.h"
-#include "Routing/ReplicaChooser.h"
+#include "Routing/Dispatcher.h"
 #include "Routing/RetryBudget.h"
 
 #include <cstdint>
@@ -40,9 +39,6 @@
   bool m_RetryBudget = true;
   /// Attempts of one request; more than 1 allows retries.
   std::uint32_t m_MaxAttempts = 1;
-  /// Whether the entries' deadlines and queues refuse early (the product) or
-  /// send all requests on at once.
-  bool m_Admission = true;
 };
 
 /// What became of one request.
@@ -105,8 +101,7 @@
   };
   struct Entry {
     std::string m_Zone;
-    std::unique_ptr<routing::ReplicaChooser> m_Chooser;
-    std::unique_ptr<admission::AdmissionControl> m_Admission;
+    std::unique_ptr<routing::Dispatcher> m_Dispatcher;
     std::unique_ptr<routing::RetryBudget> m_Budget;
     std::uint32_t m_NextRoundRobin = 0;
     std::vector<std::uint32_t> m_Reported;
@@ -126,10 +121,8 @@
   void refuse(std::size_t Index);
   void pump(std::uint32_t EntryIndex);
   void housekeep(std::uint32_t EntryIndex);
-  routing::ChoiceQuery queryFor(const RequestRecord &Of) const;
   std::optional<std::uint32_t> chooseBaseline(Entry &At);
-  void dispatch(std::size_t Index, std::uint32_t ReplicaIndex,
-                const routing::Choice *Where);
+  void dispatch(std::size_t Index, std::uint32_t ReplicaIndex);
   void submit(std::size_t Index, std::uint32_t Attempt,
               std::uint32_t ReplicaIndex);
   void scheduleTick(std::uint32_t ReplicaIndex);
@@ -155,9 +148,17 @@
   std::uint64_t m_AttemptsSent = 0;
 };
 
-/// \returns the requests a second that the fleet completes when saturated: a
-/// closed loop without deadlines under the all-seeing router.
-double measureCapacity(const FleetSpec &Spec, std::uint64_t Seed);
+/// What a fleet completes in a second.
+struct Capacity {
+  double m_Requests = 0;
+  /// Answer tokens.
+  double m_Tokens = 0;
+};
+
+/// \returns the most that the fleet completes when saturated: the best of
+/// closed loops of several sizes without deadlines, under the all-seeing router
+/// and under the product's.
+Capacity measureCapacity(const FleetSpec &Spec, std::uint64_t Seed);
 
 } // namespace corneldeck::bench
 
--- a/Source/Bench/RoutingScenario.cpp
+++ b/Source/Bench/RoutingScenario.cpp
@@ -2,6 +2,7 @@
 #include "Bench/Scenarios.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace corneldeck::bench {
@@ -9,11 +10,12 @@
 
 constexpr base::Millis WarmUp = base::seconds(15);
 constexpr base::Millis MeasureFor = base::seconds(40);
+constexpr double MeasureSeconds = 40;
 /// Longer than any deadline, so that every request is decided.
 constexpr base::Millis Drain = base::seconds(15);
 constexpr base::Millis NoDeadline = base::minutes(60);
 /// Requests kept in the fleet to measure its capacity, per place in a batch.
-constexpr double SaturationFactor = 1.25;
+constexpr std::array<double, 3> SaturationFactors = {1.0, 1.25, 1.5};
 constexpr double NormalLoad = 0.85;
 constexpr double Overload = 1.3;
 
@@ -33,13 +35,14 @@
   double m_InTime = 0;
   double m_TtftP95 = 0;
   double m_Goodput = 0;
+  double m_TokenGoodput = 0;
   double m_Hits = 0;
 };
 
 /// Requests and their times in the measured part of a run.
 struct RunResult {
   double m_InTime = 0;
-  double m_GoodputPerSecond = 0;
+  Capacity m_Goodput;
   double m_TtftP95 = 0;
   double m_Hits = 0;
 };
@@ -63,32 +66,36 @@
   Fleet.runUntil(WarmUp + MeasureFor + Drain);
   std::vector<double> Ttft;
   double InTime = 0;
+  double Tokens = 0;
   for (const RequestRecord &Each : Fleet.records()) {
     if (Each.m_Item.m_At < WarmUp)
       continue;
-    InTime += Each.inTime() ? 1 : 0;
-    // A request without a first token counts as slower than any with one.
-    Ttft.push_back(Each.m_FirstTokenAt
-                       ? static_cast<double>(
-                             (*Each.m_FirstTokenAt - Each.m_Item.m_At).count())
-                       : std::numeric_limits<double>::max());
+    if (Each.inTime()) {
+      InTime += 1;
+      Tokens += Each.m_Item.m_OutputTokens;
+    }
+    // A request without a first token counts with all the time it had.
+    const base::Millis First =
+        Each.m_FirstTokenAt.value_or(Each.m_Item.m_Deadline);
+    Ttft.push_back(static_cast<double>((First - Each.m_Item.m_At).count()));
   }
   std::sort(Ttft.begin(), Ttft.end());
   RunResult Result;
   Result.m_InTime = InTime / static_cast<double>(Ttft.size());
-  Result.m_GoodputPerSecond =
-      InTime * 1'000 / static_cast<double>(MeasureFor.count());
+  Result.m_Goodput = {InTime / MeasureSeconds, Tokens / MeasureSeconds};
   Result.m_TtftP95 = Ttft[Ttft.size() * 95 / 100];
   Result.m_Hits = Fleet.prefixHitRatio();
   return Result;
 }
 
 PolicyResult measure(const FleetSpec &Spec, RoutingPolicy Policy,
-                     std::uint64_t Seed, double Capacity) {
-  const RunResult Normal = runAt(Spec, Policy, Seed, NormalLoad * Capacity);
-  const RunResult Over = runAt(Spec, Policy, Seed, Overload * Capacity);
-  return {Normal.m_InTime, Normal.m_TtftP95, Over.m_GoodputPerSecond / Capacity,
-          Normal.m_Hits};
+                     std::uint64_t Seed, const Capacity &Full) {
+  const RunResult Normal =
+      runAt(Spec, Policy, Seed, NormalLoad * Full.m_Requests);
+  const RunResult Over = runAt(Spec, Policy, Seed, Overload * Full.m_Requests);
+  return {Normal.m_InTime, Normal.m_TtftP95,
+          Over.m_Goodput.m_Requests / Full.m_Requests,
+          Over.m_Goodput.m_Tokens / Full.m_Tokens, Normal.m_Hits};
 }
 
 void addRows(ScenarioReport &To, const std::string &Variant,
@@ -98,6 +105,8 @@
   To.m_Measurements.push_back({Variant, "ttft_p95_ms", Of.m_TtftP95, "ms"});
   To.m_Measurements.push_back(
       {Variant, "load_130_goodput_ratio", Of.m_Goodput, "ratio"});
+  To.m_Measurements.push_back(
+      {Variant, "load_130_token_goodput_ratio", Of.m_TokenGoodput, "ratio"});
   To.m_Measurements.push_back(
       {Variant, "prefix_hit_ratio", Of.m_Hits, "ratio"});
 }
@@ -125,15 +134,17 @@
 
 ScenarioReport runRouting(const ScenarioOptions &Options) {
   const FleetSpec Spec = fleetSpec(Options.m_Fleet);
-  const double Capacity = measureCapacity(Spec, Options.m_Seed);
+  const Capacity Full = measureCapacity(Spec, Options.m_Seed);
   ScenarioReport Report;
   Report.m_Measurements.push_back(
-      {"all-seeing", "capacity_per_s", Capacity, "requests/s"});
+      {"saturated", "capacity_per_s", Full.m_Requests, "requests/s"});
+  Report.m_Measurements.push_back(
+      {"saturated", "capacity_tokens_per_s", Full.m_Tokens, "tokens/s"});
   double BestTtft = std::numeric_limits<double>::max();
   double AllSeeingHits = 0;
   PolicyResult Own;
   for (const RoutingPolicy Policy : Policies) {
-    const PolicyResult Result = measure(Spec, Policy, Options.m_Seed, Capacity);
+    const PolicyResult Result = measure(Spec, Policy, Options.m_Seed, Full);
     addRows(Report, policyName(Policy), Result);
     if (isBaseline(Policy))
       BestTtft = std::min(BestTtft, Result.m_TtftP95);
@@ -146,26 +157,45 @@
   return Report;
 }
 
-} // namespace
-
-double measureCapacity(const FleetSpec &Spec, std::uint64_t Seed) {
-  FleetOptions Options = optionsFor(Spec, RoutingPolicy::AllSeeing, Seed);
-  Options.m_Admission = false;
+/// Runs a closed loop without deadlines, so that all batches stay full.
+Capacity saturate(const FleetSpec &Spec, RoutingPolicy Policy,
+                  std::uint64_t Seed, double Factor) {
+  FleetOptions Options = optionsFor(Spec, Policy, Seed);
   FleetModel Fleet(Options);
   Workload Traffic(Spec, Seed);
   const double Places =
       static_cast<double>(Spec.m_Replicas) * Spec.m_Engine.m_MaxBatch;
-  Fleet.closedLoop(static_cast<std::uint32_t>(Places * SaturationFactor),
+  Fleet.closedLoop(static_cast<std::uint32_t>(Places * Factor),
                    [&Traffic](base::Millis Now) {
                      TrafficItem Item = Traffic.draw(Now);
                      Item.m_Deadline = Now + NoDeadline;
                      return Item;
                    });
   Fleet.runUntil(WarmUp + MeasureFor);
-  double Done = 0;
-  for (const RequestRecord &Each : Fleet.records())
-    Done += Each.m_DoneAt && *Each.m_DoneAt >= WarmUp ? 1 : 0;
-  return Done * 1'000 / static_cast<double>(MeasureFor.count());
+  Capacity Found;
+  for (const RequestRecord &Each : Fleet.records()) {
+    if (!Each.m_DoneAt || *Each.m_DoneAt < WarmUp)
+      continue;
+    Found.m_Requests += 1;
+    Found.m_Tokens += Each.m_Item.m_OutputTokens;
+  }
+  Found.m_Requests /= MeasureSeconds;
+  Found.m_Tokens /= MeasureSeconds;
+  return Found;
+}
+
+} // namespace
+
+Capacity measureCapacity(const FleetSpec &Spec, std::uint64_t Seed) {
+  Capacity Best;
+  for (const RoutingPolicy Policy :
+       {RoutingPolicy::AllSeeing, RoutingPolicy::Corneldeck})
+    for (const double Factor : SaturationFactors) {
+      const Capacity Found = saturate(Spec, Policy, Seed, Factor);
+      Best.m_Requests = std::max(Best.m_Requests, Found.m_Requests);
+      Best.m_Tokens = std::max(Best.m_Tokens, Found.m_Tokens);
+    }
+  return Best;
 }
 
 Scenario routingScenario() {
--- /dev/null
+++ b/Source/Routing/Dispatcher.cpp
@@ -0,0 +1,110 @@
+#include "Routing/Dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corneldeck::routing {
+
+Dispatcher::Dispatcher(const DispatcherSettings &Settings, std::string Zone,
+                       std::uint64_t Seed)
+    : m_Settings(Settings), m_Admission(Settings.m_Admission),
+      m_Chooser(Settings.m_Chooser, std::move(Zone), Seed) {}
+
+ChoiceQuery Dispatcher::queryFor(const DispatchRequest &Request) {
+  ChoiceQuery Query;
+  Query.m_PromptTokens = Request.m_PromptTokens;
+  Query.m_OutputTokens = Request.m_OutputTokens;
+  Query.m_PrefixBlocks = Request.m_PrefixBlocks;
+  Query.m_Excluded = Request.m_Excluded;
+  return Query;
+}
+
+ChoiceQuery Dispatcher::queryFor(base::Millis Now, Queued &Waiting) const {
+  ChoiceQuery Query = queryFor(Waiting.m_Request);
+  if (!Waiting.m_RunsAt || Now - *Waiting.m_RunsAt > m_Settings.m_RunsFor) {
+    Waiting.m_Runs =
+        m_Chooser.prefixes().cachedRuns(Now, Waiting.m_Request.m_PrefixBlocks);
+    Waiting.m_RunsAt = Now;
+  }
+  Query.m_KnownRuns = &Waiting.m_Runs;
+  return Query;
+}
+
+admission::Offer Dispatcher::offer(base::Millis Now, DispatchRequest Request) {
+  admission::Ticket New;
+  New.m_Request = Request.m_Id;
+  New.m_Customer = Request.m_Customer;
+  New.m_Class = Request.m_Class;
+  const double Output = Request.m_OutputTokens > 0 ? Request.m_OutputTokens
+                                                   : m_Chooser.meanOutput();
+  New.m_Work = Output + m_Settings.m_PromptTokenWork * Request.m_PromptTokens;
+  New.m_Deadline = Request.m_Deadline;
+  New.m_RunTime = m_Chooser.runTime(Now, queryFor(Request));
+  admission::Offer Outcome = m_Admission.offer(Now, std::move(New));
+  for (const admission::Refusal &Each : Outcome.m_Displaced)
+    m_Queued.erase(Each.m_Request);
+  if (!Outcome.m_Refused) {
+    const std::string Id = Request.m_Id;
+    m_Queued[Id].m_Request = std::move(Request);
+  }
+  return Outcome;
+}
+
+std::vector<Dispatch> Dispatcher::poll(base::Millis Now) {
+  std::vector<Dispatch> Sent;
+  if (m_Queued.empty() || !m_Chooser.anyHasRoom())
+    return Sent;
+  std::vector<std::string> Window;
+  for (const admission::Ticket *Each : m_Admission.next(m_Settings.m_Window))
+    Window.push_back(Each->m_Request);
+  for (const std::string &Request : Window)
+    trySend(Now, Request, Sent);
+  // A window that was sent whole may have more behind it.
+  if (!Window.empty() && Sent.size() == Window.size()) {
+    std::vector<Dispatch> More = poll(Now);
+    Sent.insert(Sent.end(), std::make_move_iterator(More.begin()),
+                std::make_move_iterator(More.end()));
+  }
+  return Sent;
+}
+
+base::Millis Dispatcher::spillTime(base::Millis Now,
+                                   const DispatchRequest &Request) const {
+  const auto Left = static_cast<double>((Request.m_Deadline - Now).count());
+  const auto Share =
+      base::Millis(static_cast<std::int64_t>(Left * m_Settings.m_SpillShare));
+  return Now + std::min(m_Settings.m_SpillAfter, Share);
+}
+
+bool Dispatcher::trySend(base::Millis Now, const std::string &Request,
+                         std::vector<Dispatch> &Sent) {
+  Queued &Waiting = m_Queued.at(Request);
+  const bool Spills = Waiting.m_SpillAt && Now >= *Waiting.m_SpillAt;
+  Choice Where =
+      m_Chooser.choose(Now, queryFor(Now, Waiting),
+                       Spills ? Patience::AnyHasRoom : Patience::BestHasRoom);
+  if (Where.m_Kind != ChoiceKind::Chosen) {
+    if (!Waiting.m_SpillAt)
+      Waiting.m_SpillAt = spillTime(Now, Waiting.m_Request);
+    return false;
+  }
+  m_Admission.take(Now, Request);
+  m_Chooser.started(Now, Request, Where, Waiting.m_Request.m_PrefixBlocks);
+  Sent.push_back({Request, std::move(Where)});
+  m_Queued.erase(Request);
+  return true;
+}
+
+std::vector<admission::Refusal> Dispatcher::expire(base::Millis Now) {
+  std::vector<admission::Refusal> Given = m_Admission.expire(Now);
+  for (const admission::Refusal &Each : Given)
+    m_Queued.erase(Each.m_Request);
+  return Given;
+}
+
+bool Dispatcher::cancel(base::Millis Now, const std::string &Request) {
+  m_Queued.erase(Request);
+  return m_Admission.cancel(Now, Request);
+}
+
+} // namespace corneldeck::routing
--- a/Source/Routing/ReplicaChooser.cpp
+++ b/Source/Routing/ReplicaChooser.cpp
@@ -1,9 +1,16 @@
 #include "Routing/ReplicaChooser.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace corneldeck::routing {
+namespace {
+
+/// How far an answer longer than most lies above the mean.
+constexpr double LongDeviations = 2;
+
+} // namespace
 
 ReplicaChooser::ReplicaChooser(const ChooserSettings &Settings,
                                std::string Zone, std::uint64_t Seed)
@@ -61,17 +68,30 @@
                                   : static_cast<std::uint32_t>(m_MeanOutput);
 }
 
-ReplicaChooser::Candidate ReplicaChooser::weigh(base::Millis Now,
-                                                const std::string &Name,
-                                                const Replica &Of,
-                                                const AttemptSize &Size) const {
+ServiceLoad ReplicaChooser::serviceLoad() const {
+  double Reported = 0;
+  double Own = 0;
+  for (const auto &[Name, Of] : m_Replicas) {
+    if (!isOpen(Of))
+      continue;
+    Reported += Of.m_Load.reportedSequences();
+    Own += static_cast<double>(Of.m_Load.ownAttempts());
+  }
+  return {m_MeanOutput, std::max(Reported / std::max(Own, 1.0), 1.0)};
+}
+
+ReplicaChooser::Candidate
+ReplicaChooser::weigh(base::Millis Now, const std::string &Name,
+                      const Replica &Of, const AttemptSize &Size,
+                      const ServiceLoad &Service) const {
   Candidate Item;
   Item.m_Name = Name;
   Item.m_Size = Size;
-  Item.m_Prediction = Of.m_Load.predict(Now, Size, m_MeanOutput);
-  const auto Prefill = static_cast<double>(Item.m_Prediction.m_Prefill.count());
+  Item.m_Prediction = Of.m_Load.predict(Now, Size, Service);
+  const auto Others =
+      static_cast<double>(Item.m_Prediction.m_CostToOthers.count());
   Item.m_Cost = static_cast<double>(Item.m_Prediction.m_Completion.count()) +
-                (m_Settings.m_PrefillWeight - 1) * Prefill;
+                m_Settings.m_OthersWeight * Others;
   if (Of.m_Zone != m_Zone)
     Item.m_Cost += static_cast<double>(m_Settings.m_ZoneCost.count());
   const base::Millis Age = Now - Of.m_Load.reportedAt();
@@ -82,7 +102,11 @@
 
 std::vector<ReplicaChooser::Candidate>
 ReplicaChooser::candidates(base::Millis Now, const ChoiceQuery &Query) const {
-  const auto Runs = m_Prefixes.cachedRuns(Now, Query.m_PrefixBlocks);
+  std::map<std::string, std::size_t> Found;
+  if (Query.m_KnownRuns == nullptr)
+    Found = m_Prefixes.cachedRuns(Now, Query.m_PrefixBlocks);
+  const auto &Runs = Query.m_KnownRuns ? *Query.m_KnownRuns : Found;
+  const ServiceLoad Service = serviceLoad();
   std::vector<Candidate> All;
   for (const auto &[Name, Of] : m_Replicas) {
     if (!isOpen(Of) || Query.m_Excluded.contains(Name))
@@ -93,7 +117,7 @@
         Query.m_PromptTokens,
         static_cast<std::uint32_t>(Blocks * m_Settings.m_BlockTokens),
         outputTokens(Query)};
-    All.push_back(weigh(Now, Name, Of, Size));
+    All.push_back(weigh(Now, Name, Of, Size, Service));
   }
   return All;
 }
@@ -112,19 +136,33 @@
   return *Close[m_Random.below(Close.size())];
 }
 
+bool ReplicaChooser::anyHasRoom() const {
+  const ServiceLoad Service = serviceLoad();
+  return std::any_of(m_Replicas.begin(), m_Replicas.end(),
+                     [&](const auto &Item) {
+                       const Replica &Of = Item.second;
+                       return isOpen(Of) && Of.m_Load.predictWait(Service) <=
+                                                m_Settings.m_MaxReplicaWait;
+                     });
+}
+
+bool ReplicaChooser::hasRoom(const Candidate &Of) const {
+  return Of.m_Prediction.m_Wait <= m_Settings.m_MaxReplicaWait;
+}
+
 Choice ReplicaChooser::choose(base::Millis Now, const ChoiceQuery &Query,
-                              bool MayHold) {
+                              Patience Until) {
   std::vector<Candidate> All = candidates(Now, Query);
   if (All.empty())
     return {};
-  if (MayHold) {
-    std::erase_if(All, [this](const Candidate &Each) {
-      return Each.m_Prediction.m_Wait > m_Settings.m_MaxReplicaWait;
-    });
-    if (All.empty())
-      return {ChoiceKind::Busy, {}, {}, {}};
-  }
+  if (Until == Patience::AnyHasRoom)
+    std::erase_if(All,
+                  [this](const Candidate &Each) { return !hasRoom(Each); });
+  if (All.empty())
+    return {ChoiceKind::Busy, {}, {}, {}};
   const Candidate &Drawn = draw(All);
+  if (Until == Patience::BestHasRoom && !hasRoom(Drawn))
+    return {ChoiceKind::Busy, {}, {}, {}};
   return {ChoiceKind::Chosen, Drawn.m_Name, Drawn.m_Size, Drawn.m_Prediction};
 }
 
@@ -157,15 +195,23 @@
   if (Replica != m_Replicas.end())
     Replica->second.m_Load.ended(Now, Attempt);
   m_Attempts.erase(Found);
-  if (OutputTokens > 0)
-    m_MeanOutput += m_Settings.m_OutputWeight * (OutputTokens - m_MeanOutput);
+  if (OutputTokens == 0)
+    return;
+  const double Off = OutputTokens - m_MeanOutput;
+  m_MeanOutput += m_Settings.m_OutputWeight * Off;
+  m_OutputVariance +=
+      m_Settings.m_OutputWeight * (Off * Off - m_OutputVariance);
 }
 
 base::Millis ReplicaChooser::runTime(base::Millis Now,
                                      const ChoiceQuery &Query) const {
+  ChoiceQuery Long = Query;
+  if (Query.m_OutputTokens == 0)
+    Long.m_OutputTokens = static_cast<std::uint32_t>(
+        m_MeanOutput + LongDeviations * std::sqrt(m_OutputVariance));
   base::Millis Best{};
   bool Any = false;
-  for (const Candidate &Each : candidates(Now, Query)) {
+  for (const Candidate &Each : candidates(Now, Long)) {
     const base::Millis Span =
         Each.m_Prediction.m_Completion - Each.m_Prediction.m_Wait;
     Best = Any ? std::min(Best, Span) : Span;
--- a/Source/Routing/ReplicaChooser.h
+++ b/Source/Routing/ReplicaChooser.h
@@ -28,11 +28,11 @@
   base::Millis m_MarginSpan{4};
   /// What a request in another availability zone costs more.
   base::Millis m_ZoneCost{2};
-  /// Weight of the prompt's computing, which also slows the others there.
-  double m_PrefillWeight = 2.0;
-  /// A request is held back while every replica is predicted to let it wait
-  /// for longer than this.
-  base::Millis m_MaxReplicaWait{100};
+  /// Weight of what a request costs the others at a replica.
+  double m_OthersWeight = 3.0;
+  /// A replica has room while it is predicted to let a request wait for at most
+  /// this.
+  base::Millis m_MaxReplicaWait{300};
   /// A replica without a report for this long is chosen only as a last resort.
   base::Millis m_StaleAfter = base::seconds(3);
   /// Weight of a new answer's length against the mean so far.
@@ -52,13 +52,23 @@
   std::uint32_t m_OutputTokens = 0;
   /// Hashes of the prompt's full blocks, each over all blocks before it.
   std::span<const std::uint64_t> m_PrefixBlocks = {};
+  /// Cached runs looked up before, to be used again; see
+  /// PrefixIndex::cachedRuns. Without it they are looked up.
+  const std::map<std::string, std::size_t> *m_KnownRuns = nullptr;
   /// Replicas that must not be chosen, such as those that failed it.
   std::set<std::string> m_Excluded = {};
 };
 
+/// What a request is ready to wait for.
+enum class Patience {
+  BestHasRoom, ///< For room at the replica that is best for it.
+  AnyHasRoom,  ///< For room at any replica.
+  None         ///< For nothing: the best replica is taken even if it is full.
+};
+
 enum class ChoiceKind {
   Chosen, ///< A replica was chosen.
-  Busy,   ///< All are full; try again after a report or an ended attempt.
+  Busy,   ///< It has to wait for a report or an ended attempt.
   None    ///< No replica is in service.
 };
 
@@ -100,9 +110,8 @@
   void setReachable(const std::string &Replica, bool Reachable);
 
   /// Chooses a replica; started() must follow if the attempt is sent.
-  /// \param MayHold false chooses the best replica even if all are full.
   Choice choose(base::Millis Now, const ChoiceQuery &Query,
-                bool MayHold = true);
+                Patience Until = Patience::BestHasRoom);
 
   /// An attempt was sent to the replica of \p Where.
   void started(base::Millis Now, const std::string &Attempt,
@@ -117,10 +126,17 @@
   void ended(base::Millis Now, const std::string &Attempt,
              std::uint32_t OutputTokens);
 
-  /// \returns the predicted time of a run without any wait.
+  /// \returns the predicted time of a run without any wait, for an answer
+  /// longer than most: the mean and twice the deviation of earlier ones.
   [[nodiscard]] base::Millis runTime(base::Millis Now,
                                      const ChoiceQuery &Query) const;
 
+  /// \returns whether any replica in service has room.
+  [[nodiscard]] bool anyHasRoom() const;
+
+  /// \returns what is known of the replicas' prefix caches.
+  [[nodiscard]] const PrefixIndex &prefixes() const { return m_Prefixes; }
+
   /// \returns the mean tokens of earlier answers.
   [[nodiscard]] double meanOutput() const { return m_MeanOutput; }
 
@@ -142,11 +158,13 @@
 
   [[nodiscard]] bool isOpen(const Replica &Of) const;
   [[nodiscard]] std::uint32_t outputTokens(const ChoiceQuery &Query) const;
+  [[nodiscard]] ServiceLoad serviceLoad() const;
   [[nodiscard]] Candidate weigh(base::Millis Now, const std::string &Name,
-                                const Replica &Of,
-                                const AttemptSize &Size) const;
+                                const Replica &Of, const AttemptSize &Size,
+                                const ServiceLoad &Service) const;
   [[nodiscard]] std::vector<Candidate>
   candidates(base::Millis Now, const ChoiceQuery &Query) const;
+  [[nodiscard]] bool hasRoom(const Candidate &Of) const;
   const Candidate &draw(const std::vector<Candidate> &From);
 
   ChooserSettings m_Settings;
@@ -157,6 +175,7 @@
   /// The replica of each attempt.
   std::unordered_map<std::string, std::string> m_Attempts;
   double m_MeanOutput = 100;
+  double m_OutputVariance = 2'500;
 };
 
 } // namespace corneldeck::routing
--- a/Source/Routing/ReplicaLoad.cpp
+++ b/Source/Routing/ReplicaLoad.cpp
@@ -33,6 +33,7 @@
   m_HasReport = true;
   m_ReportedAt = Now;
   m_Ended.erase(m_Ended.begin(), m_Ended.upper_bound(coveredUntil()));
+  countSequences();
 }
 
 base::Millis ReplicaLoad::coveredUntil() const {
@@ -41,54 +42,79 @@
 
 void ReplicaLoad::started(base::Millis Now, const std::string &Attempt,
                           const AttemptSize &Size) {
-  m_Own[Attempt] = {Now, Size, false};
+  const auto [Item, IsNew] = m_Own.try_emplace(Attempt, Own{Now, Size, false});
+  if (!IsNew)
+    return;
+  m_OwnPrompt += uncached(Size);
+  countSequences();
 }
 
 void ReplicaLoad::firstToken(const std::string &Attempt) {
   const auto Found = m_Own.find(Attempt);
-  if (Found != m_Own.end())
-    Found->second.m_HasToken = true;
+  if (Found == m_Own.end() || Found->second.m_HasToken)
+    return;
+  Found->second.m_HasToken = true;
+  m_OwnPrompt -= uncached(Found->second.m_Size);
 }
 
 void ReplicaLoad::ended(base::Millis Now, const std::string &Attempt) {
   const auto Found = m_Own.find(Attempt);
   if (Found == m_Own.end())
     return;
+  firstToken(Attempt);
   m_Ended.emplace(Now, Found->second.m_SentAt);
   m_Own.erase(Found);
+  countSequences();
 }
 
-double ReplicaLoad::sequences() const {
+void ReplicaLoad::countSequences() {
   double Count = m_Report.m_Running + m_Report.m_Queued;
   for (const auto &[Attempt, Item] : m_Own)
-    if (!m_HasReport || Item.m_SentAt > coveredUntil())
+    if (!m_HasReport || Item.m_SentAt >= coveredUntil())
       Count += 1;
   for (const auto &[EndedAt, SentAt] : m_Ended)
-    if (m_HasReport && SentAt <= coveredUntil())
+    if (m_HasReport && SentAt < coveredUntil())
       Count -= 1;
-  return std::max(Count, 0.0);
+  m_Sequences = std::max(Count, 0.0);
+}
+
+double ReplicaLoad::sequences(const ServiceLoad &Service) const {
+  const double Scaled =
+      static_cast<double>(m_Own.size()) * Service.m_RequestsPerOwn;
+  return m_Settings.m_OwnWeight * Scaled +
+         (1 - m_Settings.m_OwnWeight) * m_Sequences;
+}
+
+/// \returns the step time of a batch that is filled to this part.
+double ReplicaLoad::stepMicros(double Filled) const {
+  const double Fixed = m_Settings.m_FixedStepShare;
+  return m_StepMicros * (Fixed + (1 - Fixed) * Filled);
+}
+
+base::Millis ReplicaLoad::predictWait(const ServiceLoad &Service) const {
+  const double Sequences = sequences(Service);
+  const double Capacity = std::max(m_Report.m_Capacity, 1U);
+  if (!m_HasReport || Sequences < Capacity)
+    return base::Millis(0);
+  const double Runs = (Sequences - Capacity + 1) / Capacity;
+  return toMillis(Runs * Service.m_MeanOutput * stepMicros(1));
 }
 
 Prediction ReplicaLoad::predict(base::Millis Now, const AttemptSize &Size,
-                                double MeanOutput) const {
-  const double Sequences = sequences();
-  const auto Capacity = static_cast<double>(m_Report.m_Capacity);
-  double WaitMicros = 0;
-  if (Capacity > 0 && Sequences >= Capacity)
-    WaitMicros =
-        (Sequences - Capacity + 1) / Capacity * MeanOutput * m_StepMicros;
-  double Prompt = uncached(Size);
-  const double OwnPrompt = Prompt;
-  for (const auto &[Attempt, Item] : m_Own)
-    if (!Item.m_HasToken)
-      Prompt += uncached(Item.m_Size);
+                                const ServiceLoad &Service) const {
+  const double Capacity = std::max(m_Report.m_Capacity, 1U);
+  const double Filled = std::min(sequences(Service) / Capacity, 1.0);
+  const double Step = stepMicros(Filled);
   const double PerToken = m_StepMicros / m_Settings.m_PrefillTokensPerStep;
-  const double First = WaitMicros + m_StepMicros + Prompt * PerToken;
+  const double Prefill = uncached(Size) * PerToken;
+  const double Decode = Size.m_OutputTokens * Step;
+  const double Share = Decode * (1 - m_Settings.m_FixedStepShare) / Capacity;
   Prediction Result;
-  Result.m_Wait = toMillis(WaitMicros);
-  Result.m_Prefill = toMillis(OwnPrompt * PerToken);
-  Result.m_FirstToken = toMillis(First);
-  Result.m_Completion = toMillis(First + Size.m_OutputTokens * m_StepMicros);
+  Result.m_Wait = predictWait(Service);
+  Result.m_FirstToken =
+      Result.m_Wait + toMillis(Step + Prefill + m_OwnPrompt * PerToken);
+  Result.m_Completion = Result.m_FirstToken + toMillis(Decode);
+  Result.m_CostToOthers = toMillis(Filled * Capacity * (Prefill + Share));
   // A report that is older than usual says less and less.
   if (m_HasReport)
     Result.m_Completion += (Now - m_ReportedAt) / 2;
--- a/Source/Routing/ReplicaLoad.h
+++ b/Source/Routing/ReplicaLoad.h
@@ -40,8 +40,17 @@
   base::Millis m_Wait{};
   base::Millis m_FirstToken{};
   base::Millis m_Completion{};
-  /// Time that computing its prompt takes from the whole batch.
-  base::Millis m_Prefill{};
+  /// What it costs the other sequences there, summed up: its prompt's
+  /// computing and its place in the batch make their steps longer.
+  base::Millis m_CostToOthers{};
+};
+
+/// What an entry knows of all replicas of a service together.
+struct ServiceLoad {
+  /// Mean tokens of the answers.
+  double m_MeanOutput = 100;
+  /// Requests at all replicas for each of this entry's own.
+  double m_RequestsPerOwn = 1;
 };
 
 /// How predictions are made.
@@ -53,7 +62,12 @@
   /// Step time assumed before a report came.
   std::int64_t m_DefaultStepMicros = 6'000;
   /// Weight of a new report's step time against the earlier ones.
-  double m_StepWeight = 0.2;
+  double m_StepWeight = 0.1;
+  /// Weight of the entry's own attempts, scaled up to all entries, against the
+  /// reports. Own counts are fresh; the reports know of all entries.
+  double m_OwnWeight = 0.5;
+  /// Part of the step time that is the same for an empty and a full batch.
+  double m_FixedStepShare = 0.7;
 };
 
 /// One entry's view of the load of one replica: the last report, corrected by
@@ -70,12 +84,19 @@
   void firstToken(const std::string &Attempt);
   void ended(base::Millis Now, const std::string &Attempt);
 
-  /// \param MeanOutput mean tokens of the answers at this replica.
+  /// \param Service what is known of all replicas together.
   [[nodiscard]] Prediction predict(base::Millis Now, const AttemptSize &Size,
-                                   double MeanOutput) const;
+                                   const ServiceLoad &Service) const;
+
+  /// \returns how many requests run or wait there by the last report and own
+  /// attempts since.
+  [[nodiscard]] double reportedSequences() const { return m_Sequences; }
+
+  /// \returns the time until a request sent now has a place in the batch.
+  [[nodiscard]] base::Millis predictWait(const ServiceLoad &Service) const;
 
-  /// \returns how many requests run or wait there, as far as known.
-  [[nodiscard]] double sequences() const;
+  /// \returns own attempts that have not ended.
+  [[nodiscard]] std::size_t ownAttempts() const { return m_Own.size(); }
 
   [[nodiscard]] const ReplicaReport &lastReport() const { return m_Report; }
   [[nodiscard]] bool hasReport() const { return m_HasReport; }
@@ -89,6 +110,9 @@
   };
 
   [[nodiscard]] base::Millis coveredUntil() const;
+  [[nodiscard]] double sequences(const ServiceLoad &Service) const;
+  [[nodiscard]] double stepMicros(double Filled) const;
+  void countSequences();
 
   LoadSettings m_Settings;
   ReplicaReport m_Report;
@@ -96,6 +120,9 @@
   base::Millis m_ReportedAt{};
   double m_StepMicros;
   std::map<std::string, Own> m_Own;
+  /// Prompt tokens of own attempts that have no token yet.
+  double m_OwnPrompt = 0;
+  double m_Sequences = 0;
   /// When own attempts ended that the last report still counts.
   std::multimap<base::Millis, base::Millis> m_Ended;
 };
