--- a/Tests/Fakes/EngineModelTest.cpp
+++ b/Tests/Fakes/EngineModelTest.cpp
@@ -138,7 +138,7 @@
   for (int Number = 0; Number < 40; ++Number) {
     EngineRequest New = request("r" + std::to_string(Number), 128, 1);
     New.m_PrefixBlocks = blocks(1'000 + 10 * Number, 2);
-    Engine.submit(Millis(50 * Number), New);
+    Engine.submit(Millis(50) * Number, New);
   }
   EXPECT_TRUE(Engine.cacheEvents(Millis(10), 0).m_Added.empty());
   Engine.advance(Millis(5'000));
