--- a/Source/Bench/FleetModel.cpp
+++ b/Source/Bench/FleetModel.cpp
@@ -8,8 +8,14 @@
 
 constexpr base::Millis ReportEvery(100);
 constexpr base::Millis HousekeepEvery(50);
-/// How long a broken connection takes to be noticed.
-constexpr base::Millis BreakDelay(1);
+/// How long an agent takes to say that a run failed.
+constexpr base::Millis FailDelay(1);
+/// How long the entries take to find a silent connection, and agents to find
+/// that their engine is lost.
+constexpr base::Millis NoticeAfter(1'500);
+constexpr base::Millis ReconnectAfter(500);
+constexpr base::Millis GossipEvery(200);
+const std::string LimitedService = "model";
 /// The all-seeing router doesn't see what is still on the wire.
 constexpr base::Millis TrueReportLag(2);
 
@@ -92,6 +98,14 @@
     New.m_Dispatcher->chooser().setReplicas(Infos);
     New.m_Budget =
         std::make_unique<routing::RetryBudget>(routing::RetryBudgetSettings{});
+    New.m_Limits =
+        std::make_unique<admission::LimitShares>(admission::LimitSettings{});
+    if (m_Options.m_Limit) {
+      const LimitOptions &Limit = *m_Options.m_Limit;
+      New.m_Limits->setLimit(
+          base::Millis(0), {LimitedService, std::to_string(Limit.m_Customer)},
+          Limit.m_PerSecond, Limit.m_Alone ? 1 : Spec.m_Entries);
+    }
     New.m_NextRoundRobin =
         static_cast<std::uint32_t>(m_Random.below(m_Replicas.size()));
     New.m_Reported.assign(m_Replicas.size(), 0);
@@ -105,6 +119,8 @@
   for (std::uint32_t At = 0; At < m_Entries.size(); ++At) {
     const base::Millis First(7 * At);
     m_Time.after(First, [this, At] { housekeep(At); });
+    if (m_Options.m_Limit && !m_Options.m_Limit->m_Alone)
+      m_Time.after(First, [this, At] { gossip(At); });
     for (std::uint32_t Of = 0; Of < m_Replicas.size(); ++Of) {
       const auto Phase = static_cast<std::int64_t>(
           m_Random.below(static_cast<std::uint64_t>(ReportEvery.count())));
@@ -115,7 +131,7 @@
 
 void FleetModel::reportTo(std::uint32_t EntryIndex,
                           std::uint32_t ReplicaIndex) {
-  if (m_Replicas[ReplicaIndex].m_Alive)
+  if (m_Replicas[ReplicaIndex].m_Reports)
     takeReport(EntryIndex, ReplicaIndex);
   m_Time.after(ReportEvery, [this, EntryIndex, ReplicaIndex] {
     reportTo(EntryIndex, ReplicaIndex);
@@ -158,7 +174,7 @@
 void FleetModel::lookAtAll(Entry &At) {
   const auto Index = static_cast<std::uint32_t>(&At - m_Entries.data());
   for (std::uint32_t Of = 0; Of < m_Replicas.size(); ++Of)
-    if (m_Replicas[Of].m_Alive)
+    if (m_Replicas[Of].m_Reports)
       takeReport(Index, Of);
 }
 
@@ -189,10 +205,42 @@
   Entry &At = m_Entries[Of.m_Entry];
   const base::Millis Left = Of.m_Item.m_Deadline - m_Time.now();
   m_Time.after(Left, [this, Index] { onDeadline(Index); });
+  if (!isWithinLimit(Index)) {
+    Of.m_OverLimit = true;
+    refuse(Index);
+    return;
+  }
   At.m_Budget->firstAttempt();
   offer(Index);
 }
 
+bool FleetModel::isWithinLimit(std::size_t Index) {
+  const RequestRecord &Of = m_Records[Index];
+  if (!m_Options.m_Limit)
+    return true;
+  const admission::LimitKey Key{LimitedService,
+                                std::to_string(Of.m_Item.m_Customer)};
+  return m_Entries[Of.m_Entry]
+      .m_Limits->admit(m_Time.now(), Key, 1)
+      .has_value();
+}
+
+void FleetModel::gossip(std::uint32_t From) {
+  for (std::uint32_t To = 0; To < m_Entries.size(); ++To) {
+    if (To == From)
+      continue;
+    const admission::LimitGossip Message =
+        m_Entries[From].m_Limits->gossipFor(m_Time.now(), std::to_string(To));
+    if (m_Entries[From].m_Cut || m_Entries[To].m_Cut)
+      continue;
+    m_Time.after(m_Options.m_Spec.m_ZoneDelay, [this, From, To, Message] {
+      m_Entries[To].m_Limits->receive(m_Time.now(), std::to_string(From),
+                                      Message);
+    });
+  }
+  m_Time.after(GossipEvery, [this, From] { gossip(From); });
+}
+
 void FleetModel::offer(std::size_t Index) {
   RequestRecord &Of = m_Records[Index];
   Entry &At = m_Entries[Of.m_Entry];
@@ -211,6 +259,7 @@
   New.m_Deadline = Of.m_Item.m_Deadline;
   New.m_PromptTokens = Of.m_Item.m_PromptTokens;
   New.m_PrefixBlocks = Of.m_Item.m_Blocks;
+  New.m_Excluded = Of.m_FailedAt;
   const admission::Offer Outcome =
       At.m_Dispatcher->offer(m_Time.now(), std::move(New));
   for (const admission::Refusal &Each : Outcome.m_Displaced)
@@ -278,8 +327,8 @@
 void FleetModel::dispatch(std::size_t Index, std::uint32_t ReplicaIndex) {
   RequestRecord &Of = m_Records[Index];
   const std::uint32_t Attempt = ++Of.m_Attempts;
-  ++m_AttemptsSent;
   m_Where[Index] = ReplicaIndex;
+  Of.m_Running = true;
   m_Time.after(delay(Of.m_Entry, ReplicaIndex),
                [this, Index, Attempt, ReplicaIndex] {
                  submit(Index, Attempt, ReplicaIndex);
@@ -290,8 +339,10 @@
                         std::uint32_t ReplicaIndex) {
   const RequestRecord &Of = m_Records[Index];
   Replica &To = m_Replicas[ReplicaIndex];
-  if (!To.m_Alive) {
-    m_Time.after(BreakDelay,
+  if (To.m_Gone == GoneKind::Silent)
+    return;
+  if (To.m_Gone == GoneKind::Failing) {
+    m_Time.after(delay(Of.m_Entry, ReplicaIndex) + FailDelay,
                  [this, Index, Attempt] { onBroken(Index, Attempt); });
     return;
   }
@@ -370,10 +421,12 @@
 
 void FleetModel::onBroken(std::size_t Index, std::uint32_t Attempt) {
   RequestRecord &Of = m_Records[Index];
-  if (Of.m_Closed || Attempt != Of.m_Attempts)
+  if (Of.m_Closed || Attempt != Of.m_Attempts || !Of.m_Running)
     return;
   Entry &At = m_Entries[Of.m_Entry];
-  At.m_Dispatcher->chooser().ended(m_Time.now(), attemptId(Index, Attempt), 0);
+  Of.m_Running = false;
+  Of.m_FailedAt.insert(m_Replicas[m_Where[Index]].m_Name);
+  At.m_Dispatcher->chooser().failed(m_Time.now(), attemptId(Index, Attempt));
   // What the caller saw of a broken attempt isn't part of an answer.
   Of.m_FirstTokenAt.reset();
   const bool Allowed = Of.m_Attempts < m_Options.m_MaxAttempts &&
@@ -404,30 +457,48 @@
   pump(Of.m_Entry);
 }
 
-void FleetModel::killReplica(base::Millis At, std::uint32_t ReplicaIndex) {
-  m_Time.after(At - m_Time.now(), [this, ReplicaIndex] {
+void FleetModel::killReplica(base::Millis At, std::uint32_t ReplicaIndex,
+                             GoneKind Kind) {
+  m_Time.after(At - m_Time.now(), [this, ReplicaIndex, Kind] {
     Replica &Of = m_Replicas[ReplicaIndex];
-    Of.m_Alive = false;
+    Of.m_Gone = Kind;
+    Of.m_Reports = Kind == GoneKind::Failing;
     Of.m_Engine->restart(m_Time.now());
-    for (Entry &Each : m_Entries) {
-      Each.m_Reachable[ReplicaIndex] = false;
-      Each.m_Dispatcher->chooser().setReachable(Of.m_Name, false);
-    }
-    for (std::size_t Index = 0; Index < m_Records.size(); ++Index) {
-      const RequestRecord &Run = m_Records[Index];
-      if (Run.m_Closed || Run.m_Attempts == 0 || m_Where[Index] != ReplicaIndex)
-        continue;
-      m_Time.after(BreakDelay, [this, Index, Attempt = Run.m_Attempts] {
-        onBroken(Index, Attempt);
-      });
-    }
+    if (Kind == GoneKind::Failing)
+      breakRuns(ReplicaIndex);
+    m_Time.after(NoticeAfter,
+                 [this, ReplicaIndex] { noticeGone(ReplicaIndex); });
   });
 }
 
+void FleetModel::noticeGone(std::uint32_t ReplicaIndex) {
+  Replica &Of = m_Replicas[ReplicaIndex];
+  Of.m_Reports = false;
+  for (Entry &Each : m_Entries) {
+    Each.m_Reachable[ReplicaIndex] = false;
+    Each.m_Dispatcher->chooser().setReachable(Of.m_Name, false);
+  }
+  breakRuns(ReplicaIndex);
+}
+
+void FleetModel::breakRuns(std::uint32_t ReplicaIndex) {
+  for (std::size_t Index = 0; Index < m_Records.size(); ++Index) {
+    const RequestRecord &Run = m_Records[Index];
+    if (Run.m_Closed || !Run.m_Running || m_Where[Index] != ReplicaIndex)
+      continue;
+    m_Time.after(FailDelay, [this, Index, Attempt = Run.m_Attempts] {
+      onBroken(Index, Attempt);
+    });
+  }
+}
+
 void FleetModel::returnReplica(base::Millis At, std::uint32_t ReplicaIndex) {
   m_Time.after(At - m_Time.now(), [this, ReplicaIndex] {
+    m_Replicas[ReplicaIndex].m_Gone = GoneKind::No;
+  });
+  m_Time.after(At + ReconnectAfter - m_Time.now(), [this, ReplicaIndex] {
     Replica &Of = m_Replicas[ReplicaIndex];
-    Of.m_Alive = true;
+    Of.m_Reports = true;
     for (Entry &Each : m_Entries) {
       Each.m_Reachable[ReplicaIndex] = true;
       Each.m_Dispatcher->chooser().setReachable(Of.m_Name, true);
@@ -435,6 +506,11 @@
   });
 }
 
+void FleetModel::cutEntry(base::Millis At, std::uint32_t EntryIndex) {
+  m_Time.after(At - m_Time.now(),
+               [this, EntryIndex] { m_Entries[EntryIndex].m_Cut = true; });
+}
+
 void FleetModel::straggle(base::Millis At, std::uint32_t ReplicaIndex,
                           double Factor) {
   m_Time.after(At - m_Time.now(), [this, ReplicaIndex, Factor] {
--- a/Source/Bench/FleetModel.h
+++ b/Source/Bench/FleetModel.h
@@ -1,6 +1,7 @@
 #ifndef CORNELDECK_BENCH_FLEETMODEL_H
 #define CORNELDECK_BENCH_FLEETMODEL_H
 
+#include "Admission/LimitShares.h"
 #include "Bench/Workload.h"
 #include "Fakes/EngineModel.h"
 #include "Fakes/VirtualTime.h"
@@ -12,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,21 @@
 /// \returns the policy's name in the bench's contract.
 std::string policyName(RoutingPolicy Policy);
 
+/// What a replica does that is gone.
+enum class GoneKind {
+  No,
+  Silent, ///< The VM is lost: nothing comes back, reports end.
+  Failing ///< The engine is lost: its agent fails each run at once.
+};
+
+/// The limit of one customer at the entries.
+struct LimitOptions {
+  std::uint32_t m_Customer = 0;
+  double m_PerSecond = 0;
+  /// Each entry lets the whole limit through by itself, as a baseline.
+  bool m_Alone = false;
+};
+
 /// What one run of a fleet is made of.
 struct FleetOptions {
   FleetSpec m_Spec;
@@ -39,6 +56,7 @@
   bool m_RetryBudget = true;
   /// Attempts of one request; more than 1 allows retries.
   std::uint32_t m_MaxAttempts = 1;
+  std::optional<LimitOptions> m_Limit = {};
 };
 
 /// What became of one request.
@@ -46,9 +64,14 @@
   TrafficItem m_Item;
   std::uint32_t m_Entry = 0;
   std::uint32_t m_Attempts = 0;
+  bool m_Running = false;
+  /// Replicas at which an attempt failed.
+  std::set<std::string> m_FailedAt;
   std::optional<base::Millis> m_FirstTokenAt;
   std::optional<base::Millis> m_DoneAt;
   bool m_Refused = false;
+  /// Refused for the customer's limit.
+  bool m_OverLimit = false;
   bool m_Closed = false;
 
   [[nodiscard]] bool inTime() const {
@@ -75,10 +98,13 @@
   void closedLoop(std::uint32_t Count,
                   std::function<TrafficItem(base::Millis)> Refill);
 
-  /// Kills a replica at a time: its runs and its connections break.
-  void killReplica(base::Millis At, std::uint32_t Index);
+  /// Kills a replica at a time. Entries learn of it after a while.
+  void killReplica(base::Millis At, std::uint32_t Index, GoneKind Kind);
   void returnReplica(base::Millis At, std::uint32_t Index);
 
+  /// Loses all messages between an entry and the other entries.
+  void cutEntry(base::Millis At, std::uint32_t Index);
+
   /// Makes a replica slower by a factor from a time on.
   void straggle(base::Millis At, std::uint32_t Index, double Factor);
 
@@ -89,20 +115,22 @@
   }
   /// \returns prompt tokens found cached over all prompt tokens.
   [[nodiscard]] double prefixHitRatio() const;
-  [[nodiscard]] std::uint64_t attemptsSent() const { return m_AttemptsSent; }
 
 private:
   struct Replica {
     std::string m_Name;
     std::string m_Zone;
     std::unique_ptr<fakes::EngineModel> m_Engine;
-    bool m_Alive = true;
+    GoneKind m_Gone = GoneKind::No;
+    bool m_Reports = true;
     std::optional<base::Millis> m_TickAt;
   };
   struct Entry {
     std::string m_Zone;
     std::unique_ptr<routing::Dispatcher> m_Dispatcher;
     std::unique_ptr<routing::RetryBudget> m_Budget;
+    std::unique_ptr<admission::LimitShares> m_Limits;
+    bool m_Cut = false;
     std::uint32_t m_NextRoundRobin = 0;
     std::vector<std::uint32_t> m_Reported;
     std::vector<std::uint64_t> m_NextCacheEvent;
@@ -116,6 +144,11 @@
   void takeReport(std::uint32_t EntryIndex, std::uint32_t ReplicaIndex);
   void lookAtAll(Entry &At);
 
+  void noticeGone(std::uint32_t ReplicaIndex);
+  void breakRuns(std::uint32_t ReplicaIndex);
+  void gossip(std::uint32_t EntryIndex);
+  bool isWithinLimit(std::size_t Index);
+
   void arrive(std::size_t Index);
   void offer(std::size_t Index);
   void refuse(std::size_t Index);
@@ -145,7 +178,6 @@
   /// The replica of each request's last attempt.
   std::vector<std::uint32_t> m_Where;
   std::function<TrafficItem(base::Millis)> m_Refill;
-  std::uint64_t m_AttemptsSent = 0;
 };
 
 /// What a fleet completes in a second.
--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -4,6 +4,8 @@
 
 std::vector<Scenario> allScenarios() {
   return {
+      limitsScenario(),
+      retriesScenario(),
       routingScenario(),
   };
 }
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -5,6 +5,8 @@
 
 namespace corneldeck::bench {
 
+Scenario limitsScenario();
+Scenario retriesScenario();
 Scenario routingScenario();
 
 } // namespace corneldeck::bench
--- a/Source/Bench/Workload.cpp
+++ b/Source/Bench/Workload.cpp
@@ -167,6 +167,8 @@
       continue;
     }
     Now = Next;
+    if (Now >= End)
+      break;
     Items.push_back(draw(base::Millis(static_cast<std::int64_t>(Now))));
   }
   return Items;
--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -52,7 +52,7 @@
 
 std::vector<Dispatch> Dispatcher::poll(base::Millis Now) {
   std::vector<Dispatch> Sent;
-  if (m_Queued.empty() || !m_Chooser.anyHasRoom())
+  if (m_Queued.empty() || !m_Chooser.anyHasRoom(Now))
     return Sent;
   std::vector<std::string> Window;
   for (const admission::Ticket *Each : m_Admission.next(m_Settings.m_Window))
--- a/Source/Routing/ReplicaChooser.cpp
+++ b/Source/Routing/ReplicaChooser.cpp
@@ -9,6 +9,8 @@
 
 /// How far an answer longer than most lies above the mean.
 constexpr double LongDeviations = 2;
+/// Keeps the backoff's doubling in range.
+constexpr std::uint32_t MaxDoublings = 16;
 
 } // namespace
 
@@ -58,9 +60,10 @@
     m_Prefixes.forget(Name);
 }
 
-bool ReplicaChooser::isOpen(const Replica &Of) const {
+bool ReplicaChooser::isOpen(base::Millis Now, const Replica &Of) {
   const ReplicaReport &Last = Of.m_Load.lastReport();
-  return Of.m_Reachable && !Last.m_Leaving && !Last.m_OutOfService;
+  return Of.m_Reachable && !Last.m_Leaving && !Last.m_OutOfService &&
+         Now >= Of.m_OpenAgainAt;
 }
 
 std::uint32_t ReplicaChooser::outputTokens(const ChoiceQuery &Query) const {
@@ -68,11 +71,11 @@
                                   : static_cast<std::uint32_t>(m_MeanOutput);
 }
 
-ServiceLoad ReplicaChooser::serviceLoad() const {
+ServiceLoad ReplicaChooser::serviceLoad(base::Millis Now) const {
   double Reported = 0;
   double Own = 0;
   for (const auto &[Name, Of] : m_Replicas) {
-    if (!isOpen(Of))
+    if (!isOpen(Now, Of))
       continue;
     Reported += Of.m_Load.reportedSequences();
     Own += static_cast<double>(Of.m_Load.ownAttempts());
@@ -106,10 +109,10 @@
   if (Query.m_KnownRuns == nullptr)
     Found = m_Prefixes.cachedRuns(Now, Query.m_PrefixBlocks);
   const auto &Runs = Query.m_KnownRuns ? *Query.m_KnownRuns : Found;
-  const ServiceLoad Service = serviceLoad();
+  const ServiceLoad Service = serviceLoad(Now);
   std::vector<Candidate> All;
   for (const auto &[Name, Of] : m_Replicas) {
-    if (!isOpen(Of) || Query.m_Excluded.contains(Name))
+    if (!isOpen(Now, Of) || Query.m_Excluded.contains(Name))
       continue;
     const auto Run = Runs.find(Name);
     const std::size_t Blocks = Run == Runs.end() ? 0 : Run->second;
@@ -136,14 +139,14 @@
   return *Close[m_Random.below(Close.size())];
 }
 
-bool ReplicaChooser::anyHasRoom() const {
-  const ServiceLoad Service = serviceLoad();
-  return std::any_of(m_Replicas.begin(), m_Replicas.end(),
-                     [&](const auto &Item) {
-                       const Replica &Of = Item.second;
-                       return isOpen(Of) && Of.m_Load.predictWait(Service) <=
-                                                m_Settings.m_MaxReplicaWait;
-                     });
+bool ReplicaChooser::anyHasRoom(base::Millis Now) const {
+  const ServiceLoad Service = serviceLoad(Now);
+  return std::any_of(
+      m_Replicas.begin(), m_Replicas.end(), [&](const auto &Item) {
+        const Replica &Of = Item.second;
+        return isOpen(Now, Of) &&
+               Of.m_Load.predictWait(Service) <= m_Settings.m_MaxReplicaWait;
+      });
 }
 
 bool ReplicaChooser::hasRoom(const Candidate &Of) const {
@@ -197,12 +200,33 @@
   m_Attempts.erase(Found);
   if (OutputTokens == 0)
     return;
+  if (Replica != m_Replicas.end())
+    Replica->second.m_Failures = 0;
   const double Off = OutputTokens - m_MeanOutput;
   m_MeanOutput += m_Settings.m_OutputWeight * Off;
   m_OutputVariance +=
       m_Settings.m_OutputWeight * (Off * Off - m_OutputVariance);
 }
 
+void ReplicaChooser::failed(base::Millis Now, const std::string &Attempt) {
+  const auto Found = m_Attempts.find(Attempt);
+  if (Found == m_Attempts.end())
+    return;
+  const auto Item = m_Replicas.find(Found->second);
+  ended(Now, Attempt, 0);
+  if (Item == m_Replicas.end())
+    return;
+  Replica &Of = Item->second;
+  ++Of.m_Failures;
+  if (Of.m_Failures < m_Settings.m_FailuresInRow)
+    return;
+  const std::uint32_t Doublings =
+      std::min(Of.m_Failures - m_Settings.m_FailuresInRow, MaxDoublings);
+  const base::Millis Backoff =
+      m_Settings.m_FirstBackoff * (std::int64_t{1} << Doublings);
+  Of.m_OpenAgainAt = Now + std::min(Backoff, m_Settings.m_MaxBackoff);
+}
+
 base::Millis ReplicaChooser::runTime(base::Millis Now,
                                      const ChoiceQuery &Query) const {
   ChoiceQuery Long = Query;
--- a/Source/Routing/ReplicaChooser.h
+++ b/Source/Routing/ReplicaChooser.h
@@ -35,6 +35,11 @@
   base::Millis m_MaxReplicaWait{300};
   /// A replica without a report for this long is chosen only as a last resort.
   base::Millis m_StaleAfter = base::seconds(3);
+  /// A replica that fails this many attempts in a row is left out for a time
+  /// that doubles with each further failure.
+  std::uint32_t m_FailuresInRow = 2;
+  base::Millis m_FirstBackoff{200};
+  base::Millis m_MaxBackoff = base::seconds(5);
   /// Weight of a new answer's length against the mean so far.
   double m_OutputWeight = 0.02;
 };
@@ -126,13 +131,17 @@
   void ended(base::Millis Now, const std::string &Attempt,
              std::uint32_t OutputTokens);
 
+  /// An attempt failed at its replica; counts as ended. A replica that fails at
+  /// once has no load and would draw all requests.
+  void failed(base::Millis Now, const std::string &Attempt);
+
   /// \returns the predicted time of a run without any wait, for an answer
   /// longer than most: the mean and twice the deviation of earlier ones.
   [[nodiscard]] base::Millis runTime(base::Millis Now,
                                      const ChoiceQuery &Query) const;
 
   /// \returns whether any replica in service has room.
-  [[nodiscard]] bool anyHasRoom() const;
+  [[nodiscard]] bool anyHasRoom(base::Millis Now) const;
 
   /// \returns what is known of the replicas' prefix caches.
   [[nodiscard]] const PrefixIndex &prefixes() const { return m_Prefixes; }
@@ -148,6 +157,8 @@
     std::string m_Zone;
     bool m_Reachable = true;
     ReplicaLoad m_Load;
+    std::uint32_t m_Failures = 0;
+    base::Millis m_OpenAgainAt{};
   };
   struct Candidate {
     std::string m_Name;
@@ -156,9 +167,9 @@
     double m_Cost = 0;
   };
 
-  [[nodiscard]] bool isOpen(const Replica &Of) const;
+  [[nodiscard]] static bool isOpen(base::Millis Now, const Replica &Of);
   [[nodiscard]] std::uint32_t outputTokens(const ChoiceQuery &Query) const;
-  [[nodiscard]] ServiceLoad serviceLoad() const;
+  [[nodiscard]] ServiceLoad serviceLoad(base::Millis Now) const;
   [[nodiscard]] Candidate weigh(base::Millis Now, const std::string &Name,
                                 const Replica &Of, const AttemptSize &Size,
                                 const ServiceLoad &Service) const;
--- a/Source/Routing/RetryBudget.h
+++ b/Source/Routing/RetryBudget.h
@@ -6,18 +6,19 @@
 /// The parts of the traffic that may be sent a second time.
 struct RetryBudgetSettings {
   /// Retries for each first attempt.
-  double m_RetryShare = 0.08;
+  double m_RetryShare = 0.06;
   /// Hedges for each first attempt.
   double m_HedgeShare = 0.02;
   /// The most retries saved up; hedges save up a part in proportion.
-  double m_MaxSaved = 50;
+  double m_MaxSaved = 10;
 };
 
 /// Bounds the work sent to a share of the work asked, at one entry.
 ///
 /// Each first attempt adds a part of a retry and of a hedge. Nothing is saved
-/// at the start, so the attempts sent are at all times at most 1 +
-/// m_RetryShare + m_HedgeShare times the requests.
+/// at the start, so since then the attempts sent are at all times at most 1 +
+/// m_RetryShare + m_HedgeShare times the requests. Over a shorter time they may
+/// be more by what was saved up.
 class RetryBudget {
 public:
   explicit RetryBudget(const RetryBudgetSettings &Settings);
