--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -6,6 +6,9 @@
 namespace corneldeck::bench {
 
 Promise cataloguePromise();
+Scenario limitsScenario();
+Scenario retriesScenario();
+Scenario routingScenario();
 
 } // namespace corneldeck::bench
 
