Node: keep the newest changes of each entry for operators

Cause: corneldeckctl history needs the accepted changes, which were lost when the control state moved to an object of its own.

--- a/Source/Entry/OperatorFront.cpp
+++ b/Source/Entry/OperatorFront.cpp
@@ -2,6 +2,7 @@
 
 #include "Net/Target.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -50,6 +51,19 @@
   return List;
 }
 
+admin::History historyOf(const node::ControlCore &Core,
+                         const std::string &Entry) {
+  admin::History History;
+  History.m_Entry = Entry;
+  History.m_Since = Core.follower().state().offset();
+  for (const node::PastChange &Past : Core.history(Entry)) {
+    History.m_Since = std::min(History.m_Since, Past.m_Offset);
+    History.m_Changes.push_back({Past.m_Offset, Past.m_Version, Past.m_Owner,
+                                 true, Past.m_Deleted ? "deleted" : ""});
+  }
+  return History;
+}
+
 } // namespace
 
 OperatorFront::OperatorFront(boost::asio::io_context &Loop,
@@ -106,7 +120,7 @@
   const std::string Name =
       net::Target(Exchange->target()).text("entry").value_or("");
   m_Control.post([this, Exchange, Name] {
-    reply(Exchange, admin::encode(m_Control.history(Name)));
+    reply(Exchange, admin::encode(historyOf(m_Control.core(), Name)));
   });
 }
 
@@ -130,7 +144,7 @@
     const bool Ready = m_Control.follower().ready(m_Control.now());
     Status.m_Nodes.push_back({Self.m_Node, "entry", Self.m_Zone,
                               Status.m_Offset, base::Millis(0), Ready,
-                              m_Control.leaving(), Self.m_HttpAddress});
+                              m_Control.core().leaving(), Self.m_HttpAddress});
     for (const node::PeerStatus &Peer : m_Control.peers())
       if (!Peer.m_Agent)
         Status.m_Nodes.push_back(
--- a/Source/Entry/RequestFront.cpp
+++ b/Source/Entry/RequestFront.cpp
@@ -212,7 +212,7 @@
   routing::ChoiceQuery Query = Of.m_Query;
   Query.m_Excluded = {Excluded.begin(), Excluded.end()};
   const routing::Choice Choice =
-      Of.m_Traffic->chooser().choose(Now, Query, false);
+      Of.m_Traffic->chooser().choose(Now, Query, routing::Patience::None);
   if (Choice.m_Kind != routing::ChoiceKind::Chosen)
     return base::failure(ResultCode::NoReplica,
                          "No backend server of '" + Spec.m_Service +
--- a/Source/Node/ControlCore.cpp
+++ b/Source/Node/ControlCore.cpp
@@ -18,6 +18,8 @@
 constexpr base::Millis ForgetAfter = base::minutes(2);
 /// A process that was not heard for longer is silent to `publish --wait`.
 constexpr base::Millis InForceLiveWithin = base::seconds(3);
+/// Changes of one entry that are kept for operators.
+constexpr std::size_t MaxHistory = 100;
 
 } // namespace
 
@@ -121,10 +123,26 @@
 }
 
 void ControlCore::recordChanges(const catalogue::ViewPtr &Before) {
-  for (const auto &[Name, Offset] : m_View->changeOffsets())
-    if (!Before || Before->changeOffset(Name) != Offset)
-      event(EventId::ChangeAccepted,
-            {{"entry", Name}, {"offset", std::to_string(Offset)}});
+  for (const auto &[Name, Entry] : m_Follower.state().entries()) {
+    if (Before && Before->changeOffset(Name) == Entry.m_Offset)
+      continue;
+    event(EventId::ChangeAccepted,
+          {{"entry", Name},
+           {"version", std::to_string(Entry.m_Version)},
+           {"offset", std::to_string(Entry.m_Offset)}});
+    std::deque<PastChange> &Past = m_Histories[Name];
+    Past.push_back(
+        {Entry.m_Offset, Entry.m_Version, Entry.m_Owner, Entry.m_Deleted});
+    if (Past.size() > MaxHistory)
+      Past.pop_front();
+  }
+}
+
+std::vector<PastChange> ControlCore::history(const std::string &Entry) const {
+  const auto Found = m_Histories.find(Entry);
+  if (Found == m_Histories.end())
+    return {};
+  return {Found->second.begin(), Found->second.end()};
 }
 
 void ControlCore::append(const wire::LogRecord &Record) {
--- a/Source/Node/ControlCore.h
+++ b/Source/Node/ControlCore.h
@@ -14,6 +14,7 @@
 #include "Membership/Members.h"
 #include "Wire/Peer.pb.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -54,6 +55,14 @@
   base::Millis m_HeardAt{};
 };
 
+/// An accepted change of an entry that came into force here.
+struct PastChange {
+  std::uint64_t m_Offset = 0;
+  std::uint64_t m_Version = 0;
+  std::string m_Owner;
+  bool m_Deleted = false;
+};
+
 /// What the control state needs of the process around it.
 struct ControlHooks {
   catalogue::LogClient m_Log;
@@ -121,6 +130,11 @@
   [[nodiscard]] const catalogue::Follower &follower() const {
     return m_Follower;
   }
+  /// \returns the newest changes of an entry that came into force here since
+  /// this process started, oldest first.
+  [[nodiscard]] std::vector<PastChange> history(const std::string &Entry) const;
+  /// \returns whether this process leaves the answers to "which address".
+  [[nodiscard]] bool leaving() const { return m_Leaving; }
   [[nodiscard]] base::Millis now() const { return m_Clock.now(); }
 
 private:
@@ -157,6 +171,7 @@
   std::map<std::string, PeerStatus> m_Nodes;
   /// Addresses of the other entries, and when each was last heard of.
   std::map<std::string, base::Millis> m_Entries;
+  std::map<std::string, std::deque<PastChange>> m_Histories;
   std::map<std::string, std::vector<PublishDone>> m_Publishing;
   base::Millis m_NextGossip{};
   std::uint64_t m_GossipedChange = 0;
