--- a/Source/Bench/FleetModel.cpp
+++ b/Source/Bench/FleetModel.cpp
@@ -117,7 +117,7 @@
 
 void FleetModel::startReports() {
   for (std::uint32_t At = 0; At < m_Entries.size(); ++At) {
-    const base::Millis First(7 * At);
+    const base::Millis First = base::Millis(7) * At;
     m_Time.after(First, [this, At] { housekeep(At); });
     if (m_Options.m_Limit && !m_Options.m_Limit->m_Alone)
       m_Time.after(First, [this, At] { gossip(At); });
--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -5,6 +5,7 @@
 std::vector<Scenario> allScenarios() {
   return {
       limitsScenario(),
+      pathScenario(),
       retriesScenario(),
       routingScenario(),
   };
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -7,6 +7,7 @@
 
 Promise cataloguePromise();
 Scenario limitsScenario();
+Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
 
--- a/Source/Bench/Workload.cpp
+++ b/Source/Bench/Workload.cpp
@@ -51,6 +51,7 @@
 
 std::vector<double> cumulate(const std::vector<double> &Shares) {
   std::vector<double> Sums;
+  Sums.reserve(Shares.size());
   double Sum = 0;
   for (const double Share : Shares)
     Sums.push_back(Sum += Share);
--- a/Tests/Daemons/RequestTest.cpp
+++ b/Tests/Daemons/RequestTest.cpp
@@ -1,8 +1,5 @@
 #include "Fleet.h"
 
-using corneldeck::tests::CallerAnswer;
-using corneldeck::tests::Fleet;
-
 namespace corneldeck::tests {
 
 class RequestTest : public Fleet {};
