RankGroup: add expert maps, the map switch and the joining of a group

The ranks of a group must use one expert map in every step. A rank's vote is kept by its engine, which waits at the switch step, so that a restarted agent can't contradict it. Commit needs every rank's yes; any rank that is not armed may refuse. A replaced engine ends the epoch, and all ranks join a new one on one map.

--- /dev/null
+++ b/Source/RankGroup/EngineRegisters.cpp
@@ -0,0 +1,145 @@
+#include "RankGroup/EngineRegisters.h"
+
+namespace corneldeck::rankgroup {
+
+EngineRegisters::EngineRegisters(std::uint64_t Incarnation) {
+  m_State.m_Incarnation = Incarnation;
+}
+
+void EngineRegisters::apply(const EngineOrder &Order) {
+  if (Order.m_Kind == OrderKind::Join) {
+    join(Order);
+    return;
+  }
+  if (!m_State.m_Joined || !(Order.m_Epoch == m_State.m_Formation.m_Epoch))
+    return;
+  switch (Order.m_Kind) {
+  case OrderKind::Arm:
+    arm(Order);
+    break;
+  case OrderKind::Refuse:
+    refuse(Order);
+    break;
+  case OrderKind::Commit:
+    commit(Order);
+    break;
+  case OrderKind::Abort:
+    abort(Order);
+    break;
+  case OrderKind::Leave:
+    leave();
+    break;
+  case OrderKind::Join:
+    break;
+  }
+}
+
+void EngineRegisters::arm(const EngineOrder &Order) {
+  const bool Answered = !(m_State.m_Answered < Order.m_Map);
+  const bool TooLate = m_State.m_NextStep > Order.m_Step;
+  if (m_State.m_HasPending || Answered || TooLate)
+    return;
+  m_State.m_HasPending = true;
+  m_State.m_Decided = false;
+  m_State.m_Pending = Order.m_Map;
+  m_State.m_PendingStep = Order.m_Step;
+  m_State.m_PendingBody = Order.m_Body;
+  m_State.m_Answered = Order.m_Map;
+  m_Hold = Order.m_Hold;
+}
+
+void EngineRegisters::refuse(const EngineOrder &Order) {
+  if (m_State.m_Answered < Order.m_Map)
+    m_State.m_Answered = Order.m_Map;
+}
+
+void EngineRegisters::commit(const EngineOrder &Order) {
+  if (m_State.m_HasPending && m_State.m_Pending == Order.m_Map)
+    m_State.m_Decided = true;
+}
+
+void EngineRegisters::abort(const EngineOrder &Order) {
+  const bool Same = m_State.m_HasPending && m_State.m_Pending == Order.m_Map;
+  if (Same && !m_State.m_Decided)
+    clearPending();
+}
+
+void EngineRegisters::leave() {
+  // A committed map is kept even if its step was never reached.
+  if (m_State.m_Decided)
+    takePending();
+  clearPending();
+  m_State.m_Joined = false;
+}
+
+void EngineRegisters::takePending() {
+  m_State.m_Map = m_State.m_Pending;
+  m_State.m_Body = m_State.m_PendingBody;
+  clearPending();
+}
+
+void EngineRegisters::join(const EngineOrder &Order) {
+  const Formation &Next = Order.m_Formation;
+  // Epochs only grow, so a late order can't bring an old one back.
+  if (Next.m_Epoch.m_Number <= m_State.m_Formation.m_Epoch.m_Number)
+    return;
+  clearPending();
+  m_State.m_Formation = Next;
+  m_State.m_Joined = true;
+  m_State.m_Map = Next.m_Map;
+  m_State.m_Body = Order.m_Body;
+  m_State.m_Answered = Next.m_Map;
+  m_State.m_NextStep = Next.m_FirstStep;
+}
+
+void EngineRegisters::clearPending() {
+  m_State.m_HasPending = false;
+  m_State.m_Decided = false;
+  m_State.m_Pending = MapId{};
+  m_State.m_PendingStep = 0;
+  m_State.m_PendingBody.reset();
+}
+
+bool EngineRegisters::mayStep() const {
+  if (!m_State.m_Joined)
+    return false;
+  const bool AtSwitch =
+      m_State.m_HasPending && m_State.m_NextStep >= m_State.m_PendingStep;
+  return !AtSwitch || m_State.m_Decided || !m_Hold;
+}
+
+MapId EngineRegisters::beginStep() {
+  const bool Switch = m_State.m_HasPending && m_State.m_Decided &&
+                      m_State.m_NextStep >= m_State.m_PendingStep;
+  if (Switch)
+    takePending();
+  ++m_State.m_NextStep;
+  return m_State.m_Map;
+}
+
+void encodeFormation(const Formation &Value,
+                     std::vector<std::uint64_t> &Words) {
+  Words.push_back(Value.m_Epoch.m_Number);
+  Words.push_back(Value.m_Epoch.m_View);
+  Words.push_back(Value.m_Map.m_FencingNumber);
+  Words.push_back(Value.m_Map.m_Version);
+  Words.push_back(Value.m_FirstStep);
+  Words.push_back(Value.m_Members.size());
+  Words.insert(Words.end(), Value.m_Members.begin(), Value.m_Members.end());
+}
+
+void encodeEngine(const EngineState &Value, std::vector<std::uint64_t> &Words) {
+  Words.push_back(Value.m_Incarnation);
+  encodeFormation(Value.m_Formation, Words);
+  Words.push_back(Value.m_Joined ? 1 : 0);
+  Words.push_back(Value.m_HasPending ? 1 : 0);
+  Words.push_back(Value.m_Decided ? 1 : 0);
+  for (const MapId &Id : {Value.m_Map, Value.m_Pending, Value.m_Answered}) {
+    Words.push_back(Id.m_FencingNumber);
+    Words.push_back(Id.m_Version);
+  }
+  Words.push_back(Value.m_PendingStep);
+  Words.push_back(Value.m_NextStep);
+}
+
+} // namespace corneldeck::rankgroup
--- /dev/null
+++ b/Source/RankGroup/EngineRegisters.h
@@ -0,0 +1,52 @@
+#ifndef CORNELDECK_RANKGROUP_ENGINEREGISTERS_H
+#define CORNELDECK_RANKGROUP_ENGINEREGISTERS_H
+
+#include "RankGroup/RankTypes.h"
+
+namespace corneldeck::rankgroup {
+
+/// The part of an engine that keeps its place in a rank group.
+///
+/// Stand-in engines, proofs and bench share it. It checks the names in an
+/// order but no fencing number, like the engines that ignore those.
+class EngineRegisters {
+public:
+  /// \param Incarnation differs for every start of the engine.
+  explicit EngineRegisters(std::uint64_t Incarnation);
+
+  [[nodiscard]] const EngineState &state() const { return m_State; }
+
+  /// Carries out \p Order, or ignores it if it does not fit the state.
+  void apply(const EngineOrder &Order);
+
+  /// \returns true if the engine may begin its next step as far as its own
+  /// promise goes.
+  [[nodiscard]] bool mayStep() const;
+
+  /// Begins the next step.
+  /// \returns the map that this step uses.
+  MapId beginStep();
+
+private:
+  void arm(const EngineOrder &Order);
+  void refuse(const EngineOrder &Order);
+  void commit(const EngineOrder &Order);
+  void abort(const EngineOrder &Order);
+  void join(const EngineOrder &Order);
+  void leave();
+  void takePending();
+  void clearPending();
+
+  EngineState m_State;
+  bool m_Hold = true;
+};
+
+/// Appends everything of \p Value that decides future behaviour.
+void encodeEngine(const EngineState &Value, std::vector<std::uint64_t> &Words);
+
+/// Appends \p Value.
+void encodeFormation(const Formation &Value, std::vector<std::uint64_t> &Words);
+
+} // namespace corneldeck::rankgroup
+
+#endif
--- /dev/null
+++ b/Source/RankGroup/GroupFormation.cpp
@@ -0,0 +1,235 @@
+#include "RankGroup/GroupFormation.h"
+
+#include "Base/RendezvousHash.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace corneldeck::rankgroup {
+
+namespace {
+
+/// \returns how far an engine has come within its incarnation: an epoch's end
+/// follows its beginning, and the next epoch follows both.
+std::uint64_t stage(const Status &Value) {
+  return 2 * Value.m_Epoch.m_Number + (Value.m_Joined ? 0 : 1);
+}
+
+std::uint64_t hashWords(const std::vector<std::uint64_t> &Words) {
+  const auto *Bytes = reinterpret_cast<const char *>(Words.data());
+  return base::hash64(
+      std::string_view(Bytes, Words.size() * sizeof(std::uint64_t)));
+}
+
+} // namespace
+
+GroupFormation::GroupFormation(Config Settings)
+    : m_Config(Settings), m_Peers(Settings.m_Ranks) {}
+
+Status GroupFormation::status() const {
+  Status Result;
+  Result.m_Incarnation = m_Engine->m_Incarnation;
+  Result.m_Epoch = m_Engine->m_Formation.m_Epoch;
+  Result.m_Joined = m_Engine->m_Joined;
+  Result.m_Map = m_Engine->m_Map;
+  Result.m_Body = m_Engine->m_Body;
+  if (m_Engine->m_Joined) {
+    Result.m_Formation = m_Engine->m_Formation;
+    return Result;
+  }
+  // The next step is fixed while the engine is out, as the view needs.
+  Result.m_NextStep = m_Engine->m_NextStep;
+  if (m_Candidate)
+    Result.m_Formation = *m_Candidate;
+  return Result;
+}
+
+void GroupFormation::onEngine(const EngineState &Engine, Actions &Out) {
+  const bool New = !m_Engine ||
+                   m_Engine->m_Incarnation != Engine.m_Incarnation ||
+                   m_Engine->m_Joined != Engine.m_Joined ||
+                   !(m_Engine->m_Formation == Engine.m_Formation);
+  m_Engine = Engine;
+  if (!New)
+    return;
+  m_Candidate.reset();
+  m_Target.reset();
+  announce(Out);
+  if (!m_Engine->m_Joined) {
+    tryForm(Out);
+    return;
+  }
+  for (RankIndex From = 0; From < m_Config.m_Ranks; ++From)
+    if (m_Peers[From] && ends(From, *m_Peers[From])) {
+      Out.m_Orders.push_back(
+          {OrderKind::Leave, m_Engine->m_Formation.m_Epoch, {}});
+      return;
+    }
+}
+
+void GroupFormation::onStatus(RankIndex From, const Status &Heard,
+                              Actions &Out) {
+  if (From >= m_Config.m_Ranks || From == m_Config.m_Rank)
+    return;
+  std::optional<Status> &Known = m_Peers[From];
+  const bool Stale = Known && Known->m_Incarnation == Heard.m_Incarnation &&
+                     stage(Heard) < stage(*Known);
+  if (Stale)
+    return;
+  Known = Heard;
+  if (!m_Engine)
+    return;
+  if (!m_Engine->m_Joined) {
+    tryForm(Out);
+    return;
+  }
+  if (ends(From, Heard)) {
+    Out.m_Orders.push_back(
+        {OrderKind::Leave, m_Engine->m_Formation.m_Epoch, {}});
+    return;
+  }
+  if (!Heard.m_Joined)
+    send(From, Out);
+}
+
+bool GroupFormation::ends(RankIndex From, const Status &Heard) const {
+  const Formation &Mine = m_Engine->m_Formation;
+  if (Heard.m_Incarnation != Mine.m_Members[From])
+    return true;
+  if (Heard.m_Epoch.m_Number != Mine.m_Epoch.m_Number)
+    return Heard.m_Epoch.m_Number > Mine.m_Epoch.m_Number;
+  return !Heard.m_Joined || !(Heard.m_Epoch == Mine.m_Epoch);
+}
+
+void GroupFormation::tryForm(Actions &Out) {
+  if (const Status *Peer = joinedPeer()) {
+    start(Peer->m_Formation, Out);
+    return;
+  }
+  computeCandidate(Out);
+  if (m_Candidate && allAgree())
+    start(*m_Candidate, Out);
+}
+
+const Status *GroupFormation::joinedPeer() const {
+  // A peer joins only after every rank agreed, this one included.
+  for (const std::optional<Status> &Peer : m_Peers) {
+    if (!Peer || !Peer->m_Joined)
+      continue;
+    const Formation &Theirs = Peer->m_Formation;
+    const bool Newer =
+        Theirs.m_Epoch.m_Number > m_Engine->m_Formation.m_Epoch.m_Number;
+    if (Newer && Theirs.m_Members.size() == m_Config.m_Ranks &&
+        Theirs.m_Members[m_Config.m_Rank] == m_Engine->m_Incarnation)
+      return &*Peer;
+  }
+  return nullptr;
+}
+
+void GroupFormation::computeCandidate(Actions &Out) {
+  Formation Next;
+  std::vector<std::uint64_t> View;
+  for (RankIndex Rank = 0; Rank < m_Config.m_Ranks; ++Rank) {
+    const bool Self = Rank == m_Config.m_Rank;
+    if (!Self && (!m_Peers[Rank] || m_Peers[Rank]->m_Joined))
+      return;
+    const Status Seen = Self ? status() : *m_Peers[Rank];
+    Next.m_Members.push_back(Seen.m_Incarnation);
+    Next.m_Epoch.m_Number =
+        std::max(Next.m_Epoch.m_Number, Seen.m_Epoch.m_Number + 1);
+    Next.m_FirstStep = std::max(Next.m_FirstStep, Seen.m_NextStep + 1);
+    if (Next.m_Map < Seen.m_Map)
+      Next.m_Map = Seen.m_Map;
+    View.push_back(Seen.m_Epoch.m_Number);
+    View.push_back(Seen.m_Epoch.m_View);
+  }
+  encodeFormation(Next, View);
+  Next.m_Epoch.m_View = hashWords(View);
+  if (m_Candidate && *m_Candidate == Next)
+    return;
+  m_Candidate = Next;
+  announce(Out);
+}
+
+bool GroupFormation::allAgree() const {
+  for (RankIndex Rank = 0; Rank < m_Config.m_Ranks; ++Rank) {
+    if (Rank == m_Config.m_Rank)
+      continue;
+    if (!m_Peers[Rank] || !(m_Peers[Rank]->m_Formation == *m_Candidate))
+      return false;
+  }
+  return true;
+}
+
+void GroupFormation::start(const Formation &Target, Actions &Out) {
+  if (m_Target && *m_Target == Target)
+    return;
+  m_Target = Target;
+  m_TargetLoaded = false;
+  Out.m_Loads.push_back({Target.m_Map, bodyOf(Target.m_Map)});
+}
+
+void GroupFormation::onLoaded(MapId Which, bool Loaded, Actions &Out) {
+  if (!m_Target || !m_Engine || m_Engine->m_Joined ||
+      !(m_Target->m_Map == Which))
+    return;
+  if (!Loaded) {
+    m_Target.reset();
+    return;
+  }
+  m_TargetLoaded = true;
+  Out.m_Orders.push_back({OrderKind::Join, m_Target->m_Epoch, Which, 0, true,
+                          *m_Target, bodyOf(Which)});
+}
+
+void GroupFormation::onTick(base::Millis Now, Actions &Out) {
+  if (!m_Engine || Now - m_LastAnnounced < m_Config.m_AnnounceInterval)
+    return;
+  m_LastAnnounced = Now;
+  announce(Out);
+  if (m_Engine->m_Joined)
+    return;
+  tryForm(Out);
+  if (m_Target && m_TargetLoaded)
+    onLoaded(m_Target->m_Map, true, Out);
+}
+
+void GroupFormation::announce(Actions &Out) const {
+  for (RankIndex To = 0; To < m_Config.m_Ranks; ++To)
+    if (To != m_Config.m_Rank)
+      send(To, Out);
+}
+
+void GroupFormation::send(RankIndex To, Actions &Out) const {
+  Out.send(m_Config.m_Rank, To, status());
+}
+
+MapBody GroupFormation::bodyOf(MapId Which) const {
+  if (m_Engine->m_Map == Which)
+    return m_Engine->m_Body;
+  for (const std::optional<Status> &Peer : m_Peers)
+    if (Peer && Peer->m_Map == Which)
+      return Peer->m_Body;
+  return nullptr;
+}
+
+void GroupFormation::encode(std::vector<std::uint64_t> &Words) const {
+  const Formation None;
+  encodeFormation(m_Candidate.value_or(None), Words);
+  encodeFormation(m_Target.value_or(None), Words);
+  Words.push_back(m_TargetLoaded ? 1 : 0);
+  for (const std::optional<Status> &Peer : m_Peers) {
+    Words.push_back(Peer ? 1 : 0);
+    if (!Peer)
+      continue;
+    Words.push_back(Peer->m_Incarnation);
+    Words.push_back(stage(*Peer));
+    Words.push_back(Peer->m_Epoch.m_View);
+    Words.push_back(Peer->m_Map.m_FencingNumber);
+    Words.push_back(Peer->m_Map.m_Version);
+    Words.push_back(Peer->m_NextStep);
+    encodeFormation(Peer->m_Formation, Words);
+  }
+}
+
+} // namespace corneldeck::rankgroup
