--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,9 +1,20 @@
+#include "Bench/Promises.h"
 #include "Bench/Scenario.h"
+#include "Bench/Scenarios.h"
 
 namespace corneldeck::bench {
 
-std::vector<Scenario> allScenarios() { return {}; }
+std::vector<Scenario> allScenarios() {
+  return {
+      mapSwitchScenario(),
+  };
+}
 
-std::vector<Promise> allPromises() { return {}; }
+std::vector<Promise> allPromises() {
+  return {
+      mapSwitchPromise(),
+      mapSwitchExplorationPromise(),
+  };
+}
 
 } // namespace corneldeck::bench
--- a/Source/Bench/SwitchExplorer.cpp
+++ b/Source/Bench/SwitchExplorer.cpp
@@ -11,10 +11,11 @@
 
 constexpr int SettleRounds = 12;
 
-constexpr std::array<const char *, 15> KindNames = {
-    "deliver", "order",     "stale-order", "load",         "step",
-    "attach",  "ask",       "announce",    "propose",      "duplicate",
-    "drop",    "fail-load", "crash-agent", "crash-engine", "crash-vm"};
+constexpr std::array<const char *, 16> KindNames = {
+    "deliver",   "statuses",    "order",        "stale-order",
+    "load",      "step",        "attach",       "ask",
+    "announce",  "propose",     "duplicate",    "drop",
+    "fail-load", "crash-agent", "crash-engine", "crash-vm"};
 
 } // namespace
 
--- a/Source/Bench/SwitchModel.cpp
+++ b/Source/Bench/SwitchModel.cpp
@@ -22,6 +22,7 @@
 void encode(const MapId &Id, Words &Out) {
   Out.push_back(Id.m_FencingNumber);
   Out.push_back(Id.m_Version);
+  Out.push_back(Id.m_Digest);
 }
 
 void encode(const Epoch &Value, Words &Out) {
@@ -62,6 +63,7 @@
   void operator()(const Query &Value) const {
     encode(Value.m_Id, m_Out);
     encode(Value.m_Epoch, m_Out);
+    m_Out.push_back(Value.m_Step);
   }
 };
 
@@ -80,6 +82,18 @@
   return hashWords(Out);
 }
 
+bool isStatus(const Outgoing &Sent) {
+  return std::holds_alternative<Status>(Sent.m_Message.m_Body);
+}
+
+bool isHint(const Outgoing &Sent) {
+  const auto *Cast = std::get_if<Vote>(&Sent.m_Message.m_Body);
+  return Cast != nullptr && Cast->m_Value == VoteValue::Loaded;
+}
+
+/// Steps whose maps are remembered; ranks in lock-step are at most one apart.
+constexpr std::size_t RememberedSteps = 4;
+
 } // namespace
 
 SwitchModel::SwitchModel(const Options &Wanted) : m_Options(Wanted) {
@@ -88,7 +102,8 @@
                        EngineRegisters(FirstIncarnation + Index),
                        {},
                        {},
-                       {}});
+                       {},
+                       0});
   joinAll();
   if (Wanted.m_LateVote)
     addLateVote();
@@ -100,6 +115,7 @@
   Settings.m_Ranks = m_Options.m_Ranks;
   Settings.m_GuardSteps = m_Options.m_GuardSteps;
   Settings.m_QueryInterval = ShortTimer;
+  Settings.m_ReadyInterval = ShortTimer;
   Settings.m_AnnounceInterval = LongTimer;
   Settings.m_Rules = m_Options.m_Rules;
   return SwitchParticipant(Settings);
@@ -121,7 +137,10 @@
 void SwitchModel::addLateVote() {
   const RankIndex Voter = m_Options.m_Ranks - 1;
   Vote Late;
-  Late.m_Id = {1, 2};
+  Proposal Repeated;
+  Repeated.m_Base = FirstMap;
+  Repeated.m_Step = nextStep(0) + m_Options.m_Ahead;
+  Late.m_Id = {1, 2, digest(Repeated)};
   Late.m_Epoch = {0, 1};
   Late.m_Incarnation = EarlierIncarnation;
   Late.m_Value = VoteValue::Yes;
@@ -177,11 +196,23 @@
 
 std::vector<SwitchEvent> SwitchModel::enabled() const {
   std::vector<SwitchEvent> Events;
-  for (std::size_t Index = 0; Index < m_Network.size(); ++Index)
-    Events.push_back({SwitchEventKind::Deliver, m_Network[Index].m_To, Index});
+  std::vector<bool> Batched(ranks(), false);
+  for (std::size_t Index = 0; Index < m_Network.size(); ++Index) {
+    const RankIndex To = m_Network[Index].m_To;
+    if (!m_Options.m_BatchStatus || !isStatus(m_Network[Index])) {
+      Events.push_back({SwitchEventKind::Deliver, To, Index});
+      continue;
+    }
+    if (!Batched[To])
+      Events.push_back({SwitchEventKind::Statuses, To, 0});
+    Batched[To] = true;
+  }
   for (RankIndex Index = 0; Index < ranks(); ++Index) {
     const Rank &Member = m_Group[Index];
-    if (!attached(Index))
+    const bool Unread =
+        !attached(Index) || Member.m_Agent.engine()->m_Incarnation !=
+                                Member.m_Engine.state().m_Incarnation;
+    if (Unread)
       Events.push_back({SwitchEventKind::Attach, Index, 0});
     if (!Member.m_Orders.empty())
       Events.push_back({SwitchEventKind::Order, Index, 0});
@@ -200,6 +231,9 @@
   case SwitchEventKind::Deliver:
     deliver(Event.m_Index, false);
     break;
+  case SwitchEventKind::Statuses:
+    deliverStatuses(Event.m_Rank);
+    break;
   case SwitchEventKind::Duplicate:
     deliver(Event.m_Index, true);
     break;
@@ -250,6 +284,37 @@
     crashEngine(Event.m_Rank);
     break;
   }
+  if (m_Options.m_Rules.m_CheckIncarnation)
+    prune();
+}
+
+void SwitchModel::prune() {
+  // What names an ended epoch changes nothing whenever it arrives.
+  m_Network.erase(
+      std::remove_if(m_Network.begin(), m_Network.end(),
+                     [this](const Outgoing &Sent) { return isDead(Sent); }),
+      m_Network.end());
+  for (Rank &Member : m_Group) {
+    const std::uint64_t Dead = Member.m_DeadEpoch;
+    const auto Ended = [Dead](const EngineOrder &Order) {
+      return Order.m_Epoch.m_Number <= Dead;
+    };
+    auto &Stale = Member.m_StaleOrders;
+    Stale.erase(std::remove_if(Stale.begin(), Stale.end(), Ended), Stale.end());
+  }
+}
+
+bool SwitchModel::isDead(const Outgoing &Sent) const {
+  const std::uint64_t Dead = m_Group[Sent.m_To].m_DeadEpoch;
+  if (Dead == 0)
+    return false;
+  if (const auto *Offered = std::get_if<Proposal>(&Sent.m_Message.m_Body))
+    return Offered->m_Epoch.m_Number <= Dead;
+  if (const auto *Cast = std::get_if<Vote>(&Sent.m_Message.m_Body))
+    return Cast->m_Epoch.m_Number <= Dead;
+  if (const auto *Asked = std::get_if<Query>(&Sent.m_Message.m_Body))
+    return Asked->m_Epoch.m_Number <= Dead;
+  return false;
 }
 
 void SwitchModel::take(RankIndex Index, Actions &Out) {
@@ -258,8 +323,29 @@
     Member.m_Orders.push_back(std::move(Order));
   for (const LoadRequest &Load : Out.m_Loads)
     Member.m_Loads.push_back(Load.m_Map);
-  for (Outgoing &Sent : Out.m_Messages)
-    m_Network.push_back(std::move(Sent));
+  std::vector<Outgoing> Hints;
+  for (Outgoing &Sent : Out.m_Messages) {
+    if (m_Options.m_EagerHints && isHint(Sent))
+      Hints.push_back(std::move(Sent));
+    else
+      m_Network.push_back(std::move(Sent));
+  }
+  for (const Outgoing &Hint : Hints)
+    arrive(Hint);
+  while (m_Options.m_EagerLoads && !Member.m_Loads.empty())
+    load({SwitchEventKind::Load, Index, 0}, true);
+}
+
+void SwitchModel::deliverStatuses(RankIndex To) {
+  std::vector<Outgoing> Statuses;
+  std::vector<Outgoing> Others;
+  for (Outgoing &Sent : m_Network) {
+    const bool Mine = Sent.m_To == To && isStatus(Sent);
+    (Mine ? Statuses : Others).push_back(std::move(Sent));
+  }
+  m_Network = std::move(Others);
+  for (const Outgoing &Sent : Statuses)
+    arrive(Sent);
 }
 
 void SwitchModel::deliver(std::size_t Index, bool Keep) {
@@ -268,6 +354,10 @@
     std::swap(m_Network[Index], m_Network.back());
     m_Network.pop_back();
   }
+  arrive(Sent);
+}
+
+void SwitchModel::arrive(const Outgoing &Sent) {
   // A replaced agent gets nothing before it has read its engine's state.
   if (!attached(Sent.m_To))
     return;
@@ -281,6 +371,9 @@
   const EngineOrder Next = Member.m_Orders.front();
   Member.m_Orders.erase(Member.m_Orders.begin());
   Member.m_Engine.apply(Next);
+  const EngineState &After = Member.m_Engine.state();
+  if (!After.m_Joined)
+    Member.m_DeadEpoch = After.m_Formation.m_Epoch.m_Number;
   Actions Out;
   Member.m_Agent.onEngine(Member.m_Engine.state(), Out);
   take(Index, Out);
@@ -298,17 +391,26 @@
 
 void SwitchModel::step(RankIndex Index) {
   EngineRegisters &Engine = m_Group[Index].m_Engine;
-  const std::pair<std::uint64_t, Step> Key{
-      Engine.state().m_Formation.m_Epoch.m_View, Engine.state().m_NextStep};
+  const std::uint64_t View = Engine.state().m_Formation.m_Epoch.m_View;
+  const Step Begun = Engine.state().m_NextStep;
   const MapId Now = Engine.beginStep();
-  const MapId &First = m_Used.try_emplace(Key, Now).first->second;
+  const auto Known =
+      std::find_if(m_Used.begin(), m_Used.end(), [&](const StepUse &Use) {
+        return Use.m_View == View && Use.m_Step == Begun;
+      });
+  if (Known == m_Used.end()) {
+    if (m_Used.size() == RememberedSteps)
+      m_Used.erase(m_Used.begin());
+    m_Used.push_back({View, Begun, Now});
+    return;
+  }
   // The promise: the maps used in a step are one.
-  if (First == Now)
+  if (Known->m_Map == Now)
     return;
-  m_Mixed = "step " + std::to_string(Key.second) + ": rank " +
+  m_Mixed = "step " + std::to_string(Begun) + ": rank " +
             std::to_string(Index) + " uses map " +
             std::to_string(Now.m_Version) + ", another used map " +
-            std::to_string(First.m_Version);
+            std::to_string(Known->m_Map.m_Version);
 }
 
 void SwitchModel::timer(RankIndex Index, base::Millis Passed) {
@@ -346,11 +448,17 @@
 }
 
 void SwitchModel::crashEngine(RankIndex Index) {
-  m_Group[Index].m_Engine = EngineRegisters(m_NextIncarnation++);
+  Rank &Member = m_Group[Index];
+  Member.m_DeadEpoch = std::max(
+      Member.m_DeadEpoch, Member.m_Engine.state().m_Formation.m_Epoch.m_Number);
+  Member.m_Engine = EngineRegisters(m_NextIncarnation++);
 }
 
 void SwitchModel::settle(int Rounds) {
+  const Step Begun = nextStep(0);
   for (int Round = 0; Round < Rounds; ++Round) {
+    if (unsettled().empty() && nextStep(0) > Begun + 1)
+      return;
     for (RankIndex Index = 0; Index < ranks(); ++Index)
       timer(Index, LongTimer);
     std::size_t Budget = 200 + 20 * static_cast<std::size_t>(ranks()) * ranks();
--- a/Source/Bench/SwitchModel.h
+++ b/Source/Bench/SwitchModel.h
@@ -5,9 +5,7 @@
 #include "RankGroup/SwitchParticipant.h"
 
 #include <cstdint>
-#include <map>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace corneldeck::bench {
@@ -15,11 +13,12 @@
 /// What can happen next in a modelled rank group.
 enum class SwitchEventKind {
   Deliver,     ///< A message arrives.
+  Statuses,    ///< All announcements to a rank arrive.
   Order,       ///< An engine carries out its agent's next order.
   StaleOrder,  ///< An engine carries out an order of a dead agent.
   Load,        ///< A load ends.
   Step,        ///< An engine begins its next step.
-  Attach,      ///< A new agent reads its engine's state.
+  Attach,      ///< An agent reads a state that is new to it.
   Ask,         ///< An agent's short timer ends.
   Announce,    ///< An agent's long timer ends.
   Propose,     ///< An agent proposes a map.
@@ -53,6 +52,12 @@
     std::vector<rankgroup::RankIndex> m_Proposers = {0};
     /// A yes of an earlier incarnation of the last rank is still on its way.
     bool m_LateVote = false;
+    /// Readiness votes, which promise nothing, arrive at once.
+    bool m_EagerHints = false;
+    /// Experts are there as soon as they are asked for.
+    bool m_EagerLoads = false;
+    /// A rank's waiting announcements arrive together, in order.
+    bool m_BatchStatus = false;
   };
 
   explicit SwitchModel(const Options &Wanted);
@@ -98,14 +103,26 @@
     std::vector<rankgroup::EngineOrder> m_Orders;
     std::vector<rankgroup::EngineOrder> m_StaleOrders;
     std::vector<rankgroup::MapId> m_Loads;
+    /// The last epoch that this rank's engine can't return to.
+    std::uint64_t m_DeadEpoch = 0;
+  };
+
+  struct StepUse {
+    std::uint64_t m_View = 0;
+    rankgroup::Step m_Step = 0;
+    rankgroup::MapId m_Map;
   };
 
   [[nodiscard]] rankgroup::SwitchParticipant
   newAgent(rankgroup::RankIndex Index) const;
   void joinAll();
   void addLateVote();
+  void prune();
+  [[nodiscard]] bool isDead(const rankgroup::Outgoing &Sent) const;
   void take(rankgroup::RankIndex Index, rankgroup::Actions &Out);
   void deliver(std::size_t Index, bool Keep);
+  void arrive(const rankgroup::Outgoing &Sent);
+  void deliverStatuses(rankgroup::RankIndex To);
   void order(rankgroup::RankIndex Index);
   void load(const SwitchEvent &Event, bool Loaded);
   void step(rankgroup::RankIndex Index);
@@ -119,8 +136,8 @@
   std::vector<rankgroup::Outgoing> m_Network;
   base::Millis m_Now{};
   std::uint64_t m_NextIncarnation = 100;
-  /// The map first used in each step of each epoch.
-  std::map<std::pair<std::uint64_t, rankgroup::Step>, rankgroup::MapId> m_Used;
+  /// The map first used in each of the newest steps.
+  std::vector<StepUse> m_Used;
   std::string m_Mixed;
 };
 
--- a/Source/RankGroup/EngineRegisters.cpp
+++ b/Source/RankGroup/EngineRegisters.cpp
@@ -1,5 +1,7 @@
 #include "RankGroup/EngineRegisters.h"
 
+#include <algorithm>
+
 namespace corneldeck::rankgroup {
 
 EngineRegisters::EngineRegisters(std::uint64_t Incarnation) {
@@ -83,6 +85,10 @@
   // Epochs only grow, so a late order can't bring an old one back.
   if (Next.m_Epoch.m_Number <= m_State.m_Formation.m_Epoch.m_Number)
     return;
+  const bool Member = std::find(Next.m_Members.begin(), Next.m_Members.end(),
+                                m_State.m_Incarnation) != Next.m_Members.end();
+  if (!Member)
+    return;
   clearPending();
   m_State.m_Formation = Next;
   m_State.m_Joined = true;
@@ -123,6 +129,7 @@
   Words.push_back(Value.m_Epoch.m_View);
   Words.push_back(Value.m_Map.m_FencingNumber);
   Words.push_back(Value.m_Map.m_Version);
+  Words.push_back(Value.m_Map.m_Digest);
   Words.push_back(Value.m_FirstStep);
   Words.push_back(Value.m_Members.size());
   Words.insert(Words.end(), Value.m_Members.begin(), Value.m_Members.end());
@@ -137,6 +144,7 @@
   for (const MapId &Id : {Value.m_Map, Value.m_Pending, Value.m_Answered}) {
     Words.push_back(Id.m_FencingNumber);
     Words.push_back(Id.m_Version);
+    Words.push_back(Id.m_Digest);
   }
   Words.push_back(Value.m_PendingStep);
   Words.push_back(Value.m_NextStep);
--- a/Source/RankGroup/GroupFormation.cpp
+++ b/Source/RankGroup/GroupFormation.cpp
@@ -227,6 +227,7 @@
     Words.push_back(Peer->m_Epoch.m_View);
     Words.push_back(Peer->m_Map.m_FencingNumber);
     Words.push_back(Peer->m_Map.m_Version);
+    Words.push_back(Peer->m_Map.m_Digest);
     Words.push_back(Peer->m_NextStep);
     encodeFormation(Peer->m_Formation, Words);
   }
--- a/Source/RankGroup/RankTypes.h
+++ b/Source/RankGroup/RankTypes.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -20,12 +21,13 @@
 struct MapId {
   std::uint64_t m_FencingNumber = 0;
   std::uint64_t m_Version = 0;
+  /// Hash of the proposal, since a restarted proposer may use a version twice.
+  std::uint64_t m_Digest = 0;
 
   bool operator==(const MapId &) const = default;
   bool operator<(const MapId &Other) const {
-    return m_FencingNumber != Other.m_FencingNumber
-               ? m_FencingNumber < Other.m_FencingNumber
-               : m_Version < Other.m_Version;
+    return std::tie(m_FencingNumber, m_Version, m_Digest) <
+           std::tie(Other.m_FencingNumber, Other.m_Version, Other.m_Digest);
   }
 };
 
@@ -105,8 +107,11 @@
   std::string m_Reason;
 };
 
+/// \returns a hash of what \p Wanted proposes, for its MapId.
+std::uint64_t digest(const Proposal &Wanted);
+
 enum class VoteValue {
-  None,
+  None,     ///< The proposal is not known; send it again.
   Loaded,   ///< Ready to vote; promises nothing.
   Yes,      ///< Final: the engine is armed.
   No,       ///< Final: the engine will never be armed for it.
@@ -124,6 +129,8 @@
 struct Query {
   MapId m_Id;
   Epoch m_Epoch;
+  /// First step of the proposed map.
+  Step m_Step = 0;
 };
 
 /// What a rank announces of its engine.
--- a/Source/RankGroup/SwitchParticipant.cpp
+++ b/Source/RankGroup/SwitchParticipant.cpp
@@ -14,6 +14,7 @@
 void SwitchParticipant::onEngine(const EngineState &Engine, Actions &Out) {
   const bool First = !m_Engine;
   m_Engine = Engine;
+  m_Outstanding.reset();
   m_Formation.onEngine(Engine, Out);
   const bool Undecided = Engine.m_HasPending && !Engine.m_Decided;
   if (First && Undecided && !m_Config.m_Rules.m_RememberVote) {
@@ -105,6 +106,7 @@
     return false;
   Wanted.m_Epoch = m_Engine->m_Formation.m_Epoch;
   Wanted.m_Base = m_Engine->m_Map;
+  Wanted.m_Id.m_Digest = digest(Wanted);
   if (refusable(Wanted))
     return false;
   for (RankIndex To = 0; To < m_Config.m_Ranks; ++To)
@@ -129,13 +131,11 @@
   if (Known)
     return;
   if (!(m_Engine->m_Answered < Heard.m_Id)) {
-    onQuery(From, {Heard.m_Id, Heard.m_Epoch}, Out);
+    onQuery(From, {Heard.m_Id, Heard.m_Epoch, Heard.m_Step}, Out);
     return;
   }
   if (m_Open || m_Engine->m_HasPending) {
-    const bool Newer = !m_Deferred || m_Deferred->m_Id < Heard.m_Id;
-    if (Newer)
-      m_Deferred = Heard;
+    yieldTo(Heard, Out);
     return;
   }
   if (refusable(Heard)) {
@@ -145,6 +145,18 @@
   begin(Heard, Out);
 }
 
+void SwitchParticipant::yieldTo(const Proposal &Heard, Actions &Out) {
+  if (m_Open && Heard.m_Id < m_Open->m_Proposal.m_Id) {
+    refuse(Heard.m_Id, Out);
+    return;
+  }
+  if (!m_Deferred || m_Deferred->m_Id < Heard.m_Id)
+    m_Deferred = Heard;
+  // Without a vote the older proposal can still be refused.
+  if (m_Open && !m_Engine->m_HasPending)
+    refuse(m_Open->m_Proposal.m_Id, Out);
+}
+
 void SwitchParticipant::begin(const Proposal &Accepted, Actions &Out) {
   m_HighestFencingNumber =
       std::max(m_HighestFencingNumber, Accepted.m_Id.m_FencingNumber);
@@ -177,6 +189,10 @@
   }
   if (!m_Open || !(m_Open->m_Proposal.m_Id == Heard.m_Id))
     return;
+  if (Heard.m_Value == VoteValue::None) {
+    Out.send(m_Config.m_Rank, From, m_Open->m_Proposal);
+    return;
+  }
   VoteValue &Known = m_Open->m_Votes[From];
   const bool Final = Known != VoteValue::None && Known != VoteValue::Loaded;
   if (Final && Heard.m_Value != VoteValue::Committed)
@@ -209,8 +225,13 @@
     return;
   }
   const bool Waiting = m_Deferred && m_Deferred->m_Id == Heard.m_Id;
-  if (!Waiting)
+  if (Waiting)
+    return;
+  const bool Late = Engine.m_NextStep + m_Config.m_GuardSteps > Heard.m_Step;
+  if (Late)
     refuse(Heard.m_Id, Out);
+  else
+    sendVote(From, Heard.m_Id, VoteValue::None, Out);
 }
 
 void SwitchParticipant::drive(Actions &Out) {
@@ -248,7 +269,7 @@
   Order.m_Step = m_Open->m_Proposal.m_Step;
   Order.m_Hold = m_Config.m_Rules.m_HoldAtStep;
   Order.m_Body = m_Open->m_Proposal.m_Body;
-  Out.m_Orders.push_back(Order);
+  issue(Order, Out);
 }
 
 void SwitchParticipant::refuse(MapId Which, Actions &Out) {
@@ -257,29 +278,47 @@
   order(OrderKind::Refuse, Which, Out);
 }
 
-void SwitchParticipant::order(OrderKind Kind, MapId Which, Actions &Out) const {
+void SwitchParticipant::order(OrderKind Kind, MapId Which, Actions &Out) {
   EngineOrder Order;
   Order.m_Kind = Kind;
   Order.m_Epoch = m_Engine->m_Formation.m_Epoch;
   Order.m_Map = Which;
+  issue(Order, Out);
+}
+
+void SwitchParticipant::issue(const EngineOrder &Order, Actions &Out) {
+  const bool Repeats = m_Outstanding && m_Outstanding->m_Kind == Order.m_Kind &&
+                       m_Outstanding->m_Map == Order.m_Map;
+  if (Repeats)
+    return;
+  m_Outstanding = Order;
   Out.m_Orders.push_back(Order);
 }
 
 void SwitchParticipant::onTick(base::Millis Now, Actions &Out) {
   m_Formation.onTick(Now, Out);
   drive(Out);
-  if (!m_Open || Now - m_LastAsked < m_Config.m_QueryInterval)
+  if (!m_Open || ownVote() == VoteValue::None)
     return;
-  m_LastAsked = Now;
-  if (!m_Config.m_Rules.m_QueryOutcome)
+  const base::Millis Interval = ownVote() == VoteValue::Yes
+                                    ? m_Config.m_QueryInterval
+                                    : m_Config.m_ReadyInterval;
+  if (Now - m_LastAsked < Interval || !m_Config.m_Rules.m_QueryOutcome)
     return;
+  m_LastAsked = Now;
+  ask(Out);
+}
+
+void SwitchParticipant::ask(Actions &Out) const {
   const Proposal &Current = m_Open->m_Proposal;
+  const Query Question{Current.m_Id, Current.m_Epoch, Current.m_Step};
   for (RankIndex To = 0; To < m_Config.m_Ranks; ++To) {
-    const bool Settled = m_Open->m_Votes[To] == VoteValue::Yes ||
-                         m_Open->m_Votes[To] == VoteValue::No;
-    if (To == m_Config.m_Rank || Settled)
-      continue;
-    Out.send(m_Config.m_Rank, To, Query{Current.m_Id, Current.m_Epoch});
+    const bool Ready = m_Open->m_Votes[To] == VoteValue::Loaded &&
+                       ownVote() == VoteValue::Loaded;
+    const bool Final = m_Open->m_Votes[To] == VoteValue::Yes ||
+                       m_Open->m_Votes[To] == VoteValue::No;
+    if (To != m_Config.m_Rank && !Ready && !Final)
+      Out.send(m_Config.m_Rank, To, Question);
   }
 }
 
@@ -326,6 +365,7 @@
   const auto Add = [&Words](const MapId &Id) {
     Words.push_back(Id.m_FencingNumber);
     Words.push_back(Id.m_Version);
+    Words.push_back(Id.m_Digest);
   };
   Words.push_back(m_Engine ? 1 : 0);
   encodeEngine(m_Engine.value_or(EngineState{}), Words);
@@ -337,6 +377,10 @@
   }
   Add(m_Deferred ? m_Deferred->m_Id : MapId{});
   Add(m_Refusing.value_or(MapId{}));
+  Words.push_back(m_Outstanding
+                      ? 1 + static_cast<std::uint64_t>(m_Outstanding->m_Kind)
+                      : 0);
+  Add(m_Outstanding ? m_Outstanding->m_Map : MapId{});
   Words.push_back(m_HighestFencingNumber);
   m_Formation.encode(Words);
 }
--- a/Source/RankGroup/SwitchParticipant.h
+++ b/Source/RankGroup/SwitchParticipant.h
@@ -38,8 +38,10 @@
     RankIndex m_Ranks = 1;
     /// A rank that has not voted refuses this many steps before the switch.
     Step m_GuardSteps = 12;
-    /// Time before votes and questions are repeated.
+    /// Time before a rank that voted yes asks again for the outcome.
     base::Millis m_QueryInterval{20};
+    /// Time before a rank that is ready asks again who else is.
+    base::Millis m_ReadyInterval{100};
     /// Time between two announcements of the engine's state.
     base::Millis m_AnnounceInterval{100};
     SwitchRules m_Rules = {};
@@ -93,15 +95,18 @@
 
   [[nodiscard]] bool inEpoch(const Epoch &Which) const;
   [[nodiscard]] bool refusable(const Proposal &Heard) const;
+  void yieldTo(const Proposal &Heard, Actions &Out);
   void begin(const Proposal &Accepted, Actions &Out);
   void adopt(Actions &Out);
   void reconcile(Actions &Out);
   void drive(Actions &Out);
   void close(base::EventId Event, const char *Reason, Actions &Out);
+  void ask(Actions &Out) const;
   void takeDeferred(Actions &Out);
   void refuse(MapId Which, Actions &Out);
   void arm(Actions &Out);
-  void order(OrderKind Kind, MapId Which, Actions &Out) const;
+  void order(OrderKind Kind, MapId Which, Actions &Out);
+  void issue(const EngineOrder &Order, Actions &Out);
   void setOwnVote(VoteValue Value, Actions &Out);
   void broadcastVote(MapId Which, VoteValue Value, Actions &Out) const;
   void sendVote(RankIndex To, MapId Which, VoteValue Value, Actions &Out) const;
@@ -117,6 +122,8 @@
   std::optional<Proposal> m_Deferred;
   /// Refused, but the engine has not taken note of it yet.
   std::optional<MapId> m_Refusing;
+  /// The last order, until the engine's next state is known.
+  std::optional<EngineOrder> m_Outstanding;
   std::uint64_t m_HighestFencingNumber = 0;
   base::Millis m_LastAsked{-1'000'000};
 };
