--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -7,6 +7,9 @@
 std::vector<Scenario> allScenarios() {
   return {
       mapSwitchScenario(),
+      limitsScenario(),
+      retriesScenario(),
+      routingScenario(),
   };
 }
 
@@ -14,6 +17,7 @@
   return {
       mapSwitchPromise(),
       mapSwitchExplorationPromise(),
+      cataloguePromise(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -6,6 +6,10 @@
 namespace corneldeck::bench {
 
 Scenario mapSwitchScenario();
+Promise cataloguePromise();
+Scenario limitsScenario();
+Scenario retriesScenario();
+Scenario routingScenario();
 
 } // namespace corneldeck::bench
 
--- /dev/null
+++ b/Source/Node/ControlEvents.cpp
@@ -0,0 +1,38 @@
+#include "Node/ControlEvents.h"
+
+namespace corneldeck::node {
+
+using base::EventId;
+
+EventId eventOf(catalogue::FollowerEvent Event) {
+  switch (Event) {
+  case catalogue::FollowerEvent::LogUnavailable:
+    return EventId::LogUnavailable;
+  case catalogue::FollowerEvent::LogBack:
+    return EventId::LogBack;
+  case catalogue::FollowerEvent::LogGap:
+    return EventId::LogGap;
+  case catalogue::FollowerEvent::SnapshotLoaded:
+    return EventId::SnapshotLoaded;
+  case catalogue::FollowerEvent::FromPeer:
+    return EventId::CatalogueFromPeer;
+  }
+  return EventId::LogGap;
+}
+
+EventId eventOf(membership::MemberEvent::Type What) {
+  switch (What) {
+  case membership::MemberEvent::Type::Joined:
+  case membership::MemberEvent::Type::Returned:
+  case membership::MemberEvent::Type::Replaced:
+    return EventId::NodeReturned;
+  case membership::MemberEvent::Type::Leaving:
+    return EventId::NodeLeaving;
+  case membership::MemberEvent::Type::Silent:
+  case membership::MemberEvent::Type::Lost:
+    return EventId::NodeLost;
+  }
+  return EventId::NodeLost;
+}
+
+} // namespace corneldeck::node
