--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,9 +1,11 @@
+#include "Bench/Scenario.h"
 #include "Bench/Scenarios.h"
 
 namespace corneldeck::bench {
 
 std::vector<Scenario> allScenarios() {
   return {
+      mapSwitchScenario(),
       limitsScenario(),
       pathScenario(),
       retriesScenario(),
@@ -13,6 +15,8 @@
 
 std::vector<Promise> allPromises() {
   return {
+      mapSwitchPromise(),
+      mapSwitchExplorationPromise(),
       cataloguePromise(),
   };
 }
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -5,6 +5,9 @@
 
 namespace corneldeck::bench {
 
+Scenario mapSwitchScenario();
+Promise mapSwitchPromise();
+Promise mapSwitchExplorationPromise();
 Promise cataloguePromise();
 Scenario limitsScenario();
 Scenario pathScenario();
