Bench: measure what idle daemons cost

Cause: control has a budget for each node of 1.3% of a core, 256 MB and 8 KB a second, and nothing said how far it is used.

Each daemon counts the bytes of its heartbeats, gossip and log reads.

--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -79,6 +79,11 @@
   if (m_Settings.m_Kind == BackendKind::Engine)
     m_Probe =
         std::make_unique<LoadProbe>(Loop, m_Http, m_Settings.m_BackendAddress);
+  m_Metrics.gauge("corneldeck_control_bytes",
+                  "Bytes to and from the log, peers and heartbeats.", [this] {
+                    return static_cast<double>(m_Control.bytes() +
+                                               m_Hub.controlBytes());
+                  });
   m_Metrics.gauge("corneldeck_agent_running", "Requests in flight.",
                   [this] { return static_cast<double>(m_Table.running()); });
   m_Metrics.gauge(
--- a/Source/Agent/LinkHub.cpp
+++ b/Source/Agent/LinkHub.cpp
@@ -67,6 +67,7 @@
     onHello(Id, From, Frame.hello());
     return;
   case wire::LinkFrame::kHeartbeat:
+    m_ControlBytes += Frame.ByteSizeLong();
     sendLoad(Id, Frame.heartbeat().sequence());
     return;
   case wire::LinkFrame::kStart:
@@ -108,6 +109,7 @@
   Load.set_sequence(Sequence);
   m_Hooks.m_FillLoad(Id, Load);
   Load.set_clock_ms(m_Clock.now().count());
+  m_ControlBytes += Frame.ByteSizeLong();
   send(Id, Frame);
 }
 
--- a/Source/Agent/LinkHub.h
+++ b/Source/Agent/LinkHub.h
@@ -6,6 +6,7 @@
 #include "Request/AttemptTypes.h"
 #include "Wire/Link.pb.h"
 
+#include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
@@ -56,6 +57,9 @@
   /// Closes all connections and takes no more.
   void close();
 
+  /// \returns the bytes of heartbeats and their answers so far. Any thread.
+  [[nodiscard]] std::uint64_t controlBytes() const { return m_ControlBytes; }
+
   /// \returns the number of greeted connections.
   [[nodiscard]] std::size_t size() const { return m_Links.size(); }
 
@@ -81,6 +85,7 @@
   const base::Clock m_Clock;
   net::LinkServer m_Server;
   boost::asio::steady_timer m_Timer;
+  std::atomic<std::uint64_t> m_ControlBytes{0};
   request::LinkId m_LastId = 0;
   std::map<request::LinkId, Link> m_Links;
 };
--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -5,11 +5,8 @@
 
 std::vector<Scenario> allScenarios() {
   return {
-      mapSwitchScenario(),
-      limitsScenario(),
-      pathScenario(),
-      retriesScenario(),
-      routingScenario(),
+      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
+      pathScenario(),      retriesScenario(), routingScenario(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -10,6 +10,7 @@
 Promise mapSwitchExplorationPromise();
 Promise cataloguePromise();
 Scenario limitsScenario();
+Scenario controlCostScenario();
 Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
--- a/Source/Entry/AgentLinks.cpp
+++ b/Source/Entry/AgentLinks.cpp
@@ -100,6 +100,7 @@
     Frame.set_stamp(m_Events.stamp());
     Frame.mutable_heartbeat()->set_sequence(Actions.m_Sequence);
     Frame.mutable_heartbeat()->set_catalogue_offset(m_CatalogueOffset);
+    m_ControlBytes += Frame.ByteSizeLong();
     Of.m_Connection->send(Frame);
   }
   if (Actions.m_Open)
@@ -167,6 +168,7 @@
     onHello(Agent, *Of, Frame.hello());
     return;
   case wire::LinkFrame::kLoad:
+    m_ControlBytes += Frame.ByteSizeLong();
     onLoad(Agent, *Of, Frame.load());
     return;
   default:
--- a/Source/Entry/AgentLinks.h
+++ b/Source/Entry/AgentLinks.h
@@ -8,6 +8,7 @@
 #include "Request/AgentClock.h"
 #include "Wire/Link.pb.h"
 
+#include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
@@ -60,6 +61,9 @@
   /// \returns what is known of an agent, or none if there is no such agent.
   [[nodiscard]] std::optional<AgentState> state(const std::string &Agent) const;
 
+  /// \returns the bytes of heartbeats and their answers so far. Any thread.
+  [[nodiscard]] std::uint64_t controlBytes() const { return m_ControlBytes; }
+
   /// \returns the names of all agents.
   [[nodiscard]] std::vector<std::string> agents() const;
 
@@ -103,6 +107,7 @@
   const AgentLinksHooks m_Hooks;
   const base::Clock m_Time;
   boost::asio::steady_timer m_Timer;
+  std::atomic<std::uint64_t> m_ControlBytes{0};
   std::uint64_t m_CatalogueOffset = 0;
   std::uint64_t m_LastNumber = 0;
   std::map<std::string, LinkPtr> m_Links;
--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -50,6 +50,11 @@
                [this](const ExchangePtr &Exchange) { handle(Exchange); }),
       m_StopTimer(Loop) {
   log::attachLog(m_Events, {m_Settings.m_LogRequests});
+  m_Metrics.gauge("corneldeck_control_bytes",
+                  "Bytes to and from the log, peers and heartbeats.", [this] {
+                    return static_cast<double>(m_Control.bytes() +
+                                               m_Front.links().controlBytes());
+                  });
 }
 
 EntryDaemon::~EntryDaemon() { m_Control.stop(); }
--- a/Source/Net/PeerLink.cpp
+++ b/Source/Net/PeerLink.cpp
@@ -3,6 +3,7 @@
 #include "Wire/Peer.pb.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <map>
@@ -176,7 +177,7 @@
   nng_aio *m_Receive = nullptr;
   std::map<std::string, Outlet> m_Outlets;
   base::Millis m_LastIdleCheck{};
-  std::uint64_t m_Bytes = 0;
+  std::atomic<std::uint64_t> m_Bytes{0};
   std::mutex m_Mutex;
   bool m_Closed = false;
 };
--- a/Source/Net/PeerLink.h
+++ b/Source/Net/PeerLink.h
@@ -44,7 +44,7 @@
   /// \param Where the peer's listening address.
   void send(const std::string &Where, const wire::PeerMessage &Message);
 
-  /// \returns the number of bytes sent and taken so far, for metrics.
+  /// \returns the number of bytes sent and taken so far. Any thread.
   [[nodiscard]] std::uint64_t bytes() const;
 
 private:
--- a/Source/Node/ControlLoop.cpp
+++ b/Source/Node/ControlLoop.cpp
@@ -30,7 +30,9 @@
 
 ControlHooks ControlLoop::hooks() {
   ControlHooks Hooks;
-  Hooks.m_Log = makeLogClient(m_Http, m_Settings.m_LogAddress);
+  Hooks.m_Log =
+      makeLogClient(m_Http, m_Settings.m_LogAddress,
+                    [this](std::size_t Bytes) { m_LogBytes += Bytes; });
   Hooks.m_Send = [this](const std::string &Address, wire::PeerMessage Message) {
     Message.set_stamp(m_Events.stamp());
     m_Peers.send(Address, Message);
--- a/Source/Node/ControlLoop.h
+++ b/Source/Node/ControlLoop.h
@@ -6,6 +6,7 @@
 #include "Net/PeerLink.h"
 #include "Node/ControlCore.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -84,6 +85,11 @@
     return m_Core.serveUntil(LeftAt);
   }
 
+  /// \returns the bytes to and from the log and the peers so far. Any thread.
+  [[nodiscard]] std::uint64_t bytes() const {
+    return m_LogBytes + m_Peers.bytes();
+  }
+
   [[nodiscard]] const ControlSettings &settings() const { return m_Settings; }
   [[nodiscard]] base::Millis now() const { return m_Clock.now(); }
 
@@ -96,6 +102,7 @@
   const base::Clock m_Clock;
   boost::asio::io_context m_Loop;
   boost::asio::steady_timer m_Timer;
+  std::atomic<std::uint64_t> m_LogBytes{0};
   net::HttpClient m_Http;
   net::PeerLink m_Peers;
   ViewHook m_OnView;
--- a/Source/Node/LogHttpClient.cpp
+++ b/Source/Node/LogHttpClient.cpp
@@ -15,6 +15,8 @@
 constexpr int HttpOk = 200;
 constexpr base::Millis AppendTimeout = base::seconds(3);
 constexpr base::Millis ReadMargin = base::seconds(1);
+/// The heads of a request and its answer together, about.
+constexpr std::size_t HeadBytes = 300;
 
 base::Error statusError(int Status) {
   return {base::ResultCode::Timeout,
@@ -68,16 +70,19 @@
 }
 
 catalogue::LogClient makeLogClient(net::HttpClient &Http,
-                                   const std::string &Address) {
+                                   const std::string &Address,
+                                   std::function<void(std::size_t)> OnBytes) {
   catalogue::LogClient Client;
-  Client.m_Append = [&Http, Address](const wire::LogRecord &Record,
-                                     catalogue::LogClient::AppendDone Done) {
+  Client.m_Append = [&Http, Address,
+                     OnBytes](const wire::LogRecord &Record,
+                              catalogue::LogClient::AppendDone Done) {
     net::HttpCall Call;
     Call.m_Method = "POST";
     Call.m_Address = Address;
     Call.m_Target = "/append";
     Call.m_Body = Record.SerializeAsString();
     Call.m_Timeout = AppendTimeout;
+    OnBytes(HeadBytes + Call.m_Body.size());
     Http.fetch(std::move(Call),
                [Done = std::move(Done)](base::Result<net::HttpReply> Answer) {
                  if (!Answer)
@@ -86,23 +91,25 @@
                    Done(parseAppend(*Answer));
                });
   };
-  Client.m_Read = [&Http, Address](const catalogue::ReadRequest &Request,
-                                   catalogue::LogClient::ReadDone Done) {
+  Client.m_Read = [&Http, Address,
+                   OnBytes](const catalogue::ReadRequest &Request,
+                            catalogue::LogClient::ReadDone Done) {
     net::HttpCall Call;
     Call.m_Address = Address;
     Call.m_Target = "/read?from=" + std::to_string(Request.m_From) +
                     "&limit=" + std::to_string(Request.m_Limit) +
                     "&wait_ms=" + std::to_string(Request.m_Wait.count());
     Call.m_Timeout = Request.m_Wait + ReadMargin;
-    Http.fetch(std::move(Call),
-               [Done = std::move(Done)](base::Result<net::HttpReply> Answer) {
-                 if (!Answer)
-                   Done(tl::unexpected(Answer.error()));
-                 else if (Answer->m_Status != HttpOk)
-                   Done(tl::unexpected(statusError(Answer->m_Status)));
-                 else
-                   Done(parseReadAnswer(Answer->m_Body));
-               });
+    Http.fetch(std::move(Call), [Done = std::move(Done),
+                                 OnBytes](base::Result<net::HttpReply> Answer) {
+      OnBytes(HeadBytes + (Answer ? Answer->m_Body.size() : 0));
+      if (!Answer)
+        Done(tl::unexpected(Answer.error()));
+      else if (Answer->m_Status != HttpOk)
+        Done(tl::unexpected(statusError(Answer->m_Status)));
+      else
+        Done(parseReadAnswer(Answer->m_Body));
+    });
   };
   return Client;
 }
