--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -2,7 +2,13 @@
 
 namespace corneldeck::bench {
 
-std::vector<Scenario> allScenarios() { return {}; }
+std::vector<Scenario> allScenarios() {
+  return {
+      limitsScenario(),
+      retriesScenario(),
+      routingScenario(),
+  };
+}
 
 std::vector<Promise> allPromises() {
   return {
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -7,6 +7,9 @@
 
 Promise cataloguePromise();
 Promise leasesPromise();
+Scenario limitsScenario();
+Scenario retriesScenario();
+Scenario routingScenario();
 
 } // namespace corneldeck::bench
 
