--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -15,6 +15,7 @@
       mapSwitchPromise(),
       mapSwitchExplorationPromise(),
       cataloguePromise(),
+      leasesPromise(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -9,6 +9,7 @@
 Promise mapSwitchPromise();
 Promise mapSwitchExplorationPromise();
 Promise cataloguePromise();
+Promise leasesPromise();
 Scenario limitsScenario();
 Scenario controlCostScenario();
 Scenario pathScenario();
