--- /dev/null
+++ b/Source/Bench/Scenarios.h
@@ -0,0 +1,15 @@
+#ifndef CORNELDECK_BENCH_SCENARIOS_H
+#define CORNELDECK_BENCH_SCENARIOS_H
+
+#include "Bench/Scenario.h"
+
+namespace corneldeck::bench {
+
+Promise cataloguePromise();
+Scenario limitsScenario();
+Scenario retriesScenario();
+Scenario routingScenario();
+
+} // namespace corneldeck::bench
+
+#endif
