Entry: refuse header texts that no message can carry

A caller's Idempotency-Key, Content-Type or path with bytes that are not UTF-8 went into a protobuf text. The agent could not read the frame and closed the connection, which all callers of the entry share. Such texts are refused as not run now; an agent leaves out such a content type of its backend server. HostileTest.BytesThatAreNoTextHarmNobodyElse: failed before (503 and bad-frame at the agents), passes now.

--- a/Source/Agent/BackendRunner.cpp
+++ b/Source/Agent/BackendRunner.cpp
@@ -124,7 +124,9 @@
 
 void BackendRunner::onHead(Running &Of, const net::HttpAnswerHead &Head) {
   Of.m_Status = Head.m_Status;
-  Of.m_ContentType = net::findHeader(Head.m_Headers, "Content-Type");
+  const std::string_view Type = net::findHeader(Head.m_Headers, "Content-Type");
+  if (net::isPrintable(Type))
+    Of.m_ContentType = Type;
   // An error is not streamed.
   Of.m_Stream = Of.m_Stream && Head.m_Status == HttpOk;
   m_Hooks.m_Began(Of.m_Id);
--- a/Source/Entry/CallerRequest.cpp
+++ b/Source/Entry/CallerRequest.cpp
@@ -156,6 +156,23 @@
   return {};
 }
 
+/// Refuses texts that a message to an agent can't carry: protobuf's texts must
+/// be UTF-8, and a frame that can't be read would close a connection that
+/// other callers share.
+base::Result<void> checkTexts(const request::RequestSpec &Spec) {
+  const std::pair<std::string_view, std::string_view> Texts[] = {
+      {"the path", Spec.m_Path},
+      {"Content-Type", Spec.m_ContentType},
+      {"Idempotency-Key", Spec.m_Key}};
+  for (const auto &[Name, Text] : Texts)
+    if (!net::isPrintable(Text))
+      return base::failure(ResultCode::BadRequest,
+                           std::string(Name) +
+                               ": expected printable ASCII; escape other "
+                               "characters.");
+  return {};
+}
+
 bool isSafeMethod(std::string_view Method) {
   return Method == "GET" || Method == "HEAD";
 }
@@ -179,6 +196,8 @@
   request::RequestSpec &Spec = Read.m_Spec;
   if (const auto Key = readKey(Exchange, Wall, Spec); !Key)
     return tl::unexpected(Key.error());
+  if (const auto Texts = checkTexts(Spec); !Texts)
+    return tl::unexpected(Texts.error());
   Spec.m_Idempotent =
       Spec.m_Key.empty() &&
       (isSafeMethod(Spec.m_Method) || Read.m_Entry->isIdempotent(Spec.m_Path));
--- a/Source/Net/Http.cpp
+++ b/Source/Net/Http.cpp
@@ -1,5 +1,6 @@
 #include "Net/Http.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <nlohmann/json.hpp>
 
@@ -27,6 +28,12 @@
   return {};
 }
 
+bool isPrintable(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), [](char Character) {
+    return Character >= ' ' && Character <= '~';
+  });
+}
+
 HttpReply jsonReply(std::string Body, int Status) {
   return {Status, {{"Content-Type", "application/json"}}, std::move(Body)};
 }
--- a/Source/Net/Http.h
+++ b/Source/Net/Http.h
@@ -39,6 +39,10 @@
 /// matter, or an empty text.
 std::string_view findHeader(const HttpHeaders &Headers, std::string_view Name);
 
+/// \returns whether \p Text is printable ASCII, as messages to other processes
+/// carry it.
+bool isPrintable(std::string_view Text);
+
 /// \returns an answer with \p Body and the content type of JSON.
 HttpReply jsonReply(std::string Body, int Status = 200);
 
