--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,18 +1,21 @@
+#include "Bench/Scenario.h"
 #include "Bench/Scenarios.h"
 
 namespace corneldeck::bench {
 
 std::vector<Scenario> allScenarios() {
   return {
-      limitsScenario(),
-      retriesScenario(),
-      routingScenario(),
+      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
+      pathScenario(),      retriesScenario(), routingScenario(),
   };
 }
 
 std::vector<Promise> allPromises() {
   return {
+      mapSwitchPromise(),
+      mapSwitchExplorationPromise(),
       cataloguePromise(),
+      leasesPromise(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -5,8 +5,14 @@
 
 namespace corneldeck::bench {
 
+Scenario mapSwitchScenario();
+Promise mapSwitchPromise();
+Promise mapSwitchExplorationPromise();
 Promise cataloguePromise();
+Promise leasesPromise();
 Scenario limitsScenario();
+Scenario controlCostScenario();
+Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
 
