--- a/Source/Request/AttemptKeyed.cpp
+++ b/Source/Request/AttemptKeyed.cpp
@@ -81,16 +81,21 @@
 void AttemptTable::joinClaim(Millis Now, const AttemptKey &Key,
                              const wire::Start &Start,
                              const claims::Claim &Known) {
+  const bool Running = Known.m_State == ClaimState::Running;
+  Run *Its = Running ? findRun(Known.m_Run) : nullptr;
   if (Known.m_Fingerprint != Start.fingerprint()) {
-    refuse(Now, Key, {ResultCode::KeyReused, Ran::No});
+    // Until the former homes have answered, either request may be the first.
+    if (Running && Its->m_State == RunState::Asking)
+      refuse(Now, Key, {ResultCode::RunningElsewhere, Ran::Unknown});
+    else
+      refuse(Now, Key, {ResultCode::KeyReused, Ran::No});
     return;
   }
   Attempt &Joining = m_Attempts[Key];
-  if (Known.m_State != ClaimState::Running) {
+  if (!Running) {
     endAttempt(Now, Key, Joining, m_Claims.duplicateAnswer(Known));
     return;
   }
-  Run *Its = findRun(Known.m_Run);
   Joining.m_Run = Known.m_Run;
   Its->m_Attempts.insert(Key);
   pumpOne(Now, *Its, Key, Joining);
--- a/Source/Request/AttemptStop.cpp
+++ b/Source/Request/AttemptStop.cpp
@@ -132,6 +132,7 @@
   if (!m_StopBy)
     m_MoveAt = Now + (StopBy - Now) / 2;
   m_StopBy = StopBy;
+  m_EndAt = StopBy;
   advanceDrain(Now);
   return take();
 }
@@ -161,12 +162,19 @@
       m_Actions.emplace_back(ExportBackend{Id});
     }
   }
-  if (!m_StopBy || Now < *m_StopBy)
+  if (!m_EndAt || Now < *m_EndAt)
     return;
+  m_EndAt.reset();
   for (const RunId Id : Active) {
     Run *Running = findRun(Id);
-    if (Running != nullptr && Running->m_State == RunState::Sent)
+    if (Running == nullptr || Running->m_State == RunState::Done)
+      continue;
+    if (Running->m_State == RunState::Sent) {
       endUnfinished(Now, *Running);
+      continue;
+    }
+    m_Fences.close(Id);
+    finishRun(Now, *Running, unknownEnd(ResultCode::Stopping));
   }
 }
 
@@ -246,8 +254,8 @@
     Add(m_Expiries.front().m_At);
   if (m_MoveAt)
     Add(*m_MoveAt);
-  if (m_StopBy && !m_Active.empty())
-    Add(*m_StopBy);
+  if (m_EndAt)
+    Add(*m_EndAt);
   return Next;
 }
 
--- a/Source/Request/AttemptTable.h
+++ b/Source/Request/AttemptTable.h
@@ -220,6 +220,7 @@
   std::multimap<base::Millis, RunId> m_RunDeadlines;
   std::map<LinkId, std::set<AttemptKey>> m_Links;
   std::optional<base::Millis> m_MoveAt;
+  std::optional<base::Millis> m_EndAt;
   std::optional<base::Millis> m_StopBy;
   bool m_OutOfService = false;
   AttemptActions m_Actions;
--- a/Source/Request/RequestFlow.h
+++ b/Source/Request/RequestFlow.h
@@ -47,6 +47,11 @@
     return static_cast<std::uint32_t>(m_Attempts.size());
   }
 
+  /// \returns the agent of the newest attempt; empty before the first.
+  [[nodiscard]] std::string lastAgent() const {
+    return m_Attempts.empty() ? "" : m_Attempts.back().m_Target.m_Agent;
+  }
+
   [[nodiscard]] const RequestSpec &spec() const { return m_Spec; }
 
 private:
