Agent: ask a former home after it left the catalogue

Cause: the address of a former home was looked up in the newest catalogue only, so a key moved by removing its server was refused for the whole window though the old home still answered. Done: the agent keeps the control address of each server it has seen. Not shown by a daemon test yet.

--- a/Source/Agent/AgentDaemon.cpp
+++ b/Source/Agent/AgentDaemon.cpp
@@ -197,6 +197,10 @@
                         Entry ? serverNames(*Entry)
                               : std::vector<std::string>{});
   }
+  // A former home is asked even after it left the catalogue.
+  for (const auto &[Name, Entry] : View->entries())
+    for (const catalogue::BackendServer &Server : Entry->m_BackendServers)
+      m_ControlAddresses[Server.m_Name] = Server.m_ControlAddress;
   m_View = View;
   armTimer();
 }
@@ -220,18 +224,14 @@
 }
 
 void AgentDaemon::sendFence(const request::SendFence &Order) {
-  if (!m_View)
+  const auto Found = m_ControlAddresses.find(Order.m_Server);
+  // An unknown server can't be asked: the round times out and the caller is
+  // refused.
+  if (Found == m_ControlAddresses.end())
     return;
-  // A server that left the catalogue can't be found any more; the round times
-  // out and the caller is refused.
-  for (const auto &[Name, Entry] : m_View->entries())
-    for (const catalogue::BackendServer &Server : Entry->m_BackendServers)
-      if (Server.m_Name == Order.m_Server) {
-        wire::PeerMessage Message;
-        *Message.mutable_claim_fence() = Order.m_Ask;
-        m_Control.send(Server.m_ControlAddress, std::move(Message));
-        return;
-      }
+  wire::PeerMessage Message;
+  *Message.mutable_claim_fence() = Order.m_Ask;
+  m_Control.send(Found->second, std::move(Message));
 }
 
 void AgentDaemon::carryOut(const request::AttemptActions &Actions) {
--- a/Source/Agent/AgentDaemon.h
+++ b/Source/Agent/AgentDaemon.h
@@ -12,6 +12,7 @@
 #include "Status/StatusPages.h"
 
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -71,6 +72,9 @@
   boost::asio::steady_timer m_Timer;
   boost::asio::steady_timer m_StopTimer;
   catalogue::ViewPtr m_View;
+  /// Where each backend server of this or an earlier catalogue takes control
+  /// messages.
+  std::map<std::string, std::string> m_ControlAddresses;
   std::function<void()> m_Stopped;
   /// Lets what the control thread posted be dropped once this object is gone.
   std::shared_ptr<int> m_Alive = std::make_shared<int>(0);
--- a/Source/Bench/RequestWorld.cpp
+++ b/Source/Bench/RequestWorld.cpp
@@ -251,6 +251,7 @@
   if (m_LogOut || Agents.empty())
     return;
   std::vector<std::string> Servers;
+  Servers.reserve(Agents.size());
   for (const std::size_t Agent : Agents)
     Servers.push_back(m_Agents[Agent].m_Process.m_Name);
   const std::uint64_t Offset = ++m_Offset;
