--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -6,9 +6,8 @@
 
 std::vector<Scenario> allScenarios() {
   return {
-      limitsScenario(),
-      retriesScenario(),
-      routingScenario(),
+      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
+      pathScenario(),      retriesScenario(), routingScenario(),
   };
 }
 
@@ -16,7 +15,10 @@
   return {
       atMostOncePromise(),
       outcomePromise(),
+      mapSwitchPromise(),
+      mapSwitchExplorationPromise(),
       cataloguePromise(),
+      leasesPromise(),
   };
 }
 
