--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -13,12 +13,8 @@
 
 std::vector<Promise> allPromises() {
   return {
-      atMostOncePromise(),
-      outcomePromise(),
-      mapSwitchPromise(),
-      mapSwitchExplorationPromise(),
-      cataloguePromise(),
-      leasesPromise(),
+      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
+      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
   };
 }
 
