--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,3 +1,4 @@
+#include "Bench/RequestPromises.h"
 #include "Bench/Scenario.h"
 #include "Bench/Scenarios.h"
 
@@ -12,10 +13,8 @@
 
 std::vector<Promise> allPromises() {
   return {
-      mapSwitchPromise(),
-      mapSwitchExplorationPromise(),
-      cataloguePromise(),
-      leasesPromise(),
+      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
+      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
   };
 }
 
