Admission: predict a class's wait from the rate left to it

A lower class only gets what the higher ones leave. Routing prefers a prefix's home by rendezvous hashing, so that caches of returned replicas fill with few doubles, and leaves out replicas that fail runs at once.

--- a/Source/Admission/AdmissionControl.cpp
+++ b/Source/Admission/AdmissionControl.cpp
@@ -40,29 +40,33 @@
       return Outcome;
     }
     Outcome.m_Displaced.push_back(
-        {Loser->m_Request, refuse(Now, *Loser, waitFor(Now, queuedWork()))});
+        {Loser->m_Request,
+         refuse(Now, *Loser, waitFor(Now, Loser->m_Class, queuedWork()))});
   }
   if (m_Places.empty())
     m_Rate.begin(Now);
   m_Places[New.m_Request] = {New.m_Class, New.m_Customer};
-  FairQueue &Queue = m_Classes[New.m_Class];
-  Queue.push(std::move(New));
+  ClassQueue &Own = classQueue(New.m_Class);
+  Own.m_Arrivals.arrived(Now, New.m_Work);
+  Own.m_Queue.push(std::move(New));
   return Outcome;
 }
 
 std::optional<Ticket> AdmissionControl::displace(const Ticket &New) {
   const auto Lowest =
-      std::find_if(m_Classes.rbegin(), m_Classes.rend(),
-                   [](const auto &Item) { return Item.second.size() > 0; });
+      std::find_if(m_Classes.rbegin(), m_Classes.rend(), [](const auto &Item) {
+        return Item.second.m_Queue.size() > 0;
+      });
   if (Lowest == m_Classes.rend() || Lowest->first < New.m_Class)
     return std::nullopt;
   if (Lowest->first == New.m_Class) {
     // Within a class room is made only at the cost of a larger customer.
-    const double Mine = Lowest->second.workOf(New.m_Customer) + New.m_Work;
-    if (Lowest->second.largestWork() <= Mine)
+    const double Mine =
+        Lowest->second.m_Queue.workOf(New.m_Customer) + New.m_Work;
+    if (Lowest->second.m_Queue.largestWork() <= Mine)
       return std::nullopt;
   }
-  std::optional<Ticket> Loser = Lowest->second.dropFromLargest();
+  std::optional<Ticket> Loser = Lowest->second.m_Queue.dropFromLargest();
   if (Loser)
     forget(*Loser);
   return Loser;
@@ -71,7 +75,7 @@
 std::vector<const Ticket *> AdmissionControl::next(std::size_t Count) const {
   std::vector<const Ticket *> Order;
   for (const auto &[Class, Queue] : m_Classes) {
-    const auto Part = Queue.next(Count - Order.size());
+    const auto Part = Queue.m_Queue.next(Count - Order.size());
     Order.insert(Order.end(), Part.begin(), Part.end());
   }
   return Order;
@@ -84,7 +88,7 @@
     return std::nullopt;
   const Place Where = Found->second;
   std::optional<Ticket> Taken =
-      m_Classes[Where.m_Class].serve(Request, Where.m_Customer);
+      classQueue(Where.m_Class).m_Queue.serve(Request, Where.m_Customer);
   if (!Taken)
     return std::nullopt;
   // One that found room at once says nothing of the rate under load.
@@ -101,7 +105,7 @@
     return false;
   const Place Where = Found->second;
   const std::optional<Ticket> Gone =
-      m_Classes[Where.m_Class].remove(Request, Where.m_Customer);
+      classQueue(Where.m_Class).m_Queue.remove(Request, Where.m_Customer);
   if (Gone)
     forget(*Gone);
   return Gone.has_value();
@@ -116,14 +120,16 @@
 std::vector<Refusal> AdmissionControl::expire(base::Millis Now) {
   std::vector<Refusal> Given;
   double Ahead = 0;
-  for (auto &[Class, Queue] : m_Classes) {
+  for (auto &[Class, Own] : m_Classes) {
+    FairQueue &Queue = Own.m_Queue;
+    const std::uint32_t Of = Class;
     const auto Misses = [&](const Ticket &Each, double Through) {
-      const base::Millis Wait = waitFor(Now, Ahead + Through - Each.m_Work);
+      const base::Millis Wait = waitFor(Now, Of, Ahead + Through - Each.m_Work);
       return Now + Wait + Each.m_RunTime > Each.m_Deadline;
     };
     for (const Ticket &Gone : Queue.filter(Misses)) {
       forget(Gone);
-      const base::Millis Wait = waitFor(Now, Ahead + Queue.work());
+      const base::Millis Wait = waitFor(Now, Of, Ahead + Queue.work());
       Given.push_back({Gone.m_Request, refuse(Now, Gone, Wait)});
     }
     Ahead += Queue.work();
@@ -138,27 +144,45 @@
   double Ahead = workAhead(Class);
   const auto Own = m_Classes.find(Class);
   if (Own != m_Classes.end())
-    Ahead += Own->second.workThrough(Customer, Work) - Work;
-  return waitFor(Now, Ahead);
+    Ahead += Own->second.m_Queue.workThrough(Customer, Work) - Work;
+  return waitFor(Now, Class, Ahead);
 }
 
 double AdmissionControl::workAhead(std::uint32_t Class) const {
   double Sum = 0;
   for (auto Item = m_Classes.begin();
        Item != m_Classes.end() && Item->first < Class; ++Item)
-    Sum += Item->second.work();
+    Sum += Item->second.m_Queue.work();
   return Sum;
 }
 
 double AdmissionControl::queuedWork() const {
   double Sum = 0;
   for (const auto &[Class, Queue] : m_Classes)
-    Sum += Queue.work();
+    Sum += Queue.m_Queue.work();
   return Sum;
 }
 
-base::Millis AdmissionControl::waitFor(base::Millis Now, double Work) const {
-  const double Rate = std::max(m_Rate.perSecond(Now), MinWorkPerSecond);
+AdmissionControl::ClassQueue &
+AdmissionControl::classQueue(std::uint32_t Class) {
+  const auto [Item, IsNew] = m_Classes.try_emplace(
+      Class, ClassQueue{FairQueue(), ArrivalRate(m_Settings.m_RateWindow)});
+  return Item->second;
+}
+
+/// \returns the rate left for a class by the arrivals of those before it.
+double AdmissionControl::rateFor(base::Millis Now, std::uint32_t Class) const {
+  const double All = m_Rate.perSecond(Now);
+  double Left = All;
+  for (auto Item = m_Classes.begin();
+       Item != m_Classes.end() && Item->first < Class; ++Item)
+    Left -= Item->second.m_Arrivals.perSecond(Now);
+  return std::max({Left, All * m_Settings.m_LeastClassShare, MinWorkPerSecond});
+}
+
+base::Millis AdmissionControl::waitFor(base::Millis Now, std::uint32_t Class,
+                                       double Work) const {
+  const double Rate = rateFor(Now, Class);
   const double Wait = std::ceil(Work / Rate * MillisPerSecond);
   const auto Longest = static_cast<double>(base::minutes(60).count());
   return base::Millis(static_cast<std::int64_t>(std::min(Wait, Longest)));
@@ -169,7 +193,7 @@
   fadeReturning(Now);
   const base::Millis Room = Of.m_Deadline - Now - Of.m_RunTime;
   // Those refused before come back before this one does.
-  const base::Millis Returning = waitFor(Now, m_Returning);
+  const base::Millis Returning = waitFor(Now, Of.m_Class, m_Returning);
   m_Returning += Of.m_Work;
   const base::Millis Excess = Wait - std::max(Room, base::Millis(0));
   const base::Millis RetryAfter =
--- a/Source/Admission/AdmissionControl.h
+++ b/Source/Admission/AdmissionControl.h
@@ -20,6 +20,8 @@
   /// Work a second that is assumed before any was measured.
   double m_InitialRate = 100'000;
   base::Millis m_RateWindow{2'000};
+  /// The least part of the rate that is counted on for the lower classes.
+  double m_LeastClassShare = 0.05;
   base::Millis m_MinRetryAfter{20};
   base::Millis m_MaxRetryAfter = base::seconds(60);
 };
@@ -84,7 +86,8 @@
   };
 
   [[nodiscard]] double workAhead(std::uint32_t Class) const;
-  [[nodiscard]] base::Millis waitFor(base::Millis Now, double Work) const;
+  [[nodiscard]] base::Millis waitFor(base::Millis Now, std::uint32_t Class,
+                                     double Work) const;
   base::Error refuse(base::Millis Now, const Ticket &Of, base::Millis Wait);
   void fadeReturning(base::Millis Now);
   std::optional<Ticket> displace(const Ticket &New);
@@ -92,7 +95,16 @@
 
   AdmissionSettings m_Settings;
   DrainRate m_Rate;
-  std::map<std::uint32_t, FairQueue> m_Classes;
+  /// The requests of one class.
+  struct ClassQueue {
+    FairQueue m_Queue;
+    ArrivalRate m_Arrivals;
+  };
+
+  ClassQueue &classQueue(std::uint32_t Class);
+  [[nodiscard]] double rateFor(base::Millis Now, std::uint32_t Class) const;
+
+  std::map<std::uint32_t, ClassQueue> m_Classes;
   std::map<std::string, Place> m_Places;
   /// Refused work that was told to come back and has not had its turn yet.
   double m_Returning = 0;
--- a/Source/Admission/DrainRate.cpp
+++ b/Source/Admission/DrainRate.cpp
@@ -34,4 +34,13 @@
   return m_Work / (m_Seconds + Idle);
 }
 
+void ArrivalRate::arrived(base::Millis Now, double Work) {
+  m_PerSecond = perSecond(Now) + Work / toSeconds(m_Window);
+  m_Last = Now;
+}
+
+double ArrivalRate::perSecond(base::Millis Now) const {
+  return m_PerSecond * std::exp(-toSeconds(Now - m_Last) / toSeconds(m_Window));
+}
+
 } // namespace corneldeck::admission
--- a/Source/Admission/DrainRate.h
+++ b/Source/Admission/DrainRate.h
@@ -33,6 +33,21 @@
   base::Millis m_Last{};
 };
 
+/// Measures how much work comes in a second, over about a window.
+class ArrivalRate {
+public:
+  explicit ArrivalRate(base::Millis Window) : m_Window(Window) {}
+
+  void arrived(base::Millis Now, double Work);
+
+  [[nodiscard]] double perSecond(base::Millis Now) const;
+
+private:
+  base::Millis m_Window;
+  double m_PerSecond = 0;
+  base::Millis m_Last{};
+};
+
 } // namespace corneldeck::admission
 
 #endif
--- a/Source/Bench/RetriesScenario.cpp
+++ b/Source/Bench/RetriesScenario.cpp
@@ -102,7 +102,6 @@
   }
   Model.runUntil(End + Drain);
   const std::vector<double> InTime = inTimeBySecond(Model);
-  if (getenv("T_SHOW")) for (double V : InTime) printf("%.2f ", V);
   const auto First = InTime.begin() + GoneAt.count() / 1'000;
   const auto Last = InTime.begin() + BackAt.count() / 1'000;
   RetriesResult Result;
--- a/Source/Routing/ReplicaChooser.cpp
+++ b/Source/Routing/ReplicaChooser.cpp
@@ -1,5 +1,7 @@
 #include "Routing/ReplicaChooser.h"
 
+#include "Base/RendezvousHash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -9,6 +11,8 @@
 
 /// How far an answer longer than most lies above the mean.
 constexpr double LongDeviations = 2;
+/// A block that more than this part of the replicas holds needs no home.
+constexpr std::size_t CommonDivisor = 4;
 /// Keeps the backoff's doubling in range.
 constexpr std::uint32_t MaxDoublings = 16;
 
@@ -109,6 +113,8 @@
   if (Query.m_KnownRuns == nullptr)
     Found = m_Prefixes.cachedRuns(Now, Query.m_PrefixBlocks);
   const auto &Runs = Query.m_KnownRuns ? *Query.m_KnownRuns : Found;
+  const std::string Home = homeOf(Now, Query.m_PrefixBlocks, Runs);
+  const auto HomeCost = static_cast<double>(m_Settings.m_HomeCost.count());
   const ServiceLoad Service = serviceLoad(Now);
   std::vector<Candidate> All;
   for (const auto &[Name, Of] : m_Replicas) {
@@ -121,6 +127,8 @@
         static_cast<std::uint32_t>(Blocks * m_Settings.m_BlockTokens),
         outputTokens(Query)};
     All.push_back(weigh(Now, Name, Of, Size, Service));
+    if (!Home.empty() && Name != Home)
+      All.back().m_Cost += HomeCost;
   }
   return All;
 }
@@ -139,6 +147,31 @@
   return *Close[m_Random.below(Close.size())];
 }
 
+/// \returns the replica that all entries prefer for a prompt, by rendezvous
+/// hashing of its first block that few replicas hold; empty if there is none.
+std::string
+ReplicaChooser::homeOf(base::Millis Now, std::span<const std::uint64_t> Blocks,
+                       const std::map<std::string, std::size_t> &Runs) const {
+  std::vector<std::size_t> Lengths;
+  for (const auto &[Name, Run] : Runs)
+    Lengths.push_back(Run);
+  std::sort(Lengths.rbegin(), Lengths.rend());
+  const std::size_t Few = m_Replicas.size() / CommonDivisor;
+  const std::size_t Common = Lengths.size() > Few ? Lengths[Few] : 0;
+  if (Common >= Blocks.size())
+    return {};
+  std::string Best;
+  std::uint64_t Highest = 0;
+  for (const auto &[Name, Of] : m_Replicas) {
+    const std::uint64_t Rank = base::hash64(Name, Blocks[Common]);
+    if (!isOpen(Now, Of) || Rank < Highest)
+      continue;
+    Highest = Rank;
+    Best = Name;
+  }
+  return Best;
+}
+
 bool ReplicaChooser::anyHasRoom(base::Millis Now) const {
   const ServiceLoad Service = serviceLoad(Now);
   return std::any_of(
--- a/Source/Routing/ReplicaChooser.h
+++ b/Source/Routing/ReplicaChooser.h
@@ -30,6 +30,10 @@
   base::Millis m_ZoneCost{2};
   /// Weight of what a request costs the others at a replica.
   double m_OthersWeight = 3.0;
+  /// What a request costs more at a replica that isn't its prefix's home. Homes
+  /// are the same for all entries, so prefixes gather there and fill no cache
+  /// twice.
+  base::Millis m_HomeCost{30};
   /// A replica has room while it is predicted to let a request wait for at most
   /// this.
   base::Millis m_MaxReplicaWait{300};
@@ -175,6 +179,9 @@
                                 const ServiceLoad &Service) const;
   [[nodiscard]] std::vector<Candidate>
   candidates(base::Millis Now, const ChoiceQuery &Query) const;
+  [[nodiscard]] std::string
+  homeOf(base::Millis Now, std::span<const std::uint64_t> Blocks,
+         const std::map<std::string, std::size_t> &Runs) const;
   [[nodiscard]] bool hasRoom(const Candidate &Of) const;
   const Candidate &draw(const std::vector<Candidate> &From);
 
