--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -10,6 +10,10 @@
   };
 }
 
-std::vector<Promise> allPromises() { return {}; }
+std::vector<Promise> allPromises() {
+  return {
+      cataloguePromise(),
+  };
+}
 
 } // namespace corneldeck::bench
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -5,6 +5,7 @@
 
 namespace corneldeck::bench {
 
+Promise cataloguePromise();
 Scenario limitsScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
