--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -12,7 +12,10 @@
 
 std::vector<Promise> allPromises() {
   return {
+      admissionPromise(),
       cataloguePromise(),
+      limitsPromise(),
+      retriesPromise(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -5,8 +5,11 @@
 
 namespace corneldeck::bench {
 
+Promise admissionPromise();
 Promise cataloguePromise();
+Promise limitsPromise();
 Scenario limitsScenario();
+Promise retriesPromise();
 Scenario retriesScenario();
 Scenario routingScenario();
 
--- /dev/null
+++ b/Tests/Routing/ReplicaChooserTest.cpp
@@ -0,0 +1,104 @@
+#include "Routing/ReplicaChooser.h"
+
+#include <gtest/gtest.h>
+
+using namespace corneldeck;
+using base::Millis;
+using routing::Choice;
+using routing::ChoiceKind;
+using routing::ChoiceQuery;
+using routing::Patience;
+using routing::ReplicaChooser;
+using routing::ReplicaInfo;
+using routing::ReplicaReport;
+
+namespace {
+
+const std::vector<ReplicaInfo> Two = {{"a", "z1"}, {"b", "z1"}};
+
+ReplicaReport report(std::uint32_t Running, std::uint32_t StepMicros) {
+  ReplicaReport Report;
+  Report.m_Running = Running;
+  Report.m_Capacity = 32;
+  Report.m_StepMicros = StepMicros;
+  return Report;
+}
+
+ReplicaChooser twoReplicas() {
+  ReplicaChooser Chooser({}, "z1", 1);
+  Chooser.setReplicas(Two);
+  Chooser.report(Millis(1'000), "a", report(4, 6'000));
+  Chooser.report(Millis(1'000), "b", report(4, 6'000));
+  return Chooser;
+}
+
+/// \returns how many of 100 requests go to replica a.
+int drawsOfA(ReplicaChooser &Chooser, const ChoiceQuery &Query) {
+  int Count = 0;
+  for (int Number = 0; Number < 100; ++Number)
+    Count += Chooser.choose(Millis(1'000), Query).m_Replica == "a" ? 1 : 0;
+  return Count;
+}
+
+TEST(ReplicaChooser, SpreadsEvenlyOverEqualReplicas) {
+  ReplicaChooser Chooser = twoReplicas();
+  const int Draws = drawsOfA(Chooser, {});
+  EXPECT_GT(Draws, 25);
+  EXPECT_LT(Draws, 75);
+}
+
+TEST(ReplicaChooser, LeavesOutClosedReplicas) {
+  ReplicaChooser Chooser = twoReplicas();
+  ChoiceQuery Query;
+  Query.m_Excluded = {"a"};
+  EXPECT_EQ(drawsOfA(Chooser, Query), 0);
+  ReplicaReport Leaving = report(0, 6'000);
+  Leaving.m_Leaving = true;
+  Chooser.report(Millis(1'000), "b", Leaving);
+  EXPECT_EQ(Chooser.choose(Millis(1'000), Query).m_Kind, ChoiceKind::None);
+  Chooser.setReachable("a", false);
+  EXPECT_EQ(Chooser.choose(Millis(1'000), {}).m_Kind, ChoiceKind::None);
+}
+
+TEST(ReplicaChooser, CountsAStragglerAsSlowAsItIs) {
+  ReplicaChooser Chooser = twoReplicas();
+  for (int Number = 0; Number < 50; ++Number)
+    Chooser.report(Millis(1'000), "a", report(4, 18'000));
+  EXPECT_EQ(drawsOfA(Chooser, {}), 0);
+}
+
+TEST(ReplicaChooser, PrefersTheCachedPrefix) {
+  ReplicaChooser Chooser = twoReplicas();
+  const std::vector<std::uint64_t> Blocks = {1, 2,  3,  4,  5,  6,  7,  8,
+                                             9, 10, 11, 12, 13, 14, 15, 16};
+  Chooser.cacheEvents(Millis(1'000), "a", 0, Blocks, {});
+  ChoiceQuery Query;
+  Query.m_PromptTokens = 1'024;
+  Query.m_PrefixBlocks = Blocks;
+  EXPECT_EQ(drawsOfA(Chooser, Query), 100);
+}
+
+TEST(ReplicaChooser, LeavesOutAReplicaThatFailsAtOnce) {
+  ReplicaChooser Chooser = twoReplicas();
+  ChoiceQuery OnlyA;
+  OnlyA.m_Excluded = {"b"};
+  for (int Number = 0; Number < 2; ++Number) {
+    const std::string Attempt = std::to_string(Number);
+    const Choice Where = Chooser.choose(Millis(1'000), OnlyA);
+    Chooser.started(Millis(1'000), Attempt, Where, {});
+    Chooser.failed(Millis(1'000), Attempt);
+  }
+  EXPECT_EQ(drawsOfA(Chooser, {}), 0);
+  EXPECT_EQ(Chooser.choose(Millis(1'300), OnlyA).m_Replica, "a");
+}
+
+TEST(ReplicaChooser, HoldsARequestWhileAllAreFull) {
+  ReplicaChooser Chooser = twoReplicas();
+  Chooser.report(Millis(1'000), "a", report(90, 6'000));
+  Chooser.report(Millis(1'000), "b", report(90, 6'000));
+  EXPECT_EQ(Chooser.choose(Millis(1'000), {}).m_Kind, ChoiceKind::Busy);
+  EXPECT_EQ(Chooser.choose(Millis(1'000), {}, Patience::None).m_Kind,
+            ChoiceKind::Chosen);
+}
+
+} // namespace
