--- a/Source/Routing/ReplicaChooser.cpp
+++ b/Source/Routing/ReplicaChooser.cpp
@@ -78,13 +78,16 @@
 ServiceLoad ReplicaChooser::serviceLoad(base::Millis Now) const {
   double Reported = 0;
   double Own = 0;
+  double Open = 0;
   for (const auto &[Name, Of] : m_Replicas) {
     if (!isOpen(Now, Of))
       continue;
+    Open += 1;
     Reported += Of.m_Load.reportedSequences();
     Own += static_cast<double>(Of.m_Load.ownAttempts());
   }
-  return {m_MeanOutput, std::max(Reported / std::max(Own, 1.0), 1.0)};
+  return {m_MeanOutput, std::max(Reported / std::max(Own, 1.0), 1.0),
+          Own / std::max(Open, 1.0)};
 }
 
 ReplicaChooser::Candidate
--- a/Source/Routing/ReplicaLoad.cpp
+++ b/Source/Routing/ReplicaLoad.cpp
@@ -81,8 +81,9 @@
 double ReplicaLoad::sequences(const ServiceLoad &Service) const {
   const double Scaled =
       static_cast<double>(m_Own.size()) * Service.m_RequestsPerOwn;
-  return m_Settings.m_OwnWeight * Scaled +
-         (1 - m_Settings.m_OwnWeight) * m_Sequences;
+  const double Weight =
+      m_Settings.m_OwnWeight * std::min(Service.m_OwnPerReplica, 1.0);
+  return Weight * Scaled + (1 - Weight) * m_Sequences;
 }
 
 /// \returns the step time of a batch that is filled to this part.
--- a/Source/Routing/ReplicaLoad.h
+++ b/Source/Routing/ReplicaLoad.h
@@ -51,6 +51,8 @@
   double m_MeanOutput = 100;
   /// Requests at all replicas for each of this entry's own.
   double m_RequestsPerOwn = 1;
+  /// Own attempts for each replica; below 1 they say little of the load.
+  double m_OwnPerReplica = 0;
 };
 
 /// How predictions are made.
