--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,10 +1,13 @@
+#include "Bench/Scenario.h"
 #include "Bench/Scenarios.h"
 
 namespace corneldeck::bench {
 
 std::vector<Scenario> allScenarios() {
   return {
+      mapSwitchScenario(),
       limitsScenario(),
+      pathScenario(),
       retriesScenario(),
       routingScenario(),
   };
@@ -13,6 +16,8 @@
 std::vector<Promise> allPromises() {
   return {
       admissionPromise(),
+      mapSwitchPromise(),
+      mapSwitchExplorationPromise(),
       cataloguePromise(),
       limitsPromise(),
       retriesPromise(),
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -6,10 +6,14 @@
 namespace corneldeck::bench {
 
 Promise admissionPromise();
+Scenario mapSwitchScenario();
+Promise mapSwitchPromise();
+Promise mapSwitchExplorationPromise();
 Promise cataloguePromise();
 Promise limitsPromise();
 Scenario limitsScenario();
 Promise retriesPromise();
+Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
 
