--- a/Source/Bench/LimitsPromise.cpp
+++ b/Source/Bench/LimitsPromise.cpp
@@ -329,7 +329,7 @@
     if (Of.shareSum(Now) > PerSecond * 1.000'001)
       return "the shares sum up to more than the limit";
   }
-  const std::string Seen = checkAllSpans(Of);
+  std::string Seen = checkAllSpans(Of);
   if (!Seen.empty())
     return Seen;
   // After a long silence each entry is back at the fixed share.
--- a/Source/Routing/ReplicaChooser.cpp
+++ b/Source/Routing/ReplicaChooser.cpp
@@ -156,6 +156,7 @@
 ReplicaChooser::homeOf(base::Millis Now, std::span<const std::uint64_t> Blocks,
                        const std::map<std::string, std::size_t> &Runs) const {
   std::vector<std::size_t> Lengths;
+  Lengths.reserve(Runs.size());
   for (const auto &[Name, Run] : Runs)
     Lengths.push_back(Run);
   std::sort(Lengths.rbegin(), Lengths.rend());
