--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -5,6 +5,7 @@
 
 namespace corneldeck::bench {
 
+Promise admissionPromise();
 Scenario mapSwitchScenario();
 Promise mapSwitchPromise();
 Promise mapSwitchExplorationPromise();
@@ -12,6 +13,9 @@
 Promise leasesPromise();
 Scenario limitsScenario();
 Scenario controlCostScenario();
+Promise limitsPromise();
+Scenario limitsScenario();
+Promise retriesPromise();
 Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
