Tests: register each promise's proofs in one form

Cause: four forms of the same list stood side by side, and WILL_FAIL passes also on a crash or a usage error of the bench. A planted run now has to report the promise as broken. Under a sanitizer a tenth of the schedules run, without the planted ones and the three slow matrices.

--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -5,23 +5,28 @@
 namespace corneldeck::bench {
 
 std::vector<Scenario> allScenarios() {
-  return {
-      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
-      pathScenario(),      retriesScenario(), routingScenario(),
-  };
+  std::vector<Scenario> All;
+  All.push_back(controlCostScenario());
+  All.push_back(limitsScenario());
+  All.push_back(mapSwitchScenario());
+  All.push_back(pathScenario());
+  All.push_back(retriesScenario());
+  All.push_back(routingScenario());
+  return All;
 }
 
 std::vector<Promise> allPromises() {
-  return {
-      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
-      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
-      admissionPromise(),
-      mapSwitchPromise(),
-      mapSwitchExplorationPromise(),
-      cataloguePromise(),
-      limitsPromise(),
-      retriesPromise(),
-  };
+  std::vector<Promise> All;
+  All.push_back(admissionPromise());
+  All.push_back(atMostOncePromise());
+  All.push_back(cataloguePromise());
+  All.push_back(leasesPromise());
+  All.push_back(limitsPromise());
+  All.push_back(mapSwitchPromise());
+  All.push_back(mapSwitchExplorationPromise());
+  All.push_back(outcomePromise());
+  All.push_back(retriesPromise());
+  return All;
 }
 
 } // namespace corneldeck::bench
--- a/Utilities/CMake/CorneldeckTargets.cmake
+++ b/Utilities/CMake/CorneldeckTargets.cmake
@@ -48,3 +48,55 @@
     corneldeck-options ${ARG_DEPENDS} GTest::gmock GTest::gtest_main)
   add_test(NAME ${Name} COMMAND ${Name})
 endfunction()
+
+# corneldeck_add_matrix(<promise> [SLOW] [PLANTS <mistake>...])
+#
+# Runs the fault matrix of a promise, and once with each planted mistake, which
+# it must report as broken: an error of another kind does not pass. Planted runs
+# and SLOW matrices are left out under a sanitizer.
+function(corneldeck_add_matrix Promise)
+  cmake_parse_arguments(ARG "SLOW" "" "PLANTS" ${ARGN})
+  if(CORNELDECK_SANITIZE AND ARG_SLOW)
+    return()
+  endif()
+  add_test(NAME FaultMatrix.${Promise}
+    COMMAND corneldeck-bench fault-matrix --promise ${Promise})
+  if(CORNELDECK_SANITIZE)
+    return()
+  endif()
+  foreach(Plant IN LISTS ARG_PLANTS)
+    add_test(NAME FaultMatrix.${Promise}.${Plant}
+      COMMAND corneldeck-bench fault-matrix --promise ${Promise}
+        --plant ${Plant})
+    set_tests_properties(FaultMatrix.${Promise}.${Plant} PROPERTIES
+      PASS_REGULAR_EXPRESSION "rows, [1-9][0-9]* broken")
+  endforeach()
+endfunction()
+
+# corneldeck_add_fuzz(<promise> [PLANTS <mistake>...])
+#
+# Runs 20,000 random schedules of a promise, split over four seeds that run side
+# by side, a tenth of them under a sanitizer; and 20,000 with each planted
+# mistake, which must be reported as broken.
+function(corneldeck_add_fuzz Promise)
+  cmake_parse_arguments(ARG "" "" "PLANTS" ${ARGN})
+  set(Schedules 5000)
+  if(CORNELDECK_SANITIZE)
+    set(Schedules 500)
+  endif()
+  foreach(Seed RANGE 1 4)
+    add_test(NAME Fuzz.${Promise}.${Seed}
+      COMMAND corneldeck-bench fuzz --promise ${Promise}
+        --schedules ${Schedules} --seed ${Seed})
+  endforeach()
+  if(CORNELDECK_SANITIZE)
+    return()
+  endif()
+  foreach(Plant IN LISTS ARG_PLANTS)
+    add_test(NAME Fuzz.${Promise}.${Plant}
+      COMMAND corneldeck-bench fuzz --promise ${Promise} --schedules 20000
+        --seed 1 --plant ${Plant})
+    set_tests_properties(Fuzz.${Promise}.${Plant} PROPERTIES
+      PASS_REGULAR_EXPRESSION "schedules, seed 1, BROKEN")
+  endforeach()
+endfunction()
