--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -4,9 +4,8 @@
 
 std::vector<Scenario> allScenarios() {
   return {
-      limitsScenario(),
-      retriesScenario(),
-      routingScenario(),
+      catalogueScenario(), leasesScenario(),  recoveryScenario(),
+      limitsScenario(),    retriesScenario(), routingScenario(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -7,6 +7,9 @@
 
 Promise cataloguePromise();
 Promise leasesPromise();
+Scenario catalogueScenario();
+Scenario leasesScenario();
+Scenario recoveryScenario();
 Scenario limitsScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
