--- a/Source/Bench/LeaseScenario.cpp
+++ b/Source/Bench/LeaseScenario.cpp
@@ -38,7 +38,7 @@
   Leases.clearVacancy();
   for (int Round = 0; Round < Rounds; ++Round) {
     // Each round strikes at another point of the renewal's period.
-    Cluster.run(seconds(5) + Millis(270 * Round));
+    Cluster.run(seconds(5) + Millis(270) * Round);
     const std::string Holder = Leases.holder();
     Begin(Leases, Holder);
     Cluster.run(Span);
