--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,3 +1,4 @@
+#include "Bench/Scenario.h"
 #include "Bench/Scenarios.h"
 
 namespace corneldeck::bench {
@@ -6,11 +7,18 @@
   return {
       catalogueScenario(), leasesScenario(),  recoveryScenario(),
       limitsScenario(),    retriesScenario(), routingScenario(),
+      mapSwitchScenario(),
+      limitsScenario(),
+      pathScenario(),
+      retriesScenario(),
+      routingScenario(),
   };
 }
 
 std::vector<Promise> allPromises() {
   return {
+      mapSwitchPromise(),
+      mapSwitchExplorationPromise(),
       cataloguePromise(),
       leasesPromise(),
   };
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -5,12 +5,16 @@
 
 namespace corneldeck::bench {
 
+Scenario mapSwitchScenario();
+Promise mapSwitchPromise();
+Promise mapSwitchExplorationPromise();
 Promise cataloguePromise();
 Promise leasesPromise();
 Scenario catalogueScenario();
 Scenario leasesScenario();
 Scenario recoveryScenario();
 Scenario limitsScenario();
+Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
 
