--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -12,6 +12,8 @@
       pathScenario(),
       retriesScenario(),
       routingScenario(),
+      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
+      pathScenario(),      retriesScenario(), routingScenario(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -14,6 +14,7 @@
 Scenario leasesScenario();
 Scenario recoveryScenario();
 Scenario limitsScenario();
+Scenario controlCostScenario();
 Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
