--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -7,13 +7,7 @@
   return {
       catalogueScenario(), leasesScenario(),  recoveryScenario(),
       limitsScenario(),    retriesScenario(), routingScenario(),
-      mapSwitchScenario(),
-      limitsScenario(),
-      pathScenario(),
-      retriesScenario(),
-      routingScenario(),
-      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
-      pathScenario(),      retriesScenario(), routingScenario(),
+      mapSwitchScenario(), pathScenario(),    controlCostScenario(),
   };
 }
 
