--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -13,6 +13,11 @@
   All.push_back(retriesScenario());
   All.push_back(routingScenario());
   return All;
+  return {
+      catalogueScenario(), leasesScenario(),  recoveryScenario(),
+      limitsScenario(),    retriesScenario(), routingScenario(),
+      mapSwitchScenario(), pathScenario(),    controlCostScenario(),
+  };
 }
 
 std::vector<Promise> allPromises() {
