Bench: register each promise once

The formatter had joined registrations on one line, so that merging the lists by keeping both sides gave three promises twice and ran them twice. corneldeck-bench list | sort | uniq -d: three lines before, none now.

--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -4,24 +4,32 @@
 
 namespace corneldeck::bench {
 
+// One statement each, which the formatter leaves on a line of its own, so that
+// merging both sides' lines gives each name once.
+
 std::vector<Scenario> allScenarios() {
-  return {
-      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
-      pathScenario(),      retriesScenario(), routingScenario(),
-  };
+  std::vector<Scenario> All;
+  All.push_back(mapSwitchScenario());
+  All.push_back(limitsScenario());
+  All.push_back(controlCostScenario());
+  All.push_back(pathScenario());
+  All.push_back(retriesScenario());
+  All.push_back(routingScenario());
+  return All;
 }
 
 std::vector<Promise> allPromises() {
-  return {
-      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
-      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
-      admissionPromise(),
-      mapSwitchPromise(),
-      mapSwitchExplorationPromise(),
-      cataloguePromise(),
-      limitsPromise(),
-      retriesPromise(),
-  };
+  std::vector<Promise> All;
+  All.push_back(atMostOncePromise());
+  All.push_back(outcomePromise());
+  All.push_back(mapSwitchPromise());
+  All.push_back(mapSwitchExplorationPromise());
+  All.push_back(cataloguePromise());
+  All.push_back(leasesPromise());
+  All.push_back(admissionPromise());
+  All.push_back(limitsPromise());
+  All.push_back(retriesPromise());
+  return All;
 }
 
 } // namespace corneldeck::bench
