--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -6,8 +6,9 @@
 
 std::vector<Scenario> allScenarios() {
   return {
-      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
-      pathScenario(),      retriesScenario(), routingScenario(),
+      mapSwitchScenario(),  limitsScenario(),  controlCostScenario(),
+      pathScenario(),       retriesScenario(), routingScenario(),
+      atMostOnceScenario(), drainScenario(),   silentScenario(),
   };
 }
 
--- a/Source/Bench/RequestWorld.cpp
+++ b/Source/Bench/RequestWorld.cpp
@@ -1,6 +1,7 @@
 #include "Bench/RequestWorld.h"
 
 #include "Claims/ClaimKey.h"
+#include "Membership/LinkMonitor.h"
 
 #include <algorithm>
 
@@ -11,8 +12,8 @@
 namespace {
 
 constexpr Millis WallStart = base::minutes(1'000'000);
-constexpr Millis Tick{250};
-constexpr Millis EntrySilence{1000};
+constexpr Millis Tick = membership::LinkSettings{}.m_HeartbeatEvery;
+constexpr Millis EntrySilence = membership::LinkSettings{}.m_SilentAfter;
 constexpr Millis AgentSilence{1500};
 constexpr Millis DefaultLag{20};
 constexpr Millis LogPoll{200};
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -15,6 +15,9 @@
 Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
+Scenario atMostOnceScenario();
+Scenario drainScenario();
+Scenario silentScenario();
 
 } // namespace corneldeck::bench
 
