--- a/Source/Bench/RequestScenarios.cpp
+++ b/Source/Bench/RequestScenarios.cpp
@@ -192,13 +192,22 @@
     World.silence(0, Agent);
   submitFor(World, base::seconds(3), Millis(5), Kinds);
   World.advance(Patience);
-  const double Lost =
-      refusedRatio(World, 0) * static_cast<double>(World.calls().size());
+  double Lost = 0;
+  double Refused = 0;
+  for (const Call &Each : World.calls()) {
+    const bool NotRun =
+        Each.m_Outcome && Each.m_Outcome->m_Ran == base::Ran::No;
+    const bool Answered =
+        Each.m_Outcome && Each.m_Outcome->m_Code == ResultCode::Ok;
+    Lost += Answered || NotRun ? 0 : 1;
+    Refused += NotRun ? 1 : 0;
+  }
   ScenarioReport Report;
   Report.m_Measurements = {
       {"entry-agent", "replaced_ms", Replaced, "ms"},
       {"entry-agent", "ran_twice", ranTwice(World), "count"},
       {"entry-agent", "lost_answers", Lost, "count"},
+      {"entry-agent", "refused", Refused, "count"},
   };
   Report.m_Bounds = {
       {"entry-agent replaced_ms < 2000", Replaced, Replaced < ReplacedBound},
