--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -16,6 +16,12 @@
   return {
       atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
       mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
+      admissionPromise(),
+      mapSwitchPromise(),
+      mapSwitchExplorationPromise(),
+      cataloguePromise(),
+      limitsPromise(),
+      retriesPromise(),
   };
 }
 
