--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -14,13 +14,10 @@
 
 std::vector<Promise> allPromises() {
   return {
-      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
-      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
-      admissionPromise(),
-      mapSwitchPromise(),
-      mapSwitchExplorationPromise(),
-      cataloguePromise(),
-      limitsPromise(),
+      atMostOncePromise(), outcomePromise(),
+      mapSwitchPromise(),  mapSwitchExplorationPromise(),
+      cataloguePromise(),  leasesPromise(),
+      admissionPromise(),  limitsPromise(),
       retriesPromise(),
   };
 }
