--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -23,6 +23,9 @@
       catalogueScenario(), leasesScenario(),  recoveryScenario(),
       limitsScenario(),    retriesScenario(), routingScenario(),
       mapSwitchScenario(), pathScenario(),    controlCostScenario(),
+      mapSwitchScenario(),  limitsScenario(),  controlCostScenario(),
+      pathScenario(),       retriesScenario(), routingScenario(),
+      atMostOnceScenario(), drainScenario(),   silentScenario(),
   };
 }
 
@@ -46,6 +49,13 @@
   All.push_back(limitsPromise());
   All.push_back(retriesPromise());
   return All;
+  return {
+      atMostOncePromise(), outcomePromise(),
+      mapSwitchPromise(),  mapSwitchExplorationPromise(),
+      cataloguePromise(),  leasesPromise(),
+      admissionPromise(),  limitsPromise(),
+      retriesPromise(),
+  };
 }
 
 } // namespace corneldeck::bench
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -17,11 +17,13 @@
 Scenario limitsScenario();
 Scenario controlCostScenario();
 Promise limitsPromise();
-Scenario limitsScenario();
 Promise retriesPromise();
 Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
+Scenario atMostOnceScenario();
+Scenario drainScenario();
+Scenario silentScenario();
 
 } // namespace corneldeck::bench
 
