--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -5,10 +5,8 @@
 
 std::vector<Scenario> allScenarios() {
   return {
-      mapSwitchScenario(),
-      limitsScenario(),
-      retriesScenario(),
-      routingScenario(),
+      mapSwitchScenario(), rebalanceScenario(), limitsScenario(),
+      retriesScenario(),   routingScenario(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -6,6 +6,7 @@
 namespace corneldeck::bench {
 
 Scenario mapSwitchScenario();
+Scenario rebalanceScenario();
 Promise mapSwitchPromise();
 Promise mapSwitchExplorationPromise();
 Promise cataloguePromise();
--- /dev/null
+++ b/Tests/RankGroup/RankCodecTest.cpp
@@ -0,0 +1,42 @@
+#include "RankGroup/RankCodec.h"
+
+#include <gtest/gtest.h>
+
+namespace corneldeck::rankgroup {
+namespace {
+
+TEST(RankCodec, CarriesAProposalWhole) {
+  Proposal Sent;
+  Sent.m_Id = {3, 4, 5};
+  Sent.m_Base = {1, 2, 9};
+  Sent.m_Epoch = {7, 8};
+  Sent.m_Step = 100;
+  ExpertMap Body = ExpertMap::contiguous(4, 16);
+  Body.add(0, 3);
+  Sent.m_Body = std::make_shared<const ExpertMap>(Body);
+  Sent.m_Reason = "skew";
+  const auto Back = fromWire(toWire("g", {2, Sent}));
+  ASSERT_TRUE(Back.has_value());
+  EXPECT_EQ(Back->m_From, 2U);
+  const auto &Got = std::get<Proposal>(Back->m_Body);
+  EXPECT_EQ(Got.m_Id, Sent.m_Id);
+  EXPECT_EQ(Got.m_Base, Sent.m_Base);
+  EXPECT_EQ(Got.m_Epoch, Sent.m_Epoch);
+  EXPECT_EQ(Got.m_Step, Sent.m_Step);
+  EXPECT_EQ(*Got.m_Body, Body);
+}
+
+TEST(RankCodec, RefusesMapsThatDoNotFitTogether) {
+  Proposal Sent;
+  Sent.m_Body =
+      std::make_shared<const ExpertMap>(ExpertMap::contiguous(4, 16));
+  wire::RankMessage Content = toWire("g", {2, Sent});
+  Content.mutable_proposal()->mutable_map()->set_copies(0, 4'000'000);
+  EXPECT_FALSE(fromWire(Content).has_value());
+  Content.mutable_proposal()->mutable_map()->set_ranks(4'000'000'000);
+  EXPECT_FALSE(fromWire(Content).has_value());
+  EXPECT_FALSE(fromWire(wire::RankMessage()).has_value());
+}
+
+} // namespace
+} // namespace corneldeck::rankgroup
