--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -7,6 +7,11 @@
   return {
       mapSwitchScenario(), rebalanceScenario(), limitsScenario(),
       retriesScenario(),   routingScenario(),
+      mapSwitchScenario(),
+      limitsScenario(),
+      pathScenario(),
+      retriesScenario(),
+      routingScenario(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -11,6 +11,7 @@
 Promise mapSwitchExplorationPromise();
 Promise cataloguePromise();
 Scenario limitsScenario();
+Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
 
