--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -9,6 +9,8 @@
       retriesScenario(),   routingScenario(),   mapSwitchScenario(),
       limitsScenario(),    pathScenario(),      retriesScenario(),
       routingScenario(),
+      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
+      pathScenario(),      retriesScenario(), routingScenario(),
   };
 }
 
@@ -17,6 +19,7 @@
       mapSwitchPromise(),
       mapSwitchExplorationPromise(),
       cataloguePromise(),
+      leasesPromise(),
   };
 }
 
