--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,3 +1,4 @@
+#include "Bench/RequestPromises.h"
 #include "Bench/Scenario.h"
 #include "Bench/Scenarios.h"
 
@@ -16,10 +17,14 @@
 
 std::vector<Promise> allPromises() {
   return {
+      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
+      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
+      admissionPromise(),
       mapSwitchPromise(),
       mapSwitchExplorationPromise(),
       cataloguePromise(),
-      leasesPromise(),
+      limitsPromise(),
+      retriesPromise(),
   };
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -5,6 +5,7 @@
 
 namespace corneldeck::bench {
 
+Promise admissionPromise();
 Scenario mapSwitchScenario();
 Scenario rebalanceScenario();
 Promise mapSwitchPromise();
@@ -13,6 +14,9 @@
 Promise leasesPromise();
 Scenario limitsScenario();
 Scenario controlCostScenario();
+Promise limitsPromise();
+Scenario limitsScenario();
+Promise retriesPromise();
 Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
