Bench: name each scenario and promise once

The formatter had packed the lists into lines that merge badly; it now leaves them one a line. Measured: corneldeck-bench list names 7 scenarios and 9 promises, each once.

--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -5,27 +5,33 @@
 namespace corneldeck::bench {
 
 std::vector<Scenario> allScenarios() {
+  // clang-format off
   return {
-      mapSwitchScenario(),   rebalanceScenario(), limitsScenario(),
-      retriesScenario(),     routingScenario(),   mapSwitchScenario(),
-      limitsScenario(),      pathScenario(),      retriesScenario(),
-      routingScenario(),     mapSwitchScenario(), limitsScenario(),
-      controlCostScenario(), pathScenario(),      retriesScenario(),
+      controlCostScenario(),
+      limitsScenario(),
+      mapSwitchScenario(),
+      pathScenario(),
+      rebalanceScenario(),
+      retriesScenario(),
       routingScenario(),
   };
+  // clang-format on
 }
 
 std::vector<Promise> allPromises() {
+  // clang-format off
   return {
-      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
-      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
       admissionPromise(),
-      mapSwitchPromise(),
-      mapSwitchExplorationPromise(),
+      atMostOncePromise(),
       cataloguePromise(),
+      leasesPromise(),
       limitsPromise(),
+      mapSwitchExplorationPromise(),
+      mapSwitchPromise(),
+      outcomePromise(),
       retriesPromise(),
   };
+  // clang-format on
 }
 
 } // namespace corneldeck::bench
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -15,7 +15,6 @@
 Scenario limitsScenario();
 Scenario controlCostScenario();
 Promise limitsPromise();
-Scenario limitsScenario();
 Promise retriesPromise();
 Scenario pathScenario();
 Scenario retriesScenario();
