RankGroup: leave map and formation out of steady announcements

Cause: at 32 ranks x 256 experts an announcement had 809 bytes; ten a second to 31 ranks are 250,790 B/s, and a node's control may spend 8 KB/s. Done: ranks of one epoch send neither, and announce four times a second.

--- a/Source/RankGroup/GroupFormation.cpp
+++ b/Source/RankGroup/GroupFormation.cpp
@@ -201,14 +201,23 @@
 }
 
 void GroupFormation::send(RankIndex To, Actions &Out) const {
-  Out.send(m_Config.m_Rank, To, status());
+  Status Sent = status();
+  const std::optional<Status> &Peer = m_Peers[To];
+  const bool Steady =
+      Sent.m_Joined && Peer && Peer->m_Joined && Peer->m_Epoch == Sent.m_Epoch;
+  // A rank of the same epoch has the rest, which is most of the bytes.
+  if (Steady) {
+    Sent.m_Formation = Formation{};
+    Sent.m_Body.reset();
+  }
+  Out.send(m_Config.m_Rank, To, Sent);
 }
 
 MapBody GroupFormation::bodyOf(MapId Which) const {
   if (m_Engine->m_Map == Which)
     return m_Engine->m_Body;
   for (const std::optional<Status> &Peer : m_Peers)
-    if (Peer && Peer->m_Map == Which)
+    if (Peer && Peer->m_Body && Peer->m_Map == Which)
       return Peer->m_Body;
   return nullptr;
 }
--- a/Source/RankGroup/GroupFormation.h
+++ b/Source/RankGroup/GroupFormation.h
@@ -21,7 +21,7 @@
     RankIndex m_Rank = 0;
     RankIndex m_Ranks = 1;
     /// Time between two announcements.
-    base::Millis m_AnnounceInterval{100};
+    base::Millis m_AnnounceInterval{250};
   };
 
   explicit GroupFormation(Config Settings);
--- a/Source/RankGroup/GroupState.h
+++ b/Source/RankGroup/GroupState.h
@@ -21,7 +21,7 @@
     RankIndex m_Rank = 0;
     RankIndex m_Ranks = 1;
     /// A rank unheard of for so long counts as lost.
-    base::Millis m_SilentAfter{500};
+    base::Millis m_SilentAfter{750};
   };
 
   explicit GroupState(Config Settings);
--- a/Source/RankGroup/SwitchParticipant.h
+++ b/Source/RankGroup/SwitchParticipant.h
@@ -43,7 +43,7 @@
     /// Time before a rank that is ready asks again who else is.
     base::Millis m_ReadyInterval{100};
     /// Time between two announcements of the engine's state.
-    base::Millis m_AnnounceInterval{100};
+    base::Millis m_AnnounceInterval{250};
     SwitchRules m_Rules = {};
   };
 
