--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -26,7 +26,17 @@
       mapSwitchScenario(),  limitsScenario(),  controlCostScenario(),
       pathScenario(),       retriesScenario(), routingScenario(),
       atMostOnceScenario(), drainScenario(),   silentScenario(),
+  // clang-format off
+  return {
+      controlCostScenario(),
+      limitsScenario(),
+      mapSwitchScenario(),
+      pathScenario(),
+      rebalanceScenario(),
+      retriesScenario(),
+      routingScenario(),
   };
+  // clang-format on
 }
 
 std::vector<Promise> allPromises() {
@@ -54,8 +64,19 @@
       mapSwitchPromise(),  mapSwitchExplorationPromise(),
       cataloguePromise(),  leasesPromise(),
       admissionPromise(),  limitsPromise(),
+  // clang-format off
+  return {
+      admissionPromise(),
+      atMostOncePromise(),
+      cataloguePromise(),
+      leasesPromise(),
+      limitsPromise(),
+      mapSwitchExplorationPromise(),
+      mapSwitchPromise(),
+      outcomePromise(),
       retriesPromise(),
   };
+  // clang-format on
 }
 
 } // namespace corneldeck::bench
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -7,6 +7,7 @@
 
 Promise admissionPromise();
 Scenario mapSwitchScenario();
+Scenario rebalanceScenario();
 Promise mapSwitchPromise();
 Promise mapSwitchExplorationPromise();
 Promise cataloguePromise();
