Entry: queue requests by class, customer and deadline

Requests without a key wait in the entry's Dispatcher until a replica has room, and are refused early with a time to come back where they can't be answered in time. One with a key goes to its home at once.

--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -12,12 +12,8 @@
 
 std::vector<Promise> allPromises() {
   return {
-      admissionPromise(),
-      mapSwitchPromise(),
-      mapSwitchExplorationPromise(),
-      cataloguePromise(),
-      limitsPromise(),
-      retriesPromise(),
+      admissionPromise(), mapSwitchPromise(), mapSwitchExplorationPromise(),
+      cataloguePromise(), limitsPromise(),    retriesPromise(),
       leasesPromise(),
   };
 }
--- a/Source/Entry/RequestFront.cpp
+++ b/Source/Entry/RequestFront.cpp
@@ -17,11 +17,17 @@
 constexpr base::Millis NotReadyRetry = base::seconds(1);
 constexpr base::Millis HomeAwayRetry = base::seconds(1);
 constexpr int HttpOk = 200;
+/// How often queued requests are looked at without any other event.
+constexpr std::chrono::milliseconds HousekeepingInterval{20};
 
 std::string attemptName(const std::string &Request, std::uint32_t Number) {
   return Request + "/" + std::to_string(Number);
 }
 
+std::string requestOf(const std::string &Attempt) {
+  return Attempt.substr(0, Attempt.rfind('/'));
+}
+
 net::HttpHeaders outcomeHeaders(const std::string &Request,
                                 const request::Outcome &Outcome) {
   net::HttpHeaders Headers{
@@ -67,7 +73,7 @@
       m_Incarnation(Incarnation), m_Clock(base::steadyClock()),
       m_Events(Events),
       m_Links(Loop, m_Node, m_Zone, Incarnation, Events, linkHooks()),
-      m_Timer(Loop),
+      m_Timer(Loop), m_Housekeeping(Loop),
       m_Accepted(Metrics.counter("corneldeck_requests_accepted_total",
                                  "Requests admitted.")),
       m_Refused(Metrics.counter("corneldeck_requests_refused_total",
@@ -89,8 +95,10 @@
     onFrame(Agent, Frame);
   };
   Hooks.m_Load = [this](const std::string &Agent, const wire::Load &Load) {
-    for (auto &[Name, Traffic] : m_Services)
+    for (auto &[Name, Traffic] : m_Services) {
       Traffic->onLoad(now(), Agent, Load);
+      dispatch(*Traffic);
+    }
   };
   Hooks.m_Up = [this](const std::string &Agent, std::uint64_t Incarnation) {
     for (auto &[Name, Traffic] : m_Services)
@@ -169,13 +177,99 @@
   New->m_Query.m_PrefixBlocks = New->m_Flow->spec().m_PrefixBlocks;
   m_Active[Id] = New;
   Exchange->onClosed([this, Weak = std::weak_ptr(New)] {
-    if (const ActivePtr Of = Weak.lock())
+    const ActivePtr Of = Weak.lock();
+    if (Of && Of->m_Queued)
+      leaveQueue(Of);
+    else if (Of)
       carryOut(Of, Of->m_Flow->onCallerGone(now()));
   });
+  // A key has one home, so there is nothing to choose and nothing to queue for.
+  if (New->m_Flow->spec().m_Key.empty()) {
+    enqueue(New);
+    return;
+  }
   New->m_Traffic->budget().firstAttempt();
   carryOut(New, New->m_Flow->begin(now()));
 }
 
+void RequestFront::enqueue(const ActivePtr &New) {
+  const request::RequestSpec &Spec = New->m_Flow->spec();
+  routing::DispatchRequest Asked;
+  Asked.m_Id = attemptName(Spec.m_Id, 1);
+  Asked.m_Customer = Spec.m_Customer;
+  Asked.m_Class = Spec.m_Priority;
+  Asked.m_Deadline = Spec.m_Deadline;
+  Asked.m_PromptTokens = New->m_Query.m_PromptTokens;
+  Asked.m_PrefixBlocks = Spec.m_PrefixBlocks;
+  New->m_Queued = true;
+  const std::shared_ptr<ServiceTraffic> Traffic = New->m_Traffic;
+  const std::string Attempt = Asked.m_Id;
+  const admission::Offer Outcome =
+      Traffic->dispatcher().offer(now(), std::move(Asked));
+  for (const admission::Refusal &Each : Outcome.m_Displaced)
+    giveUp(Each.m_Request, Each.m_Error);
+  if (Outcome.m_Refused)
+    giveUp(Attempt, *Outcome.m_Refused);
+  else
+    dispatch(*Traffic);
+  armHousekeeping();
+}
+
+void RequestFront::dispatch(ServiceTraffic &Traffic) {
+  for (routing::Dispatch &Each : Traffic.dispatcher().poll(now())) {
+    const auto Found = m_Active.find(requestOf(Each.m_Request));
+    if (Found == m_Active.end()) {
+      Traffic.chooser().ended(now(), Each.m_Request, 0);
+      continue;
+    }
+    const ActivePtr Of = Found->second;
+    Of->m_Queued = false;
+    Of->m_Dispatched = std::move(Each.m_Where);
+    Traffic.budget().firstAttempt();
+    carryOut(Of, Of->m_Flow->begin(now()));
+  }
+}
+
+void RequestFront::giveUp(const std::string &Attempt, const base::Error &Why) {
+  const auto Found = m_Active.find(requestOf(Attempt));
+  if (Found == m_Active.end())
+    return;
+  const ActivePtr Of = Found->second;
+  const std::string Id = Of->m_Flow->spec().m_Id;
+  m_Refused.add();
+  m_Events.record(
+      base::EventId::RequestRefused,
+      {{"request", Id}, {"code", std::string(base::name(Why.m_Code))}});
+  m_Active.erase(Found);
+  Of->m_Exchange->replyError(Why);
+}
+
+void RequestFront::leaveQueue(const ActivePtr &Of) {
+  const std::string Id = Of->m_Flow->spec().m_Id;
+  Of->m_Traffic->dispatcher().cancel(now(), attemptName(Id, 1));
+  m_Active.erase(Id);
+}
+
+void RequestFront::armHousekeeping() {
+  if (std::exchange(m_HousekeepingArmed, true))
+    return;
+  m_Housekeeping.expires_after(HousekeepingInterval);
+  m_Housekeeping.async_wait([this](const boost::system::error_code &Cancelled) {
+    m_HousekeepingArmed = false;
+    if (Cancelled)
+      return;
+    bool AnyQueued = false;
+    for (auto &[Name, Traffic] : m_Services) {
+      for (const admission::Refusal &Each : Traffic->dispatcher().expire(now()))
+        giveUp(Each.m_Request, Each.m_Error);
+      dispatch(*Traffic);
+      AnyQueued = AnyQueued || Traffic->dispatcher().queued() > 0;
+    }
+    if (AnyQueued)
+      armHousekeeping();
+  });
+}
+
 request::FlowHooks RequestFront::flowHooks(const std::weak_ptr<Active> &Of) {
   request::FlowHooks Hooks;
   Hooks.m_Choose = [this, Of](base::Millis Now,
@@ -209,6 +303,10 @@
                              "be reached.",
                          HomeAwayRetry);
   }
+  if (Of.m_Dispatched) {
+    const std::string Agent = std::exchange(Of.m_Dispatched, {})->m_Replica;
+    return target(Agent);
+  }
   routing::ChoiceQuery Query = Of.m_Query;
   Query.m_Excluded = {Excluded.begin(), Excluded.end()};
   const routing::Choice Choice =
@@ -326,6 +424,7 @@
   clearTimer(*Of);
   m_Active.erase(Id);
   answer(*Of, Outcome);
+  dispatch(*Of->m_Traffic);
 }
 
 void RequestFront::answer(Active &Of, const request::Outcome &Outcome) {
--- a/Source/Entry/RequestFront.h
+++ b/Source/Entry/RequestFront.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -45,6 +46,9 @@
     std::shared_ptr<ServiceTraffic> m_Traffic;
     std::unique_ptr<request::RequestFlow> m_Flow;
     routing::ChoiceQuery m_Query;
+    /// The replica that the dispatcher chose for the first attempt.
+    std::optional<routing::Choice> m_Dispatched;
+    bool m_Queued = false;
     bool m_StreamStarted = false;
     base::Millis m_Since{};
     base::Millis m_Timer{};
@@ -54,6 +58,11 @@
   AgentLinksHooks linkHooks();
   void begin(const std::shared_ptr<net::HttpExchange> &Exchange,
              CallerRequest Request);
+  void enqueue(const ActivePtr &New);
+  void dispatch(ServiceTraffic &Traffic);
+  void giveUp(const std::string &Attempt, const base::Error &Why);
+  void leaveQueue(const ActivePtr &Of);
+  void armHousekeeping();
   request::FlowHooks flowHooks(const std::weak_ptr<Active> &Of);
   base::Result<request::Target> choose(Active &Of, base::Millis Now,
                                        const std::vector<std::string> &Out);
@@ -90,6 +99,8 @@
   std::set<std::pair<base::Millis, std::string>> m_Timers;
   base::Millis m_ArmedFor{};
   boost::asio::steady_timer m_Timer;
+  boost::asio::steady_timer m_Housekeeping;
+  bool m_HousekeepingArmed = false;
   metrics::Counter &m_Accepted;
   metrics::Counter &m_Refused;
   metrics::Counter &m_Failed;
--- a/Source/Entry/ServiceTraffic.cpp
+++ b/Source/Entry/ServiceTraffic.cpp
@@ -6,7 +6,7 @@
 namespace corneldeck::entry {
 
 ServiceTraffic::ServiceTraffic(std::string Zone, std::uint64_t Seed)
-    : m_Chooser(routing::ChooserSettings{}, std::move(Zone), Seed),
+    : m_Dispatcher(routing::DispatcherSettings{}, std::move(Zone), Seed),
       m_Budget(routing::RetryBudgetSettings{}) {}
 
 void ServiceTraffic::setEntry(
@@ -17,7 +17,7 @@
     m_Servers.push_back(Server.m_Name);
     Replicas.push_back({Server.m_Name, Server.m_Zone});
   }
-  m_Chooser.setReplicas(Replicas);
+  chooser().setReplicas(Replicas);
 }
 
 void ServiceTraffic::onLoad(base::Millis Now, const std::string &Agent,
@@ -32,12 +32,12 @@
   Report.m_StepMicros = Load.step_us();
   Report.m_Leaving = Load.leaving();
   Report.m_OutOfService = Load.out_of_service();
-  m_Chooser.report(Now, Agent, Report);
+  chooser().report(Now, Agent, Report);
   const std::vector<std::uint64_t> Added(Load.cached_blocks().begin(),
                                          Load.cached_blocks().end());
   const std::vector<std::uint64_t> Evicted(Load.evicted_blocks().begin(),
                                            Load.evicted_blocks().end());
-  m_Chooser.cacheEvents(Now, Agent, Load.cache_event_sequence(), Added,
+  chooser().cacheEvents(Now, Agent, Load.cache_event_sequence(), Added,
                         Evicted);
 }
 
--- a/Source/Entry/ServiceTraffic.h
+++ b/Source/Entry/ServiceTraffic.h
@@ -2,7 +2,7 @@
 #define CORNELDECK_ENTRY_SERVICETRAFFIC_H
 
 #include "Catalogue/Entry.h"
-#include "Routing/ReplicaChooser.h"
+#include "Routing/Dispatcher.h"
 #include "Routing/RetryBudget.h"
 #include "Wire/Link.pb.h"
 
@@ -12,8 +12,8 @@
 
 namespace corneldeck::entry {
 
-/// What one entry keeps for the requests of one service: the choice of
-/// replicas and the retry budget.
+/// What one entry keeps for the requests of one service: the queue, the choice
+/// of replicas and the retry budget.
 class ServiceTraffic {
 public:
   /// \param Zone the entry's availability zone. \param Seed differs between
@@ -35,12 +35,15 @@
     return m_Servers;
   }
 
-  [[nodiscard]] routing::ReplicaChooser &chooser() { return m_Chooser; }
+  [[nodiscard]] routing::Dispatcher &dispatcher() { return m_Dispatcher; }
+  [[nodiscard]] routing::ReplicaChooser &chooser() {
+    return m_Dispatcher.chooser();
+  }
   [[nodiscard]] routing::RetryBudget &budget() { return m_Budget; }
 
 private:
   std::vector<std::string> m_Servers;
-  routing::ReplicaChooser m_Chooser;
+  routing::Dispatcher m_Dispatcher;
   routing::RetryBudget m_Budget;
 };
 
