Entry: hold customers' limits over all entries

Each entry keeps its part of the requests and tokens a second of the catalogue's customers and exchanges demand and grants with the other entries of its settings every 200 ms, by LimitNews.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 namespace corneldeck::entry {
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds StopCheckInterval{20};
+/// How often limits are exchanged with each other entry.
+constexpr std::chrono::milliseconds LimitInterval{200};
 
 node::ControlSettings controlSettings(const EntrySettings &Settings,
                                       std::uint64_t Incarnation) {
@@ -28,6 +31,14 @@
   return Control;
 }
 
+/// \returns how many entries share a customer's limit: those of the settings.
+std::uint32_t entryCount(const EntrySettings &Settings) {
+  std::set<std::string> All(Settings.m_Entries.begin(),
+                            Settings.m_Entries.end());
+  All.insert(Settings.m_ControlAddress);
+  return static_cast<std::uint32_t>(All.size());
+}
+
 net::HttpServerOptions serverOptions(const EntrySettings &Settings) {
   net::HttpServerOptions Options;
   Options.m_MaxConnections = Settings.m_MaxConnections;
@@ -43,12 +54,12 @@
       m_Events(m_Settings.m_Node, m_Settings.m_TimelineEvents), m_Http(Loop),
       m_Control(controlSettings(m_Settings, m_Incarnation), m_Events),
       m_Front(Loop, m_Settings.m_Node, m_Settings.m_Zone, m_Incarnation,
-              m_Events, m_Metrics),
+              entryCount(m_Settings), m_Events, m_Metrics),
       m_Operators(Loop, m_Control, m_Front.links(), m_Http),
       m_Pages(m_Metrics, m_Events, [this] { return readiness(); }),
       m_Server(Loop, serverOptions(m_Settings),
                [this](const ExchangePtr &Exchange) { handle(Exchange); }),
-      m_StopTimer(Loop) {
+      m_StopTimer(Loop), m_LimitTimer(Loop) {
   log::attachLog(m_Events, {m_Settings.m_LogRequests});
   m_Metrics.gauge("corneldeck_control_bytes",
                   "Bytes to and from the log, peers and heartbeats.", [this] {
@@ -66,15 +77,35 @@
       m_Front.onView(View, Ready);
     });
   });
+  m_Control.setMessageHook([this](const wire::PeerMessage &Message) {
+    if (!Message.has_limits())
+      return;
+    postToTraffic([this, Message] {
+      m_Front.limits().onMessage(m_Clock.now(), Message);
+    });
+  });
   if (auto Listening = m_Server.listen(m_Settings.m_HttpAddress); !Listening)
     return tl::unexpected(Listening.error());
   if (auto Started = m_Control.start(); !Started)
     return Started;
+  exchangeLimits();
   m_Events.record(base::EventId::ProcessStarted,
                   {{"incarnation", std::to_string(m_Incarnation)}});
   return {};
 }
 
+void EntryDaemon::exchangeLimits() {
+  for (const std::string &Address : m_Settings.m_Entries)
+    if (Address != m_Settings.m_ControlAddress)
+      m_Control.send(Address,
+                     m_Front.limits().messageFor(m_Clock.now(), Address));
+  m_LimitTimer.expires_after(LimitInterval);
+  m_LimitTimer.async_wait([this](const boost::system::error_code &Cancelled) {
+    if (!Cancelled)
+      exchangeLimits();
+  });
+}
+
 void EntryDaemon::postToTraffic(std::function<void()> Todo) {
   boost::asio::post(
       m_Loop, [Alive = std::weak_ptr<int>(m_Alive), Todo = std::move(Todo)] {
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -39,6 +39,7 @@
   void handle(const ExchangePtr &Exchange);
   void addresses(const ExchangePtr &Exchange);
   void checkStopped();
+  void exchangeLimits();
   void postToTraffic(std::function<void()> Todo);
   [[nodiscard]] status::Readiness readiness() const;
 
@@ -55,6 +56,7 @@
   status::StatusPages m_Pages;
   net::HttpServer m_Server;
   boost::asio::steady_timer m_StopTimer;
+  boost::asio::steady_timer m_LimitTimer;
   bool m_Ready = false;
   bool m_Stopping = false;
   base::Millis m_ServeUntil{};
--- a/Source/Entry/RequestFront.cpp
+++ b/Source/Entry/RequestFront.cpp
@@ -68,12 +68,13 @@
 
 RequestFront::RequestFront(boost::asio::io_context &Loop, std::string Node,
                            std::string Zone, std::uint64_t Incarnation,
-                           base::Timeline &Events, metrics::Registry &Metrics)
+                           std::uint32_t Entries, base::Timeline &Events,
+                           metrics::Registry &Metrics)
     : m_Node(std::move(Node)), m_Zone(std::move(Zone)),
       m_Incarnation(Incarnation), m_Clock(base::steadyClock()),
       m_Events(Events),
       m_Links(Loop, m_Node, m_Zone, Incarnation, Events, linkHooks()),
-      m_Timer(Loop), m_Housekeeping(Loop),
+      m_Limits(Entries, Incarnation), m_Timer(Loop), m_Housekeeping(Loop),
       m_Accepted(Metrics.counter("corneldeck_requests_accepted_total",
                                  "Requests admitted.")),
       m_Refused(Metrics.counter("corneldeck_requests_refused_total",
@@ -129,6 +130,7 @@
   std::erase_if(m_Services, [&](const auto &Item) {
     return View->find(Item.first) == nullptr;
   });
+  m_Limits.onView(now(), *View);
   m_Links.setView(*View);
   for (auto &[Name, Traffic] : m_Services)
     for (const std::string &Server : Traffic->servers()) {
@@ -153,6 +155,15 @@
     Exchange->replyError(Request.error());
     return;
   }
+  const request::RequestSpec &Spec = Request->m_Spec;
+  const double Tokens = Request->m_PromptTokens + Request->m_MaxTokens;
+  if (auto Within =
+          m_Limits.admit(now(), Spec.m_Service, Spec.m_Customer, Tokens);
+      !Within) {
+    m_Refused.add();
+    Exchange->replyError(Within.error());
+    return;
+  }
   begin(Exchange, std::move(*Request));
 }
 
--- a/Source/Entry/RequestFront.h
+++ b/Source/Entry/RequestFront.h
@@ -5,6 +5,7 @@
 #include "Catalogue/View.h"
 #include "Entry/AgentLinks.h"
 #include "Entry/CallerRequest.h"
+#include "Entry/CustomerLimits.h"
 #include "Entry/ServiceTraffic.h"
 #include "Metrics/Registry.h"
 #include "Net/HttpExchange.h"
@@ -23,9 +24,11 @@
 /// Takes callers' requests and carries each to its one final answer.
 class RequestFront {
 public:
+  /// \param Entries how many entries share a customer's limit.
   RequestFront(boost::asio::io_context &Loop, std::string Node,
                std::string Zone, std::uint64_t Incarnation,
-               base::Timeline &Events, metrics::Registry &Metrics);
+               std::uint32_t Entries, base::Timeline &Events,
+               metrics::Registry &Metrics);
   RequestFront(const RequestFront &) = delete;
   RequestFront &operator=(const RequestFront &) = delete;
 
@@ -36,6 +39,9 @@
   /// Answers a request to ChatPath or below ServicesPath.
   void handle(const std::shared_ptr<net::HttpExchange> &Exchange);
 
+  /// \returns the customers' limits, to exchange them with other entries.
+  [[nodiscard]] CustomerLimits &limits() { return m_Limits; }
+
   [[nodiscard]] std::size_t inFlight() const { return m_Active.size(); }
 
   [[nodiscard]] const AgentLinks &links() const { return m_Links; }
@@ -92,6 +98,7 @@
   base::Timeline &m_Events;
   AgentLinks m_Links;
   catalogue::ViewPtr m_View;
+  CustomerLimits m_Limits;
   bool m_Ready = false;
   std::uint64_t m_LastRequest = 0;
   std::map<std::string, std::shared_ptr<ServiceTraffic>> m_Services;
--- a/Tests/Daemons/Fleet.cpp
+++ b/Tests/Daemons/Fleet.cpp
@@ -121,6 +121,7 @@
                      "idempotent: {default: true}\n"
                      "customers:\n"
                      "  - {name: floor, requests_per_s: 100000}\n"
+                     "  - {name: small, requests_per_s: 4}\n"
                      "backend_servers:\n";
   for (std::uint32_t Index = 0; Index < Servers; ++Index)
     Text += serverLine(m_AgentSettings[Index]);
@@ -218,7 +219,8 @@
   Call.m_Address = entryAddress(Entry);
   Call.m_Target = "/v1/chat/completions";
   Call.m_Headers = Extra;
-  Call.m_Headers.push_back({"X-Customer", "floor"});
+  if (net::findHeader(Extra, "X-Customer").empty())
+    Call.m_Headers.push_back({"X-Customer", "floor"});
   Call.m_Body = Body.dump();
   Call.m_Timeout = base::minutes(5);
   return call(std::move(Call));
