--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -1,3 +1,4 @@
+#include "Bench/RequestPromises.h"
 #include "Bench/Scenario.h"
 #include "Bench/Scenarios.h"
 
@@ -15,6 +16,14 @@
       admissionPromise(), mapSwitchPromise(), mapSwitchExplorationPromise(),
       cataloguePromise(), limitsPromise(),    retriesPromise(),
       leasesPromise(),
+      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
+      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
+      admissionPromise(),
+      mapSwitchPromise(),
+      mapSwitchExplorationPromise(),
+      cataloguePromise(),
+      limitsPromise(),
+      retriesPromise(),
   };
 }
 
