--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -4,27 +4,32 @@
 
 namespace corneldeck::bench {
 
+// One registration a line keeps merges apart.
+// clang-format off
 std::vector<Scenario> allScenarios() {
   return {
-      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
-      pathScenario(),      retriesScenario(), routingScenario(),
+      controlCostScenario(),
+      limitsScenario(),
+      mapSwitchScenario(),
+      pathScenario(),
+      retriesScenario(),
+      routingScenario(),
   };
 }
 
 std::vector<Promise> allPromises() {
   return {
-      admissionPromise(), mapSwitchPromise(), mapSwitchExplorationPromise(),
-      cataloguePromise(), limitsPromise(),    retriesPromise(),
-      leasesPromise(),
-      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
-      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
       admissionPromise(),
-      mapSwitchPromise(),
-      mapSwitchExplorationPromise(),
+      atMostOncePromise(),
       cataloguePromise(),
+      leasesPromise(),
       limitsPromise(),
+      mapSwitchExplorationPromise(),
+      mapSwitchPromise(),
+      outcomePromise(),
       retriesPromise(),
   };
 }
+// clang-format on
 
 } // namespace corneldeck::bench
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -14,7 +14,6 @@
 Scenario limitsScenario();
 Promise retriesPromise();
 Promise leasesPromise();
-Scenario limitsScenario();
 Scenario controlCostScenario();
 Scenario pathScenario();
 Scenario retriesScenario();
--- a/Tests/Daemons/LimitTest.cpp
+++ b/Tests/Daemons/LimitTest.cpp
@@ -23,7 +23,7 @@
   }
 };
 
-TEST_F(LimitTest, HoldsOverBothEntriesAndFollowsDemand) {
+TEST_F(LimitTest, HoldsOverBothEntries) {
   publishAll();
   const base::Clock Clock = base::steadyClock();
   const base::Millis Start = Clock.now();
