--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -7,6 +7,8 @@
 // One statement each, which the formatter leaves on a line of its own, so that
 // merging both sides' lines gives each name once.
 
+// One registration a line keeps merges apart.
+// clang-format off
 std::vector<Scenario> allScenarios() {
   std::vector<Scenario> All;
   All.push_back(controlCostScenario());
@@ -78,5 +80,6 @@
   };
   // clang-format on
 }
+// clang-format on
 
 } // namespace corneldeck::bench
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -19,6 +19,8 @@
 Scenario controlCostScenario();
 Promise limitsPromise();
 Promise retriesPromise();
+Promise leasesPromise();
+Scenario controlCostScenario();
 Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
--- a/Source/Entry/RequestFront.h
+++ b/Source/Entry/RequestFront.h
@@ -5,6 +5,7 @@
 #include "Catalogue/View.h"
 #include "Entry/AgentLinks.h"
 #include "Entry/CallerRequest.h"
+#include "Entry/CustomerLimits.h"
 #include "Entry/ServiceTraffic.h"
 #include "Metrics/Registry.h"
 #include "Net/HttpExchange.h"
@@ -13,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -22,9 +24,11 @@
 /// Takes callers' requests and carries each to its one final answer.
 class RequestFront {
 public:
+  /// \param Entries how many entries share a customer's limit.
   RequestFront(boost::asio::io_context &Loop, std::string Node,
                std::string Zone, std::uint64_t Incarnation,
-               base::Timeline &Events, metrics::Registry &Metrics);
+               std::uint32_t Entries, base::Timeline &Events,
+               metrics::Registry &Metrics);
   RequestFront(const RequestFront &) = delete;
   RequestFront &operator=(const RequestFront &) = delete;
 
@@ -35,6 +39,9 @@
   /// Answers a request to ChatPath or below ServicesPath.
   void handle(const std::shared_ptr<net::HttpExchange> &Exchange);
 
+  /// \returns the customers' limits, to exchange them with other entries.
+  [[nodiscard]] CustomerLimits &limits() { return m_Limits; }
+
   [[nodiscard]] std::size_t inFlight() const { return m_Active.size(); }
 
   [[nodiscard]] const AgentLinks &links() const { return m_Links; }
@@ -45,6 +52,9 @@
     std::shared_ptr<ServiceTraffic> m_Traffic;
     std::unique_ptr<request::RequestFlow> m_Flow;
     routing::ChoiceQuery m_Query;
+    /// The replica that the dispatcher chose for the first attempt.
+    std::optional<routing::Choice> m_Dispatched;
+    bool m_Queued = false;
     bool m_StreamStarted = false;
     base::Millis m_Since{};
     base::Millis m_Timer{};
@@ -54,6 +64,11 @@
   AgentLinksHooks linkHooks();
   void begin(const std::shared_ptr<net::HttpExchange> &Exchange,
              CallerRequest Request);
+  void enqueue(const ActivePtr &New);
+  void dispatch(ServiceTraffic &Traffic);
+  void giveUp(const std::string &Attempt, const base::Error &Why);
+  void leaveQueue(const ActivePtr &Of);
+  void armHousekeeping();
   request::FlowHooks flowHooks(const std::weak_ptr<Active> &Of);
   base::Result<request::Target> choose(Active &Of, base::Millis Now,
                                        const std::vector<std::string> &Out);
@@ -83,6 +98,7 @@
   base::Timeline &m_Events;
   AgentLinks m_Links;
   catalogue::ViewPtr m_View;
+  CustomerLimits m_Limits;
   bool m_Ready = false;
   std::uint64_t m_LastRequest = 0;
   std::map<std::string, std::shared_ptr<ServiceTraffic>> m_Services;
@@ -90,6 +106,8 @@
   std::set<std::pair<base::Millis, std::string>> m_Timers;
   base::Millis m_ArmedFor{};
   boost::asio::steady_timer m_Timer;
+  boost::asio::steady_timer m_Housekeeping;
+  bool m_HousekeepingArmed = false;
   metrics::Counter &m_Accepted;
   metrics::Counter &m_Refused;
   metrics::Counter &m_Failed;
