--- a/Source/Bench/ControlCluster.cpp
+++ b/Source/Bench/ControlCluster.cpp
@@ -75,7 +75,10 @@
 }
 
 Millis ControlCluster::localTime(const std::string &Node) {
-  const Process &Target = process(Node);
+  return localTimeOf(process(Node));
+}
+
+Millis ControlCluster::localTimeOf(const Process &Target) const {
   const auto Passed =
       static_cast<double>((m_Time.now() - Target.m_RateSince).count());
   return Millis(
@@ -122,15 +125,19 @@
     Client.m_Read(
         Request,
         [ToSelf, Done](const base::Result<catalogue::ReadAnswer> &Answer) {
-          ToSelf([Done, Answer] { Done(Answer); });
+          using Shared = const base::Result<catalogue::ReadAnswer>;
+          const auto Kept = std::make_shared<Shared>(Answer);
+          ToSelf([Done, Kept] { Done(*Kept); });
         });
   };
   Hooks.m_Send = [this, Name](const std::string &To,
                               const wire::PeerMessage &Message) {
-    m_Network.send(Name, To, [this, To, Message] {
-      deliver(To, [this, To, Message] {
+    // Shared, since each fake on the way copies its action.
+    const auto Sent = std::make_shared<const wire::PeerMessage>(Message);
+    m_Network.send(Name, To, [this, To, Sent] {
+      deliver(To, [this, To, Sent] {
         if (node::ControlCore *Core = core(To))
-          Core->heard(Message);
+          Core->heard(*Sent);
       });
     });
   };
@@ -165,7 +172,7 @@
   hookUp(Target, Hooks);
   Target.m_Core = std::make_unique<node::ControlCore>(
       std::move(Settings), std::move(Hooks),
-      base::Clock([this, Node] { return localTime(Node); }));
+      base::Clock([this, &Target] { return localTimeOf(Target); }));
   scheduleTick(Node, Target.m_Incarnation);
 }
 
--- a/Source/Bench/ControlCluster.h
+++ b/Source/Bench/ControlCluster.h
@@ -127,6 +127,7 @@
   void checkAnswers();
   void checkNodes();
   [[nodiscard]] bool isStateLost() const;
+  [[nodiscard]] base::Millis localTimeOf(const Process &Target) const;
   Process &process(const std::string &Node);
 
   const ClusterSettings m_Settings;
--- a/Source/Fakes/FakeLog.cpp
+++ b/Source/Fakes/FakeLog.cpp
@@ -143,9 +143,12 @@
     Result.m_Records.push_back({Offset, m_History[Offset - 1].m_Record});
     ++Offset;
   }
-  m_Time.after(m_Delay, [this, Reader, Result = std::move(Result)] {
+  // Shared, since an action may be copied.
+  const auto Shared =
+      std::make_shared<const catalogue::ReadAnswer>(std::move(Result));
+  m_Time.after(m_Delay, [this, Reader, Shared] {
     if (!unreachable(Reader.m_Node))
-      Reader.m_Done(Result);
+      Reader.m_Done(*Shared);
   });
 }
 
