--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -5,6 +5,7 @@
 
 namespace corneldeck::bench {
 
+Promise admissionPromise();
 Scenario mapSwitchScenario();
 Promise mapSwitchPromise();
 Promise mapSwitchExplorationPromise();
@@ -15,6 +16,9 @@
 Scenario recoveryScenario();
 Scenario limitsScenario();
 Scenario controlCostScenario();
+Promise limitsPromise();
+Scenario limitsScenario();
+Promise retriesPromise();
 Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
