--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -6,21 +6,18 @@
 
 std::vector<Scenario> allScenarios() {
   return {
+      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
+      pathScenario(),      retriesScenario(), routingScenario(),
       catalogueScenario(), leasesScenario(),  recoveryScenario(),
-      limitsScenario(),    retriesScenario(), routingScenario(),
-      mapSwitchScenario(), pathScenario(),    controlCostScenario(),
   };
 }
 
 std::vector<Promise> allPromises() {
   return {
-      atMostOncePromise(),           outcomePromise(),   mapSwitchPromise(),
-      mapSwitchExplorationPromise(), cataloguePromise(), leasesPromise(),
-      admissionPromise(),
-      mapSwitchPromise(),
-      mapSwitchExplorationPromise(),
-      cataloguePromise(),
-      limitsPromise(),
+      atMostOncePromise(), outcomePromise(),
+      mapSwitchPromise(),  mapSwitchExplorationPromise(),
+      cataloguePromise(),  leasesPromise(),
+      admissionPromise(),  limitsPromise(),
       retriesPromise(),
   };
 }
