--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -36,21 +36,6 @@
   All.push_back(outcomePromise());
   All.push_back(retriesPromise());
   return All;
-  return {
-      mapSwitchScenario(), limitsScenario(),  controlCostScenario(),
-      pathScenario(),      retriesScenario(), routingScenario(),
-      catalogueScenario(), leasesScenario(),  recoveryScenario(),
-  };
-}
-
-std::vector<Promise> allPromises() {
-  return {
-      atMostOncePromise(), outcomePromise(),
-      mapSwitchPromise(),  mapSwitchExplorationPromise(),
-      cataloguePromise(),  leasesPromise(),
-      admissionPromise(),  limitsPromise(),
-      retriesPromise(),
-  };
 }
 
 } // namespace corneldeck::bench
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -19,8 +19,6 @@
 Scenario controlCostScenario();
 Promise limitsPromise();
 Promise retriesPromise();
-Promise leasesPromise();
-Scenario controlCostScenario();
 Scenario pathScenario();
 Scenario retriesScenario();
 Scenario routingScenario();
