Entry: never call a refused duplicate not run

Cause: a request with an idempotency key that an entry refused by itself, for a limit or because it was not ready, was told that it had not run, though an earlier call with the key may have run at its home. Such refusals now say unknown.

--- a/Source/Entry/CallerRequest.cpp
+++ b/Source/Entry/CallerRequest.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t MaxKeyBytes = 255;
 constexpr std::string_view DeadlineHeader = "X-Deadline-Ms";
 constexpr std::string_view CustomerHeader = "X-Customer";
-constexpr std::string_view KeyHeader = "Idempotency-Key";
 constexpr std::string_view KeyCreatedHeader = "Idempotency-Key-Created";
 
 base::Result<std::int64_t> readNumber(const net::HttpExchange &Exchange,
--- a/Source/Entry/CallerRequest.h
+++ b/Source/Entry/CallerRequest.h
@@ -16,6 +16,9 @@
 inline constexpr std::string_view ServicesPath = "/services/";
 inline constexpr std::string_view AddressesPath = "/v1/addresses";
 
+/// The header that marks a request that must not run twice.
+inline constexpr std::string_view KeyHeader = "Idempotency-Key";
+
 /// A caller's request, checked against the catalogue.
 struct CallerRequest {
   std::shared_ptr<const catalogue::Entry> m_Entry;
--- a/Source/Entry/RequestFront.cpp
+++ b/Source/Entry/RequestFront.cpp
@@ -141,18 +141,16 @@
 
 void RequestFront::handle(const std::shared_ptr<net::HttpExchange> &Exchange) {
   if (!m_Ready) {
-    m_Refused.add();
     const bool Had = m_View != nullptr && m_View->offset() > 0;
     const ResultCode Code =
         Had ? ResultCode::CatalogueTooOld : ResultCode::NotReady;
-    Exchange->replyError(
-        {Code, std::string(base::info(Code).m_Meaning), NotReadyRetry});
+    refuse(*Exchange,
+           {Code, std::string(base::info(Code).m_Meaning), NotReadyRetry});
     return;
   }
   auto Request = readCallerRequest(*Exchange, *m_View, now(), base::wallTime());
   if (!Request) {
-    m_Refused.add();
-    Exchange->replyError(Request.error());
+    refuse(*Exchange, Request.error());
     return;
   }
   const request::RequestSpec &Spec = Request->m_Spec;
@@ -160,13 +158,20 @@
   if (auto Within =
           m_Limits.admit(now(), Spec.m_Service, Spec.m_Customer, Tokens);
       !Within) {
-    m_Refused.add();
-    Exchange->replyError(Within.error());
+    refuse(*Exchange, Within.error());
     return;
   }
   begin(Exchange, std::move(*Request));
 }
 
+void RequestFront::refuse(net::HttpExchange &Exchange, const base::Error &Why) {
+  m_Refused.add();
+  // Only its home knows whether an earlier call with the key ran.
+  const bool Keyed = !Exchange.header(KeyHeader).empty();
+  Exchange.replyError(Why,
+                      Keyed ? std::optional(base::Ran::Unknown) : std::nullopt);
+}
+
 void RequestFront::begin(const std::shared_ptr<net::HttpExchange> &Exchange,
                          CallerRequest Request) {
   const std::string Id = m_Node + "-" + std::to_string(m_Incarnation) + "-" +
--- a/Source/Entry/RequestFront.h
+++ b/Source/Entry/RequestFront.h
@@ -62,6 +62,7 @@
   using ActivePtr = std::shared_ptr<Active>;
 
   AgentLinksHooks linkHooks();
+  void refuse(net::HttpExchange &Exchange, const base::Error &Why);
   void begin(const std::shared_ptr<net::HttpExchange> &Exchange,
              CallerRequest Request);
   void enqueue(const ActivePtr &New);
--- a/Source/Node/LogHttpClient.cpp
+++ b/Source/Node/LogHttpClient.cpp
@@ -69,9 +69,9 @@
   }
 }
 
-catalogue::LogClient makeLogClient(net::HttpClient &Http,
-                                   const std::string &Address,
-                                   std::function<void(std::size_t)> OnBytes) {
+catalogue::LogClient
+makeLogClient(net::HttpClient &Http, const std::string &Address,
+              const std::function<void(std::size_t)> &OnBytes) {
   catalogue::LogClient Client;
   Client.m_Append = [&Http, Address,
                      OnBytes](const wire::LogRecord &Record,
--- a/Source/Node/LogHttpClient.h
+++ b/Source/Node/LogHttpClient.h
@@ -13,9 +13,9 @@
 /// \param Http must outlive the returned hooks.
 /// \param Address the log service, "ip:port".
 /// \param OnBytes is told the bytes of each request with its answer.
-catalogue::LogClient makeLogClient(net::HttpClient &Http,
-                                   const std::string &Address,
-                                   std::function<void(std::size_t)> OnBytes);
+catalogue::LogClient
+makeLogClient(net::HttpClient &Http, const std::string &Address,
+              const std::function<void(std::size_t)> &OnBytes);
 
 /// Reads the body of an answer to GET /read.
 /// \returns the records, or BadMessage.
--- a/Tests/Daemons/LimitTest.cpp
+++ b/Tests/Daemons/LimitTest.cpp
@@ -45,4 +45,22 @@
   EXPECT_GT(Refused, 0);
 }
 
+TEST_F(LimitTest, RefusedDuplicateOfARunIsNotCalledNotRun) {
+  publishAll();
+  // The limit is per customer, so other requests use it up before the repeat.
+  const net::HttpHeaders Keyed = {
+      {"X-Customer", "small"},
+      {"Idempotency-Key", "note-1"},
+      {"Idempotency-Key-Created", std::to_string(base::wallTime().count())}};
+  int Refused = 0;
+  while (Refused == 0 && !HasFatalFailure()) {
+    const auto Answer = chat(1, 1, false, Keyed);
+    runUntil([&] { return Answer->m_Ended; });
+    if (Answer->header("X-Corneldeck-Code") != "110")
+      continue;
+    ++Refused;
+    EXPECT_EQ(Answer->header("X-Corneldeck-Ran"), "unknown");
+  }
+}
+
 } // namespace corneldeck::tests
