Entry: exchange idle limits once a second

Cause: entries told each other their limits five times a second also without demand, which took an idle entry at 9 entries and 15 agents from 7,053 to 9,080 B/s, over the budget of 8,000. A message without demand and grants now goes once a second. A malformed key, which no entry ever let through, is called not run.

--- a/Source/Entry/EntryDaemon.cpp
+++ b/Source/Entry/EntryDaemon.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds StopCheckInterval{20};
 /// How often limits are exchanged with each other entry.
 constexpr std::chrono::milliseconds LimitInterval{200};
+/// One exchange in this many is sent also without demand and grants.
+constexpr std::uint64_t EmptyLimitRounds = 5;
 
 node::ControlSettings controlSettings(const EntrySettings &Settings,
                                       std::uint64_t Incarnation) {
@@ -95,10 +97,15 @@
 }
 
 void EntryDaemon::exchangeLimits() {
-  for (const std::string &Address : m_Settings.m_Entries)
-    if (Address != m_Settings.m_ControlAddress)
-      m_Control.send(Address,
-                     m_Front.limits().messageFor(m_Clock.now(), Address));
+  const bool SendEmpty = m_LimitRounds++ % EmptyLimitRounds == 0;
+  for (const std::string &Address : m_Settings.m_Entries) {
+    if (Address == m_Settings.m_ControlAddress)
+      continue;
+    wire::PeerMessage Message =
+        m_Front.limits().messageFor(m_Clock.now(), Address);
+    if (SendEmpty || Message.limits().uses_size() > 0)
+      m_Control.send(Address, std::move(Message));
+  }
   m_LimitTimer.expires_after(LimitInterval);
   m_LimitTimer.async_wait([this](const boost::system::error_code &Cancelled) {
     if (!Cancelled)
--- a/Source/Entry/EntryDaemon.h
+++ b/Source/Entry/EntryDaemon.h
@@ -57,6 +57,7 @@
   net::HttpServer m_Server;
   boost::asio::steady_timer m_StopTimer;
   boost::asio::steady_timer m_LimitTimer;
+  std::uint64_t m_LimitRounds = 0;
   bool m_Ready = false;
   bool m_Stopping = false;
   base::Millis m_ServeUntil{};
--- a/Source/Entry/RequestFront.cpp
+++ b/Source/Entry/RequestFront.cpp
@@ -166,8 +166,10 @@
 
 void RequestFront::refuse(net::HttpExchange &Exchange, const base::Error &Why) {
   m_Refused.add();
-  // Only its home knows whether an earlier call with the key ran.
-  const bool Keyed = !Exchange.header(KeyHeader).empty();
+  // Only its home knows whether an earlier call with the key ran. No entry ever
+  // let a key through that is not printable.
+  const std::string_view Key = Exchange.header(KeyHeader);
+  const bool Keyed = !Key.empty() && net::isPrintable(Key);
   Exchange.replyError(Why,
                       Keyed ? std::optional(base::Ran::Unknown) : std::nullopt);
 }
