Net: carry peer messages over framed TCP

The debugger shows the caller waiting for nng's reaper, and the reaper waiting for a pipe's operation, with all of nng's task threads idle. In a daemon the control thread would have stood still when it replaced a silent connection.

Ruled out: our receive callback holding a lock; no thread was in it.

The framed connection of the links now also carries peer messages, so there is one transport, and nng is gone from the packages.

--- a/Source/Net/LinkConnection.cpp
+++ b/Source/Net/LinkConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "Net/Endpoint.h"
 #include "Wire/Link.pb.h"
+#include "Wire/Peer.pb.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,10 +23,17 @@
 
 constexpr std::size_t LengthBytes = 4;
 
-/// A LinkConnection on a TCP socket.
-class TcpLinkConnection final : public LinkConnection {
+/// A FramedConnection on a TCP socket.
+template <typename Frame>
+class TcpConnection final : public FramedConnection<Frame> {
+  using Base = FramedConnection<Frame>;
+  using Base::MaxFrameBytes;
+  using Base::MaxUnsentBytes;
+  using typename Base::ClosedHook;
+  using typename Base::FrameHook;
+
 public:
-  explicit TcpLinkConnection(tcp::socket Socket, std::shared_ptr<int> Slot = {})
+  explicit TcpConnection(tcp::socket Socket, std::shared_ptr<int> Slot = {})
       : m_Socket(std::move(Socket)), m_Slot(std::move(Slot)) {
     ErrorCode Ignored;
     m_Socket.set_option(tcp::no_delay(true), Ignored);
@@ -39,10 +47,10 @@
     readSome();
   }
 
-  void send(const wire::LinkFrame &Frame) override {
+  void send(const Frame &Message) override {
     if (m_Closed)
       return;
-    append(Frame);
+    append(Message);
     if (m_Unsent.size() + m_Writing.size() > MaxUnsentBytes) {
       fail("the peer does not read");
       return;
@@ -63,19 +71,19 @@
 private:
   static constexpr std::size_t ReadBytes = 64U << 10U;
 
-  std::shared_ptr<TcpLinkConnection> self() {
-    return std::static_pointer_cast<TcpLinkConnection>(shared_from_this());
+  std::shared_ptr<TcpConnection> self() {
+    return std::static_pointer_cast<TcpConnection>(this->shared_from_this());
   }
 
-  void append(const wire::LinkFrame &Frame) {
-    const std::size_t Size = Frame.ByteSizeLong();
+  void append(const Frame &Message) {
+    const std::size_t Size = Message.ByteSizeLong();
     std::array<unsigned char, LengthBytes> Length{};
     boost::endian::store_big_u32(Length.data(),
                                  static_cast<std::uint32_t>(Size));
     m_Unsent.append(reinterpret_cast<const char *>(Length.data()), LengthBytes);
     const std::size_t Start = m_Unsent.size();
     m_Unsent.resize(Start + Size);
-    Frame.SerializeToArray(m_Unsent.data() + Start, static_cast<int>(Size));
+    Message.SerializeToArray(m_Unsent.data() + Start, static_cast<int>(Size));
   }
 
   void scheduleWrite() {
@@ -156,7 +164,7 @@
   bool takeFrame(const char *Data, std::size_t Size) {
     m_Frame.Clear();
     if (!m_Frame.ParseFromArray(Data, static_cast<int>(Size)) ||
-        m_Frame.body_case() == wire::LinkFrame::BODY_NOT_SET) {
+        m_Frame.body_case() == Frame::BODY_NOT_SET) {
       fail("a frame can't be read", base::ResultCode::BadMessage);
       return false;
     }
@@ -167,7 +175,7 @@
   void fail(const std::string &Reason,
             base::ResultCode Code = base::ResultCode::ConnectionFailed) {
     const ClosedHook OnClosed = std::move(m_OnClosed);
-    const auto Keep = shared_from_this();
+    const auto Keep = this->shared_from_this();
     // The frame hook may be running; it is released in a later turn.
     boost::asio::post(m_Socket.get_executor(),
                       [Self = self()] { Self->m_OnFrame = nullptr; });
@@ -187,23 +195,24 @@
   std::string m_Input;
   std::string m_Unsent;
   std::string m_Writing;
-  wire::LinkFrame m_Frame;
+  Frame m_Frame;
   bool m_WriteScheduled = false;
   bool m_Closed = false;
 };
 
 /// An attempt to connect, with its timer.
-struct Connecting {
+template <typename Frame> struct Connecting {
   explicit Connecting(boost::asio::io_context &Loop)
       : m_Socket(Loop), m_Timer(Loop) {}
 
   tcp::socket m_Socket;
   boost::asio::steady_timer m_Timer;
-  std::function<void(base::Result<LinkConnectionPtr>)> m_Done;
+  std::function<void(base::Result<FramedConnectionPtr<Frame>>)> m_Done;
   bool m_Finished = false;
 };
 
-void finish(const std::shared_ptr<Connecting> &Attempt,
+template <typename Frame>
+void finish(const std::shared_ptr<Connecting<Frame>> &Attempt,
             const std::string &Where, const std::string &Problem) {
   if (Attempt->m_Finished)
     return;
@@ -211,7 +220,7 @@
   Attempt->m_Timer.cancel();
   if (Problem.empty()) {
     Attempt->m_Done(
-        std::make_shared<TcpLinkConnection>(std::move(Attempt->m_Socket)));
+        std::make_shared<TcpConnection<Frame>>(std::move(Attempt->m_Socket)));
     return;
   }
   ErrorCode Ignored;
@@ -222,10 +231,12 @@
 
 } // namespace
 
-void connectLink(boost::asio::io_context &Loop, const std::string &Where,
-                 base::Millis Timeout,
-                 std::function<void(base::Result<LinkConnectionPtr>)> Done) {
-  auto Attempt = std::make_shared<Connecting>(Loop);
+template <typename Frame>
+void connectFramed(
+    boost::asio::io_context &Loop, const std::string &Where,
+    base::Millis Timeout,
+    std::function<void(base::Result<FramedConnectionPtr<Frame>>)> Done) {
+  auto Attempt = std::make_shared<Connecting<Frame>>(Loop);
   Attempt->m_Done = std::move(Done);
   Attempt->m_Timer.expires_after(std::chrono::milliseconds(Timeout.count()));
   Attempt->m_Timer.async_wait([Attempt, Where](ErrorCode Problem) {
@@ -246,7 +257,9 @@
 }
 
 /// The listening socket, kept alive by its pending accept.
-class LinkServer::Impl : public std::enable_shared_from_this<Impl> {
+template <typename Frame>
+class FramedServer<Frame>::Impl
+    : public std::enable_shared_from_this<typename FramedServer<Frame>::Impl> {
 public:
   Impl(boost::asio::io_context &Loop, std::size_t MaxConnections)
       : m_Acceptor(Loop), m_Retry(Loop), m_MaxConnections(MaxConnections) {}
@@ -286,10 +299,10 @@
   static constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
   void acceptNext() {
-    m_Acceptor.async_accept(
-        [Self = shared_from_this()](ErrorCode Problem, tcp::socket Socket) {
-          Self->onAccepted(Problem, std::move(Socket));
-        });
+    m_Acceptor.async_accept([Self = this->shared_from_this()](
+                                ErrorCode Problem, tcp::socket Socket) {
+      Self->onAccepted(Problem, std::move(Socket));
+    });
   }
 
   void onAccepted(ErrorCode Problem, tcp::socket Socket) {
@@ -298,15 +311,16 @@
     if (Problem) {
       // Out of descriptors, most likely: accepting at once would spin.
       m_Retry.expires_after(AcceptRetryDelay);
-      m_Retry.async_wait([Self = shared_from_this()](ErrorCode Cancelled) {
-        if (!Cancelled)
-          Self->acceptNext();
-      });
+      m_Retry.async_wait(
+          [Self = this->shared_from_this()](ErrorCode Cancelled) {
+            if (!Cancelled)
+              Self->acceptNext();
+          });
       return;
     }
     if (static_cast<std::size_t>(m_Slots.use_count()) <= m_MaxConnections)
       m_OnAccept(
-          std::make_shared<TcpLinkConnection>(std::move(Socket), m_Slots));
+          std::make_shared<TcpConnection<Frame>>(std::move(Socket), m_Slots));
     acceptNext();
   }
 
@@ -319,17 +333,31 @@
   bool m_Closed = false;
 };
 
-LinkServer::LinkServer(boost::asio::io_context &Loop,
-                       std::size_t MaxConnections)
+template <typename Frame>
+FramedServer<Frame>::FramedServer(boost::asio::io_context &Loop,
+                                  std::size_t MaxConnections)
     : m_Impl(std::make_shared<Impl>(Loop, MaxConnections)) {}
 
-LinkServer::~LinkServer() { close(); }
+template <typename Frame> FramedServer<Frame>::~FramedServer() { close(); }
 
-base::Result<void> LinkServer::listen(const std::string &Where,
-                                      AcceptHook OnAccept) {
+template <typename Frame>
+base::Result<void> FramedServer<Frame>::listen(const std::string &Where,
+                                               AcceptHook OnAccept) {
   return m_Impl->listen(Where, std::move(OnAccept));
 }
 
-void LinkServer::close() { m_Impl->close(); }
+template <typename Frame> void FramedServer<Frame>::close() { m_Impl->close(); }
+
+template class FramedServer<wire::LinkFrame>;
+template class FramedServer<wire::PeerMessage>;
+template void connectFramed<wire::PeerMessage>(
+    boost::asio::io_context &, const std::string &, base::Millis,
+    std::function<void(base::Result<FramedConnectionPtr<wire::PeerMessage>>)>);
+
+void connectLink(boost::asio::io_context &Loop, const std::string &Where,
+                 base::Millis Timeout,
+                 std::function<void(base::Result<LinkConnectionPtr>)> Done) {
+  connectFramed<wire::LinkFrame>(Loop, Where, Timeout, std::move(Done));
+}
 
 } // namespace corneldeck::net
--- a/Source/Net/PeerLink.cpp
+++ b/Source/Net/PeerLink.cpp
@@ -1,120 +1,137 @@
 #include "Net/PeerLink.h"
 
+#include "Net/LinkConnection.h"
 #include "Wire/Peer.pb.h"
 
 #include <algorithm>
 #include <atomic>
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/post.hpp>
 #include <map>
-#include <mutex>
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace corneldeck::net {
 
 namespace {
 
-constexpr int SendQueueLength = 256;
+using PeerConnectionPtr = FramedConnectionPtr<wire::PeerMessage>;
 
-/// An nng socket to one peer.
+constexpr std::size_t MaxInlets = 4096;
+/// Messages that wait for a connection; further ones are dropped.
+constexpr std::size_t MaxWaiting = 256;
+constexpr base::Millis ConnectTimeout{700};
+
+/// The connection to one peer, which only carries messages to it.
 struct Outlet {
-  nng_socket m_Socket = NNG_SOCKET_INITIALIZER;
+  /// Tells late hooks of an earlier connection.
+  std::uint64_t m_Number = 0;
+  PeerConnectionPtr m_Connection;
+  std::vector<wire::PeerMessage> m_Waiting;
   base::Millis m_OpenedAt{};
   base::Millis m_LastSent{};
   base::Millis m_LastHeard{};
 };
 
-std::string url(const std::string &Where) { return "tcp://" + Where; }
-
-bool openOutlet(Outlet &Out, const std::string &Where) {
-  if (nng_push0_open(&Out.m_Socket) != 0)
-    return false;
-  nng_socket_set_int(Out.m_Socket, NNG_OPT_SENDBUF, SendQueueLength);
-  return nng_dial(Out.m_Socket, url(Where).c_str(), nullptr,
-                  NNG_FLAG_NONBLOCK) == 0;
-}
-
 } // namespace
 
-/// The sockets. nng calls back on threads of its own; the guard below keeps
-/// them from posting to a loop that is gone.
+/// The connections to and from peers. Hooks hold weak references, since the
+/// loop may run on after this object is gone.
 class PeerLink::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(boost::asio::io_context &Loop, base::Clock Time)
-      : m_Loop(Loop), m_Time(std::move(Time)) {}
-
-  ~Impl() {
-    if (m_Receive != nullptr)
-      nng_aio_free(m_Receive);
-  }
+      : m_Loop(Loop), m_Time(std::move(Time)), m_Server(Loop, MaxInlets) {}
 
   base::Result<void> listen(const std::string &Where, MessageHook OnMessage) {
     m_OnMessage = std::move(OnMessage);
-    int Problem = nng_pull0_open(&m_Inlet);
-    if (Problem == 0) {
-      nng_socket_set_size(m_Inlet, NNG_OPT_RECVMAXSZ, MaxMessageBytes);
-      m_InletOpen = true;
-      Problem = nng_listen(m_Inlet, url(Where).c_str(), nullptr, 0);
-    }
-    if (Problem == 0)
-      Problem = nng_aio_alloc(&m_Receive, &Impl::onReceived, this);
-    if (Problem != 0)
-      return base::failure(base::ResultCode::ConnectionFailed,
-                           "Can't listen at " + Where + ": " +
-                               nng_strerror(Problem) +
-                               ". Choose a free address in the settings.");
-    nng_recv_aio(m_Inlet, m_Receive);
-    return {};
+    return m_Server.listen(
+        Where, [this](const PeerConnectionPtr &Inlet) { accept(Inlet); });
   }
 
   void send(const std::string &Where, const wire::PeerMessage &Message) {
     closeIdle();
-    Outlet *Out = outlet(Where);
-    if (Out == nullptr)
-      return;
-    Out->m_LastSent = m_Time.now();
-    const std::string Bytes = Message.SerializeAsString();
-    if (nng_send(Out->m_Socket, const_cast<char *>(Bytes.data()), Bytes.size(),
-                 NNG_FLAG_NONBLOCK) == 0)
-      m_Bytes += Bytes.size();
+    Outlet &Out = outlet(Where);
+    Out.m_LastSent = m_Time.now();
+    m_Bytes += Message.ByteSizeLong();
+    if (Out.m_Connection)
+      Out.m_Connection->send(Message);
+    else if (Out.m_Waiting.size() < MaxWaiting)
+      Out.m_Waiting.push_back(Message);
   }
 
   void close() {
-    {
-      const std::lock_guard Lock(m_Mutex);
-      m_Closed = true;
-    }
     m_OnMessage = nullptr;
-    if (m_InletOpen)
-      nng_close(m_Inlet);
-    if (m_Receive != nullptr)
-      nng_aio_stop(m_Receive);
+    m_Server.close();
+    for (const PeerConnectionPtr &Inlet : m_Inlets)
+      Inlet->close();
+    m_Inlets.clear();
     for (auto &[Where, Out] : m_Outlets)
-      nng_close(Out.m_Socket);
+      if (Out.m_Connection)
+        Out.m_Connection->close();
     m_Outlets.clear();
   }
 
   [[nodiscard]] std::uint64_t bytes() const { return m_Bytes; }
 
 private:
-  /// \returns the open outlet to \p Where; replaces one that may be silent.
-  Outlet *outlet(const std::string &Where) {
+  /// \returns the outlet to \p Where; replaces one that may be silent.
+  Outlet &outlet(const std::string &Where) {
     const auto Found = m_Outlets.find(Where);
     if (Found != m_Outlets.end()) {
       if (!maybeSilent(Found->second))
-        return &Found->second;
-      nng_close(Found->second.m_Socket);
-      m_Outlets.erase(Found);
+        return Found->second;
+      drop(Where, Found->second.m_Number);
     }
-    Outlet Fresh;
-    if (!openOutlet(Fresh, Where))
-      return nullptr;
+    Outlet &Fresh = m_Outlets[Where];
+    Fresh.m_Number = ++m_LastNumber;
     Fresh.m_OpenedAt = m_Time.now();
-    return &m_Outlets.emplace(Where, Fresh).first->second;
+    connectFramed<wire::PeerMessage>(
+        m_Loop, Where, ConnectTimeout,
+        [Weak = weak_from_this(), Where,
+         Number = Fresh.m_Number](base::Result<PeerConnectionPtr> Opened) {
+          if (const auto Self = Weak.lock())
+            Self->onOpened(Where, Number, std::move(Opened));
+          else if (Opened)
+            (*Opened)->close();
+        });
+    return Fresh;
+  }
+
+  void onOpened(const std::string &Where, std::uint64_t Number,
+                base::Result<PeerConnectionPtr> Opened) {
+    const auto Found = m_Outlets.find(Where);
+    const bool Wanted =
+        Found != m_Outlets.end() && Found->second.m_Number == Number;
+    if (!Opened || !Wanted) {
+      if (Opened)
+        (*Opened)->close();
+      drop(Where, Number);
+      return;
+    }
+    Outlet &Out = Found->second;
+    Out.m_Connection = std::move(*Opened);
+    Out.m_Connection->start(
+        [](const wire::PeerMessage &) {},
+        [Weak = weak_from_this(), Where, Number](const base::Error &) {
+          if (const auto Self = Weak.lock())
+            Self->drop(Where, Number);
+        });
+    // A send may fail and drop the outlet.
+    const PeerConnectionPtr Connection = Out.m_Connection;
+    const std::vector<wire::PeerMessage> Waiting = std::move(Out.m_Waiting);
+    Out.m_Waiting.clear();
+    for (const wire::PeerMessage &Message : Waiting)
+      Connection->send(Message);
+  }
+
+  void drop(const std::string &Where, std::uint64_t Number) {
+    const auto Found = m_Outlets.find(Where);
+    if (Found == m_Outlets.end() || Found->second.m_Number != Number)
+      return;
+    const PeerConnectionPtr Connection = std::move(Found->second.m_Connection);
+    m_Outlets.erase(Found);
+    if (Connection)
+      Connection->close();
   }
 
   [[nodiscard]] bool maybeSilent(const Outlet &Out) const {
@@ -129,57 +146,46 @@
     m_LastIdleCheck = Now;
     std::erase_if(m_Outlets, [&](auto &Item) {
       const bool Idle = Now - Item.second.m_LastSent > IdleTimeout;
-      if (Idle)
-        nng_close(Item.second.m_Socket);
+      if (Idle && Item.second.m_Connection)
+        Item.second.m_Connection->close();
       return Idle;
     });
   }
 
-  static void onReceived(void *Argument) {
-    auto *Self = static_cast<Impl *>(Argument);
-    if (nng_aio_result(Self->m_Receive) != 0)
-      return;
-    nng_msg *Message = nng_aio_get_msg(Self->m_Receive);
-    std::string Bytes(static_cast<const char *>(nng_msg_body(Message)),
-                      nng_msg_len(Message));
-    nng_msg_free(Message);
-    Self->hand(std::move(Bytes));
-    nng_recv_aio(Self->m_Inlet, Self->m_Receive);
-  }
-
-  void hand(std::string Bytes) {
-    const std::lock_guard Lock(m_Mutex);
-    if (m_Closed)
-      return;
-    boost::asio::post(m_Loop,
-                      [Weak = weak_from_this(), Bytes = std::move(Bytes)] {
-                        if (const auto Self = Weak.lock())
-                          Self->take(Bytes);
-                      });
+  void accept(const PeerConnectionPtr &Inlet) {
+    m_Inlets.insert(Inlet);
+    const std::weak_ptr<Impl> Weak = weak_from_this();
+    Inlet->start(
+        [Weak](const wire::PeerMessage &Message) {
+          if (const auto Self = Weak.lock())
+            Self->take(Message);
+        },
+        [Weak, Kept = std::weak_ptr(Inlet)](const base::Error &) {
+          if (const auto Self = Weak.lock())
+            Self->m_Inlets.erase(Kept.lock());
+        });
   }
 
-  void take(const std::string &Bytes) {
-    m_Bytes += Bytes.size();
-    wire::PeerMessage Message;
-    if (!m_OnMessage || !Message.ParseFromString(Bytes))
+  void take(const wire::PeerMessage &Message) {
+    m_Bytes += Message.ByteSizeLong();
+    if (!m_OnMessage)
       return;
     const auto Out = m_Outlets.find(Message.reply_address());
     if (Out != m_Outlets.end())
       Out->second.m_LastHeard = m_Time.now();
-    m_OnMessage(Message);
+    wire::PeerMessage Taken = Message;
+    m_OnMessage(Taken);
   }
 
   boost::asio::io_context &m_Loop;
   const base::Clock m_Time;
   MessageHook m_OnMessage;
-  nng_socket m_Inlet = NNG_SOCKET_INITIALIZER;
-  bool m_InletOpen = false;
-  nng_aio *m_Receive = nullptr;
+  FramedServer<wire::PeerMessage> m_Server;
+  std::set<PeerConnectionPtr> m_Inlets;
   std::map<std::string, Outlet> m_Outlets;
+  std::uint64_t m_LastNumber = 0;
   base::Millis m_LastIdleCheck{};
   std::atomic<std::uint64_t> m_Bytes{0};
-  std::mutex m_Mutex;
-  bool m_Closed = false;
 };
 
 PeerLink::PeerLink(boost::asio::io_context &Loop, base::Clock Time)
--- a/Source/Net/PeerLink.h
+++ b/Source/Net/PeerLink.h
@@ -15,7 +15,7 @@
 
 namespace corneldeck::net {
 
-/// Sends and takes one-way messages between any two processes, over nng.
+/// Sends and takes one-way messages between any two processes, over framed TCP.
 ///
 /// A message may be lost: what must arrive is asked for again by its user. All
 /// members and the hook run on the thread of the io_context.
--- a/Tests/Net/PeerLinkTest.cpp
+++ b/Tests/Net/PeerLinkTest.cpp
@@ -36,6 +36,7 @@
   for (std::uint64_t Stamp = 1; Stamp <= 20; ++Stamp) {
     wire::PeerMessage Message;
     Message.set_from("a");
+    Message.mutable_gossip();
     Message.set_stamp(Stamp);
     Sender.send(Where, Message);
   }
@@ -52,6 +53,7 @@
   base::Millis Now{};
   net::PeerLink Sender(Loop, base::Clock([&] { return Now; }));
   wire::PeerMessage Message;
+  Message.mutable_gossip();
   // The first message goes to an address where nobody listens yet.
   Sender.send(Where, Message);
 
--- a/Utilities/install-packages.sh
+++ b/Utilities/install-packages.sh
@@ -5,7 +5,7 @@
 Packages=(
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy jq curl
   libboost1.81-dev libboost-program-options1.81-dev
-  libnng-dev libgoogle-glog-dev libexpected-dev libyaml-cpp-dev
+  libgoogle-glog-dev libexpected-dev libyaml-cpp-dev
   librapidcheck-dev nlohmann-json3-dev libxxhash-dev
   libprotobuf-dev protobuf-compiler libgtest-dev libgmock-dev
 )
