--- a/Source/Bench/RequestScenarios.cpp
+++ b/Source/Bench/RequestScenarios.cpp
@@ -131,87 +131,129 @@
   return Report;
 }
 
+/// What a stop of an agent under load did.
+struct StopFigures {
+  double m_LastNewWork = 0;
+  double m_CutOff = 0;
+  double m_Moved = 0;
+};
+
 /// An agent stops while its engine is slow, so that streams have to move.
-ScenarioReport runDrain(const ScenarioOptions &Options) {
+///
+/// \param Graceful false to end the process at once instead.
+StopFigures stopAgent(const ScenarioOptions &Options, bool Graceful) {
   RequestWorld World(seeded(Options));
   const std::vector<CallKind> Kinds{CallKind::IdempotentStream,
                                     CallKind::PlainOnce};
   submitFor(World, Calm, Millis(5), Kinds);
   const Millis Notice = World.time().now();
-  const std::size_t Before = World.calls().size();
   World.stall(0, Millis(2500));
-  World.drain(0, Millis(4000));
+  if (Graceful)
+    World.drain(0, Millis(4000));
+  else
+    World.killAgent(0, false);
   submitFor(World, base::seconds(5), Millis(5), Kinds);
   World.advance(Patience);
 
-  double LastNewWork = 0;
-  double Moved = 0;
+  StopFigures Seen;
   for (const fakes::BackendRun &Run : World.history().m_Runs) {
-    Moved += Run.m_Resumed ? 1 : 0;
+    Seen.m_Moved += Run.m_Resumed ? 1 : 0;
     if (Run.m_Server == "a0" && Run.m_At > Notice)
-      LastNewWork = static_cast<double>((Run.m_At - Notice).count());
-  }
-  double CutOff = 0;
-  for (std::size_t Index = 0; Index < World.calls().size(); ++Index) {
-    const Call &Each = World.calls()[Index];
-    const bool Answered =
-        Each.m_Outcome && Each.m_Outcome->m_Code == ResultCode::Ok;
-    CutOff += Answered ? 0 : 1;
+      Seen.m_LastNewWork = static_cast<double>((Run.m_At - Notice).count());
   }
+  Seen.m_CutOff =
+      refusedRatio(World, 0) * static_cast<double>(World.calls().size());
+  return Seen;
+}
+
+void addStop(ScenarioReport &Report, const std::string &Variant,
+             const StopFigures &Seen) {
+  Report.m_Measurements.push_back(
+      {Variant, "last_new_work_ms", Seen.m_LastNewWork, "ms"});
+  Report.m_Measurements.push_back({Variant, "cut_off", Seen.m_CutOff, "count"});
+  Report.m_Measurements.push_back({Variant, "moved", Seen.m_Moved, "count"});
+}
+
+ScenarioReport runDrain(const ScenarioOptions &Options) {
+  const StopFigures Stop = stopAgent(Options, true);
   ScenarioReport Report;
-  Report.m_Measurements = {
-      {"agent-stop", "last_new_work_ms", LastNewWork, "ms"},
-      {"agent-stop", "cut_off", CutOff, "count"},
-      {"agent-stop", "moved", Moved, "count"},
-      {"agent-stop", "asked_before", static_cast<double>(Before), "count"},
-      {"agent-stop", "ran_twice", ranTwice(World), "count"},
-  };
+  addStop(Report, "agent-stop", Stop);
+  addStop(Report, "agent-killed", stopAgent(Options, false));
   Report.m_Bounds = {
-      {"agent-stop last_new_work_ms < 3000", LastNewWork,
-       LastNewWork < LastNewWorkBound},
-      {"agent-stop cut_off == 0", CutOff, CutOff == 0},
+      {"agent-stop last_new_work_ms < 3000", Stop.m_LastNewWork,
+       Stop.m_LastNewWork < LastNewWorkBound},
+      {"agent-stop cut_off == 0", Stop.m_CutOff, Stop.m_CutOff == 0},
   };
   return Report;
 }
 
+/// What silent connections under load did.
+struct SilenceFigures {
+  double m_Replaced = 0;
+  double m_RanTwice = 0;
+  double m_Lost = 0;
+  double m_Refused = 0;
+};
+
 /// All connections of one entry fall silent under load; new ones work.
-ScenarioReport runSilent(const ScenarioOptions &Options) {
-  RequestWorld World(seeded(Options));
+///
+/// \param Attach false to give up at once instead of asking for the answer over
+/// the new connection.
+SilenceFigures silenceEntry(const ScenarioOptions &Options, bool Attach) {
+  WorldOptions Settings = seeded(Options);
+  if (!Attach)
+    Settings.m_Flow.m_ReattachWait = Millis(0);
+  RequestWorld World(Settings);
   const std::vector<CallKind> Kinds{CallKind::IdempotentStream,
                                     CallKind::PlainOnce, CallKind::KeyedPlain,
                                     CallKind::KeyedStream};
   submitFor(World, Calm, Millis(5), Kinds);
   const Millis Since = World.time().now();
-  double Replaced = Patience.count();
+  SilenceFigures Seen;
+  Seen.m_Replaced = static_cast<double>(Patience.count());
   std::size_t Waiting = World.agents();
   World.m_OnLinkUp = [&](std::size_t Entry, std::size_t) {
     if (Entry == 0 && Waiting > 0 && --Waiting == 0)
-      Replaced = static_cast<double>((World.time().now() - Since).count());
+      Seen.m_Replaced =
+          static_cast<double>((World.time().now() - Since).count());
   };
   for (std::size_t Agent = 0; Agent < World.agents(); ++Agent)
     World.silence(0, Agent);
   submitFor(World, base::seconds(3), Millis(5), Kinds);
   World.advance(Patience);
-  double Lost = 0;
-  double Refused = 0;
+  Seen.m_RanTwice = ranTwice(World);
   for (const Call &Each : World.calls()) {
     const bool NotRun =
         Each.m_Outcome && Each.m_Outcome->m_Ran == base::Ran::No;
     const bool Answered =
         Each.m_Outcome && Each.m_Outcome->m_Code == ResultCode::Ok;
-    Lost += Answered || NotRun ? 0 : 1;
-    Refused += NotRun ? 1 : 0;
+    Seen.m_Lost += Answered || NotRun ? 0 : 1;
+    Seen.m_Refused += NotRun ? 1 : 0;
   }
+  return Seen;
+}
+
+void addSilence(ScenarioReport &Report, const std::string &Variant,
+                const SilenceFigures &Seen) {
+  Report.m_Measurements.push_back(
+      {Variant, "replaced_ms", Seen.m_Replaced, "ms"});
+  Report.m_Measurements.push_back(
+      {Variant, "ran_twice", Seen.m_RanTwice, "count"});
+  Report.m_Measurements.push_back(
+      {Variant, "lost_answers", Seen.m_Lost, "count"});
+  Report.m_Measurements.push_back(
+      {Variant, "refused", Seen.m_Refused, "count"});
+}
+
+ScenarioReport runSilent(const ScenarioOptions &Options) {
+  const SilenceFigures Seen = silenceEntry(Options, true);
   ScenarioReport Report;
-  Report.m_Measurements = {
-      {"entry-agent", "replaced_ms", Replaced, "ms"},
-      {"entry-agent", "ran_twice", ranTwice(World), "count"},
-      {"entry-agent", "lost_answers", Lost, "count"},
-      {"entry-agent", "refused", Refused, "count"},
-  };
+  addSilence(Report, "entry-agent", Seen);
+  addSilence(Report, "no-attach", silenceEntry(Options, false));
   Report.m_Bounds = {
-      {"entry-agent replaced_ms < 2000", Replaced, Replaced < ReplacedBound},
-      {"entry-agent ran_twice == 0", ranTwice(World), ranTwice(World) == 0},
+      {"entry-agent replaced_ms < 2000", Seen.m_Replaced,
+       Seen.m_Replaced < ReplacedBound},
+      {"entry-agent ran_twice == 0", Seen.m_RanTwice, Seen.m_RanTwice == 0},
   };
   return Report;
 }
