Log: write events under one lock

Cause: under the thread sanitizer the daemons' tests ended with a data race in the C library's tzset, which glog calls before it takes its own lock. The library guards itself with a lock that the sanitizer does not see.

Ruled out: a race of our own; both traces end in tzset_internal.

Measured: DaemonsTest under tsan, 14 tests, one report before, none after.

--- a/Source/Log/EventLog.cpp
+++ b/Source/Log/EventLog.cpp
@@ -1,6 +1,7 @@
 #include "Log/EventLog.h"
 
 #include <glog/logging.h>
+#include <mutex>
 
 namespace corneldeck::log {
 
@@ -73,9 +74,13 @@
 }
 
 void attachLog(base::Timeline &Events, LogOptions Options) {
+  // glog reads the time zone before it takes its own lock, and the C library's
+  // lock around that is hidden from the thread sanitizer.
+  static std::mutex WriteMutex;
   Events.setSink([Options](const base::TimelineEvent &Event) {
     if (isRequestEvent(Event.m_Id) && !Options.m_Requests)
       return;
+    const std::lock_guard Lock(WriteMutex);
     if (isWarning(Event.m_Id))
       LOG(WARNING) << formatEvent(Event);
     else
