--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -15,6 +15,8 @@
   ProcessStopping = 1001,
   ProcessStopped = 1002,
   SettingsRejected = 1003,
+  SettingsReloaded = 1004,
+  ReadinessChanged = 1005,
   // Requests at an entry: 1100.
   RequestAccepted = 1100,
   RequestRefused = 1101,
@@ -25,6 +27,7 @@
   AttemptAttached = 1112,
   AttemptResumed = 1113,
   AttemptCancelled = 1114,
+  AttemptEnded = 1115,
   // Requests at an agent: 1200.
   RunStarted = 1200,
   RunEnded = 1201,
@@ -53,6 +56,11 @@
   LogUnavailable = 1410,
   LogBack = 1411,
   LogGap = 1412,
+  ConfigurationInForce = 1420,
+  ServersChanged = 1421,
+  RecordUnreadable = 1422,
+  DependencyLost = 1430,
+  DependencyBack = 1431,
   // Leases: 1500.
   LeaseAcquired = 1500,
   LeaseRenewed = 1501,
@@ -68,7 +76,12 @@
   GroupOut = 1605,
   GroupBack = 1606,
   StragglerFound = 1607,
-  RebalancePlanned = 1608
+  RebalancePlanned = 1608,
+  PlannerChanged = 1609,
+  EngineOrdered = 1610,
+  GroupHeld = 1611,
+  GroupReleased = 1612,
+  CountsTaken = 1613
 };
 
 /// What the table says of one event.
--- a/Source/Base/ResultCode.h
+++ b/Source/Base/ResultCode.h
@@ -25,6 +25,7 @@
   UnknownService = 101,
   Unauthorized = 102,
   TooLarge = 103,
+  UnknownKey = 104,
   LimitExceeded = 110,
   Overloaded = 111,
   DeadlineTooShort = 112,
--- /dev/null
+++ b/Source/Direct/Configuration.cpp
@@ -0,0 +1,24 @@
+#include "Direct/Configuration.h"
+
+namespace corneldeck::direct {
+
+std::string_view name(RepeatPolicy Policy) {
+  switch (Policy) {
+  case RepeatPolicy::AtMostOnce:
+    return "at-most-once";
+  case RepeatPolicy::Idempotent:
+    return "idempotent";
+  case RepeatPolicy::Resumable:
+    return "resumable";
+  }
+  return "unknown";
+}
+
+const Service *Configuration::findService(std::string_view Name) const {
+  for (const Service &Each : m_Services)
+    if (Each.m_Name == Name)
+      return &Each;
+  return nullptr;
+}
+
+} // namespace corneldeck::direct
--- /dev/null
+++ b/Source/Direct/ServerPool.cpp
@@ -0,0 +1,219 @@
+#include "Direct/ServerPool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace corneldeck::direct {
+
+namespace {
+
+bool contains(const std::vector<std::string> &Ids, const std::string &Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+}
+
+/// Scores closer than this are drawn at random, so that entries with the same
+/// view do not all take the same server.
+constexpr double TieWidth = 0.02;
+/// A server that warms up counts as filled by this share of its capacity.
+constexpr double WarmUpPenalty = 0.5;
+
+} // namespace
+
+ServerPool::ServerPool(std::string Zone, ServerPoolSettings Settings)
+    : m_Zone(std::move(Zone)), m_Settings(Settings) {}
+
+void ServerPool::replace(const std::vector<BackendServer> &Servers,
+                         base::Millis Now) {
+  std::map<std::string, Entry, std::less<>> Next;
+  for (const BackendServer &Each : Servers) {
+    Entry &Added = Next[Each.m_Id];
+    if (const auto Old = m_Entries.find(Each.m_Id);
+        Old != m_Entries.end() &&
+        Old->second.m_Server.m_Address == Each.m_Address)
+      Added = Old->second;
+    Added.m_Server = Each;
+    if (Each.m_WarmUpLeft > base::Millis(0))
+      Added.m_Health.m_SlowUntil = Now + Each.m_WarmUpLeft;
+  }
+  m_Entries = std::move(Next);
+}
+
+const BackendServer *
+ServerPool::choose(std::string_view Service,
+                   const std::vector<std::string> &Excluded, base::Millis Now,
+                   base::Random &Draw) {
+  const double MeanLatency = meanLatency(Service);
+  const Entry *Best = nullptr;
+  const Entry *FirstBack = nullptr;
+  double BestScore = 0;
+  for (const auto &[Id, Candidate] : m_Entries) {
+    const BackendServer &Server = Candidate.m_Server;
+    if (Server.m_Service != Service || Server.m_Draining ||
+        contains(Excluded, Id))
+      continue;
+    if (Candidate.m_Health.m_PausedUntil > Now) {
+      if (!FirstBack ||
+          Candidate.m_Health.m_PausedUntil < FirstBack->m_Health.m_PausedUntil)
+        FirstBack = &Candidate;
+      continue;
+    }
+    const double Score =
+        score(Candidate, MeanLatency, Now) + TieWidth * Draw.uniform();
+    if (!Best || Score < BestScore) {
+      Best = &Candidate;
+      BestScore = Score;
+    }
+  }
+  if (!Best)
+    Best = FirstBack;
+  return Best ? &Best->m_Server : nullptr;
+}
+
+double ServerPool::score(const Entry &Candidate, double MeanLatency,
+                         base::Millis Now) const {
+  const BackendServer &Server = Candidate.m_Server;
+  const Health &State = Candidate.m_Health;
+  const ServerLoad Load = load(Server.m_Id, Now);
+  const double Capacity = std::max(1U, Server.m_Capacity);
+  double Filled = (Load.m_Requests +
+                   Load.m_PromptTokens / m_Settings.m_TokensPerRequest + 1) /
+                  Capacity;
+  if (MeanLatency > 0 && State.m_Latency > 0)
+    Filled *= std::clamp(State.m_Latency / MeanLatency,
+                         m_Settings.m_LeastLatencyRatio,
+                         m_Settings.m_MostLatencyRatio);
+  Filled += failureRate(State, Now) * m_Settings.m_FailurePenalty;
+  if (State.m_SlowUntil > Now)
+    Filled += WarmUpPenalty;
+  if (Server.m_Zone != m_Zone)
+    Filled += m_Settings.m_OtherZonePenalty;
+  return Filled;
+}
+
+void ServerPool::begin(const std::string &Id, double PromptTokens) {
+  ServerLoad &Load = m_Own[Id];
+  ++Load.m_Requests;
+  Load.m_PromptTokens += PromptTokens;
+}
+
+void ServerPool::promptRead(const std::string &Id, double PromptTokens) {
+  if (const auto Found = m_Own.find(Id); Found != m_Own.end())
+    Found->second.m_PromptTokens =
+        std::max(0.0, Found->second.m_PromptTokens - PromptTokens);
+}
+
+void ServerPool::end(const std::string &Id, double PromptTokens) {
+  const auto Found = m_Own.find(Id);
+  if (Found == m_Own.end())
+    return;
+  promptRead(Id, PromptTokens);
+  if (--Found->second.m_Requests == 0)
+    m_Own.erase(Found);
+}
+
+void ServerPool::note(const std::string &Id, ServerOutcome Outcome,
+                      base::Millis Latency, base::Millis Now) {
+  const auto Found = m_Entries.find(Id);
+  if (Found == m_Entries.end())
+    return;
+  Health &State = Found->second.m_Health;
+  const bool Good = Outcome == ServerOutcome::Served;
+  // A refusal says that the server is full, not that it is broken.
+  const double Newest = Outcome == ServerOutcome::Refused
+                            ? m_Settings.m_NewestOutcome / 2
+                            : m_Settings.m_NewestOutcome;
+  const double Rate = failureRate(State, Now);
+  State.m_FailureRate = Rate + Newest * ((Good ? 0.0 : 1.0) - Rate);
+  State.m_RatedAt = Now;
+  if (Good && Latency > base::Millis(0)) {
+    const auto Measured = static_cast<double>(Latency.count());
+    State.m_Latency = State.m_Latency <= 0
+                          ? Measured
+                          : State.m_Latency + m_Settings.m_NewestLatency *
+                                                  (Measured - State.m_Latency);
+  }
+  if (Outcome == ServerOutcome::Unreachable ||
+      Outcome == ServerOutcome::Silent) {
+    State.m_Pause = std::clamp(State.m_Pause * 2, m_Settings.m_FirstPause,
+                               m_Settings.m_LongestPause);
+    State.m_PausedUntil = Now + State.m_Pause;
+  } else if (Good) {
+    State.m_Pause = base::Millis(0);
+  }
+}
+
+void ServerPool::setPeerLoads(const std::string &Peer, ServerLoads Loads,
+                              base::Millis Now) {
+  PeerReport &Report = m_Peers[Peer];
+  Report.m_Loads = std::move(Loads);
+  Report.m_At = Now;
+}
+
+void ServerPool::forgetPeer(const std::string &Peer) { m_Peers.erase(Peer); }
+
+void ServerPool::setUnusable(const std::string &Id, base::Millis Until) {
+  if (const auto Found = m_Entries.find(Id); Found != m_Entries.end())
+    Found->second.m_Health.m_PausedUntil =
+        std::max(Found->second.m_Health.m_PausedUntil, Until);
+}
+
+ServerPool::ServiceRoom ServerPool::room(std::string_view Service,
+                                         base::Millis Now) const {
+  ServiceRoom Room;
+  for (const auto &[Id, Each] : m_Entries) {
+    const BackendServer &Server = Each.m_Server;
+    if (Server.m_Service != Service)
+      continue;
+    Room.m_InFlight += load(Id, Now).m_Requests;
+    if (Server.m_Draining || Each.m_Health.m_PausedUntil > Now)
+      continue;
+    ++Room.m_Servers;
+    Room.m_Capacity += Server.m_Capacity;
+  }
+  return Room;
+}
+
+std::vector<BackendServer> ServerPool::servers() const {
+  std::vector<BackendServer> All;
+  All.reserve(m_Entries.size());
+  for (const auto &[Id, Each] : m_Entries)
+    All.push_back(Each.m_Server);
+  return All;
+}
+
+double ServerPool::failureRate(const Health &Of, base::Millis Now) const {
+  const auto Age = static_cast<double>((Now - Of.m_RatedAt).count());
+  const auto HalfLife =
+      static_cast<double>(m_Settings.m_FailureHalfLife.count());
+  return Of.m_FailureRate * std::exp2(-std::max(0.0, Age) / HalfLife);
+}
+
+ServerLoad ServerPool::load(const std::string &Id, base::Millis Now) const {
+  ServerLoad Sum;
+  const auto Add = [&Sum, &Id](const ServerLoads &Loads) {
+    const auto Found = Loads.find(Id);
+    if (Found == Loads.end())
+      return;
+    Sum.m_Requests += Found->second.m_Requests;
+    Sum.m_PromptTokens += Found->second.m_PromptTokens;
+  };
+  Add(m_Own);
+  for (const auto &[Name, Report] : m_Peers)
+    if (Now - Report.m_At <= m_Settings.m_LoadLifetime)
+      Add(Report.m_Loads);
+  return Sum;
+}
+
+double ServerPool::meanLatency(std::string_view Service) const {
+  double Sum = 0;
+  unsigned Count = 0;
+  for (const auto &[Id, Each] : m_Entries) {
+    if (Each.m_Server.m_Service != Service || Each.m_Health.m_Latency <= 0)
+      continue;
+    Sum += Each.m_Health.m_Latency;
+    ++Count;
+  }
+  return Count == 0 ? 0 : Sum / Count;
+}
+
+} // namespace corneldeck::direct
--- /dev/null
+++ b/Source/Feed/KeyedState.cpp
@@ -0,0 +1,75 @@
+#include "Feed/KeyedState.h"
+
+#include <algorithm>
+#include <set>
+
+namespace corneldeck::feed {
+
+bool KeyedState::apply(const KeyedRecord &Record) {
+  m_Loaded = true;
+  const auto Found = m_Records.find(Record.m_Key);
+  if (Found == m_Records.end()) {
+    m_Records.emplace(Record.m_Key, Record);
+    if (!Record.m_Value)
+      return false;
+    m_ContentOffset = std::max(m_ContentOffset, Record.m_Offset);
+    return true;
+  }
+  KeyedRecord &Known = Found->second;
+  if (Record.m_Offset <= Known.m_Offset)
+    return false;
+  const bool Changed =
+      Known.m_Value.has_value() != Record.m_Value.has_value() ||
+      (Known.m_Value &&
+       m_Matters(Record.m_Key, *Known.m_Value, *Record.m_Value));
+  Known = Record;
+  if (Changed)
+    m_ContentOffset = std::max(m_ContentOffset, Record.m_Offset);
+  return Changed;
+}
+
+bool KeyedState::applyListing(const std::vector<KeyedRecord> &Records,
+                              std::uint64_t EndOffset) {
+  m_Loaded = true;
+  bool Changed = false;
+  std::set<std::string> Named;
+  for (const KeyedRecord &Each : Records) {
+    Named.insert(Each.m_Key);
+    Changed = apply(Each) || Changed;
+  }
+  for (auto &[Key, Known] : m_Records) {
+    if (!Known.m_Value || Named.contains(Key) || Known.m_Offset >= EndOffset)
+      continue;
+    Known.m_Value.reset();
+    m_ContentOffset = std::max(m_ContentOffset, EndOffset);
+    Changed = true;
+  }
+  return Changed;
+}
+
+bool KeyedState::applyState(const std::vector<KeyedRecord> &Records,
+                            std::uint64_t ContentOffset) {
+  bool Changed = false;
+  for (const KeyedRecord &Each : Records)
+    Changed = apply(Each) || Changed;
+  m_ContentOffset = std::max(m_ContentOffset, ContentOffset);
+  return Changed;
+}
+
+std::vector<KeyedRecord> KeyedState::state() const {
+  std::vector<KeyedRecord> All;
+  All.reserve(m_Records.size());
+  for (const auto &[Key, Each] : m_Records)
+    All.push_back(Each);
+  return All;
+}
+
+std::map<std::string, std::string> KeyedState::values() const {
+  std::map<std::string, std::string> Values;
+  for (const auto &[Key, Each] : m_Records)
+    if (Each.m_Value)
+      Values.emplace(Key, *Each.m_Value);
+  return Values;
+}
+
+} // namespace corneldeck::feed
--- /dev/null
+++ b/Source/Fleet/FleetNode.cpp
@@ -0,0 +1,198 @@
+#include "Fleet/FleetNode.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace corneldeck::fleet {
+
+namespace {
+
+/// Known nodes that say nothing for longer are forgotten; a VM that is replaced
+/// comes back under another address.
+constexpr base::Millis ForgetAfter = base::seconds(20);
+
+bool isEntry(const wire::NodeNews &News) {
+  return !News.caller_address().empty();
+}
+
+} // namespace
+
+FleetNode::FleetNode(boost::asio::io_context &Context, FleetSettings Settings,
+                     base::Timeline &Events, Hooks Callbacks)
+    : m_Settings(std::move(Settings)), m_Events(Events),
+      m_Hooks(std::move(Callbacks)),
+      m_Port(Context,
+             [this](std::string_view Bytes, const std::string &From) {
+               received(Bytes, From);
+             }),
+      m_Timer(Context), m_Entries(m_Settings.m_Liveness) {}
+
+base::Result<void> FleetNode::start() {
+  if (auto Opened = m_Port.open(m_Settings.m_PeerAddress); !Opened)
+    return Opened;
+  hearSelf();
+  tick();
+  return {};
+}
+
+void FleetNode::setReady(bool Ready) {
+  if (m_Ready == Ready)
+    return;
+  m_Ready = Ready;
+  m_Events.record(base::EventId::ReadinessChanged,
+                  {{"ready", Ready ? "true" : "false"}});
+  hearSelf();
+  beat();
+}
+
+void FleetNode::leave() {
+  m_Leaving = true;
+  m_Ready = false;
+  hearSelf();
+  beat();
+}
+
+void FleetNode::learn(const wire::NodeNews &News) {
+  if (News.node() == m_Settings.m_Node || News.peer_address().empty())
+    return;
+  Known &Entry = m_Known[News.node()];
+  if (Entry.m_News.incarnation() >= News.incarnation())
+    return;
+  Entry.m_News = News;
+  Entry.m_Heard = m_Clock.now();
+}
+
+void FleetNode::send(const std::string &Address,
+                     const wire::Datagram &Message) {
+  m_Port.send(Address, Message.SerializeAsString());
+}
+
+wire::NodeNews FleetNode::self() const {
+  wire::NodeNews News;
+  News.set_node(m_Settings.m_Node);
+  News.set_incarnation(m_Settings.m_Incarnation);
+  News.set_peer_address(m_Settings.m_PeerAddress);
+  News.set_caller_address(m_Settings.m_CallerAddress);
+  News.set_zone(m_Settings.m_Zone);
+  News.set_ready(m_Ready);
+  News.set_leaving(m_Leaving);
+  return News;
+}
+
+std::vector<wire::NodeNews> FleetNode::liveEntries() const {
+  std::vector<wire::NodeNews> Live;
+  const base::Millis Now = m_Clock.now();
+  for (const auto &[Node, Each] : m_Known)
+    if (isEntry(Each.m_News) && m_Entries.alive(Now, Node))
+      Live.push_back(Each.m_News);
+  return Live;
+}
+
+std::string FleetNode::peerAddress(const std::string &Node) const {
+  const auto Found = m_Known.find(Node);
+  return Found == m_Known.end() ? std::string()
+                                : Found->second.m_News.peer_address();
+}
+
+void FleetNode::hearSelf() {
+  if (m_Settings.m_CallerAddress.empty())
+    return;
+  m_Entries.heard(m_Clock.now(), {m_Settings.m_Node, m_Settings.m_Incarnation,
+                                  m_Settings.m_CallerAddress, m_Settings.m_Zone,
+                                  m_Leaving || !m_Ready});
+}
+
+void FleetNode::tick() {
+  hearSelf();
+  for (const auto &Event : m_Entries.tick(m_Clock.now())) {
+    using Type = membership::MemberEvent::Type;
+    const bool Lost = Event.m_Type == Type::Silent ||
+                      Event.m_Type == Type::Lost ||
+                      Event.m_Type == Type::Leaving;
+    m_Events.record(
+        Lost ? base::EventId::NodeLost : base::EventId::NodeReturned,
+        {{"node", Event.m_Node},
+         {"leaving", Event.m_Type == Type::Leaving ? "true" : "false"}});
+    if (Lost && m_Hooks.m_EntryLost)
+      m_Hooks.m_EntryLost(Event.m_Node);
+  }
+  std::erase_if(m_Known, [Now = m_Clock.now()](const auto &Each) {
+    return Now - Each.second.m_Heard > ForgetAfter;
+  });
+  beat();
+  m_Timer.expires_after(std::chrono::milliseconds(m_Settings.m_Period.count()));
+  m_Timer.async_wait([this](const boost::system::error_code &Code) {
+    if (!Code)
+      tick();
+  });
+}
+
+void FleetNode::beat() {
+  const bool WithList = m_Beats++ % m_Settings.m_BeatsPerList == 0;
+  bool AnyEntry = false;
+  for (const auto &[Node, Each] : m_Known) {
+    if (!isEntry(Each.m_News))
+      continue;
+    AnyEntry = AnyEntry || Each.m_HeardItself;
+    sendBeat(Each.m_News.peer_address(), WithList && isEntry(self()), false);
+  }
+  // Seeds may come late, or be replaced, so the lonely go on asking.
+  if (!AnyEntry || WithList)
+    for (const std::string &Seed : m_Settings.m_Seeds)
+      if (Seed != m_Settings.m_PeerAddress)
+        sendBeat(Seed, false, true);
+}
+
+void FleetNode::sendBeat(const std::string &Address, bool WithList, bool Ask) {
+  wire::Datagram Message;
+  wire::FleetBeat &Beat = *Message.mutable_beat();
+  *Beat.mutable_sender() = self();
+  Beat.set_wants_known(Ask);
+  if (m_Hooks.m_Fill)
+    m_Hooks.m_Fill(Beat);
+  if (WithList)
+    for (const auto &[Node, Each] : m_Known)
+      if (Each.m_HeardItself)
+        *Beat.add_known() = Each.m_News;
+  send(Address, Message);
+}
+
+void FleetNode::received(std::string_view Bytes, const std::string &From) {
+  wire::Datagram Message;
+  if (!Message.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()))) {
+    m_Events.record(base::EventId::BadFrame,
+                    {{"from", From}, {"bytes", std::to_string(Bytes.size())}});
+    return;
+  }
+  if (Message.has_beat())
+    takeBeat(Message.beat(), From);
+  else if (Message.has_report() && m_Hooks.m_Report)
+    m_Hooks.m_Report(Message.report());
+  else if (Message.has_command() && m_Hooks.m_Command)
+    m_Hooks.m_Command(Message.command());
+}
+
+void FleetNode::takeBeat(const wire::FleetBeat &Beat, const std::string &From) {
+  const wire::NodeNews &Sender = Beat.sender();
+  if (Sender.node().empty() || Sender.node() == m_Settings.m_Node)
+    return;
+  Known &Entry = m_Known[Sender.node()];
+  if (Entry.m_News.incarnation() > Sender.incarnation())
+    return;
+  const bool IsNew = !Entry.m_HeardItself;
+  Entry.m_News = Sender;
+  Entry.m_Heard = m_Clock.now();
+  Entry.m_HeardItself = true;
+  if (isEntry(Sender))
+    m_Entries.heard(m_Clock.now(), {Sender.node(), Sender.incarnation(),
+                                    Sender.caller_address(), Sender.zone(),
+                                    Sender.leaving() || !Sender.ready()});
+  for (const wire::NodeNews &Each : Beat.known())
+    learn(Each);
+  if (m_Hooks.m_Beat)
+    m_Hooks.m_Beat(Beat);
+  if (Beat.wants_known() || IsNew)
+    sendBeat(From, true, false);
+}
+
+} // namespace corneldeck::fleet
--- /dev/null
+++ b/Source/Gateway/GatewayNode.cpp
@@ -0,0 +1,276 @@
+#include "Gateway/GatewayNode.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace corneldeck::gateway {
+
+namespace {
+
+constexpr base::Millis TickPeriod{200};
+/// While stopping, connections are kept so long that callers have asked for
+/// other addresses; then each answer closes its own.
+constexpr base::Millis KeepConnectionsFor{4000};
+/// A stop ends early only after callers had time to leave.
+constexpr base::Millis LeastStop{5000};
+constexpr std::string_view FeedsPath = "/feeds/";
+
+feed::FollowerSettings follower(const std::string &Topic, base::Millis Wait,
+                                base::Millis Period) {
+  feed::FollowerSettings Settings;
+  Settings.m_Topic = Topic;
+  Settings.m_Wait = Wait;
+  Settings.m_Period = Period;
+  return Settings;
+}
+
+SharedFeedSettings sharedFeed(const std::string &Name,
+                              feed::FollowerSettings Follower,
+                              base::Millis FreshFor) {
+  SharedFeedSettings Settings;
+  Settings.m_Name = Name;
+  Settings.m_Follower = std::move(Follower);
+  Settings.m_FreshFor = FreshFor;
+  return Settings;
+}
+
+/// A change of the configuration has to be in force within two seconds.
+constexpr base::Millis ConfigurationWait{1000};
+constexpr base::Millis ConfigurationFreshFor{1900};
+/// A server that drains must get nothing after two seconds.
+constexpr base::Millis ServersPeriod{500};
+constexpr base::Millis ServersFreshFor{1200};
+
+net::HttpClientOptions serverClient(const GatewaySettings &Settings) {
+  net::HttpClientOptions Options;
+  Options.m_ConnectTimeout = Settings.m_ConnectTimeout;
+  Options.m_MaxIdlePerAddress = Settings.m_MaxIdlePerServer;
+  return Options;
+}
+
+net::HttpClientOptions peerClient() {
+  net::HttpClientOptions Options;
+  Options.m_ConnectTimeout = base::Millis(500);
+  return Options;
+}
+
+} // namespace
+
+GatewayNode::GatewayNode(boost::asio::io_context &Context,
+                         GatewaySettings Settings, feed::LogPort Log,
+                         RecordCodec Records, direct::ForwardCodec Requests,
+                         base::Timeline &Events, metrics::Registry &Metrics)
+    : m_Settings(std::move(Settings)), m_Log(std::move(Log)),
+      m_Records(std::move(Records)), m_Events(Events), m_Metrics(Metrics),
+      m_Draw(m_Settings.m_Fleet.m_Incarnation ^
+             std::hash<std::string>()(m_Settings.m_Fleet.m_Node)),
+      m_PeerClient(Context, peerClient()),
+      m_ServerClient(Context, serverClient(m_Settings)),
+      m_Pool(m_Settings.m_Fleet.m_Zone), m_Retries(m_Settings.m_Retries),
+      m_Front({Context, m_ServerClient, m_Pool, m_Gate, m_Retries, Events,
+               Metrics, m_Draw},
+              std::move(Requests)),
+      m_Configuration(
+          Context, m_Log, m_PeerClient, Events,
+          sharedFeed("configuration",
+                     follower(m_Settings.m_ConfigurationTopic,
+                              ConfigurationWait, base::Millis(0)),
+                     ConfigurationFreshFor),
+          [](const std::string &, const std::string &Before,
+             const std::string &After) { return Before != After; },
+          [this] { configurationChanged(); }),
+      m_Servers(
+          Context, m_Log, m_PeerClient, Events,
+          sharedFeed("servers",
+                     follower(m_Settings.m_ServersTopic, base::Millis(0),
+                              ServersPeriod),
+                     ServersFreshFor),
+          [this](const std::string &Key, const std::string &Before,
+                 const std::string &After) {
+            const auto Old = m_Records.m_DecodeServer(Key, Before);
+            const auto New = m_Records.m_DecodeServer(Key, After);
+            return !Old || !New || !(*Old == *New);
+          },
+          [this] { serversChanged(); }),
+      m_Fleet(Context, m_Settings.m_Fleet, Events,
+              {[this](wire::FleetBeat &Beat) { fillBeat(Beat); },
+               [this](const wire::FleetBeat &Beat) { takeBeat(Beat); },
+               {},
+               {},
+               [this](const std::string &Node) { m_Pool.forgetPeer(Node); }}),
+      m_Advisor({m_Settings.m_AddressLifetime, m_Settings.m_MaxAddresses}),
+      m_Peers(Context, {},
+              [this](std::shared_ptr<net::HttpExchange> Exchange) {
+                peerRequest(Exchange);
+              }),
+      m_Timer(Context) {
+  net::HttpServerOptions Options;
+  Options.m_MaxConnections = m_Settings.m_MaxConnections;
+  m_Callers = std::make_unique<net::HttpServer>(
+      Context, Options, [this](std::shared_ptr<net::HttpExchange> Exchange) {
+        m_Front.handle(Exchange);
+      });
+}
+
+GatewayNode::~GatewayNode() = default;
+
+base::Result<void> GatewayNode::start() {
+  if (auto Listening = m_Callers->listen(m_Settings.m_Fleet.m_CallerAddress);
+      !Listening)
+    return tl::make_unexpected(Listening.error());
+  if (auto Listening = m_Peers.listen(m_Settings.m_Fleet.m_PeerAddress);
+      !Listening)
+    return tl::make_unexpected(Listening.error());
+  if (auto Started = m_Fleet.start(); !Started)
+    return Started;
+  tick();
+  return {};
+}
+
+bool GatewayNode::ready() const {
+  return m_Front.routes() && m_Servers.state().isLoaded() && !m_Stopping;
+}
+
+membership::Advice GatewayNode::advise(const std::string &Zone) {
+  return m_Advisor.advise(m_Clock.now(), m_Fleet.entries(), Zone);
+}
+
+void GatewayNode::tick() {
+  const std::vector<wire::NodeNews> Live = m_Fleet.liveEntries();
+  m_Configuration.chooseReaders(m_Settings.m_Fleet.m_Node, Live);
+  m_Servers.chooseReaders(m_Settings.m_Fleet.m_Node, Live);
+  m_Retries.setEntries(Live.size() + 1);
+  m_Fleet.setReady(ready());
+  if (m_Stopping)
+    checkStopped();
+  m_Timer.expires_after(std::chrono::milliseconds(TickPeriod.count()));
+  m_Timer.async_wait([this](const boost::system::error_code &Code) {
+    if (!Code)
+      tick();
+  });
+}
+
+void GatewayNode::configurationChanged() {
+  auto Decoded =
+      m_Records.m_DecodeConfiguration(m_Configuration.state().values());
+  if (!Decoded) {
+    m_Events.record(
+        base::EventId::RecordUnreadable,
+        {{"feed", "configuration"},
+         {"offset", std::to_string(m_Configuration.state().contentOffset())},
+         {"why", Decoded.error().m_Message}});
+    return;
+  }
+  const direct::RouteTable *InForce = m_Front.routes();
+  if (InForce && InForce->configuration().m_Version >= Decoded->m_Version)
+    return;
+  m_Events.record(
+      base::EventId::ConfigurationInForce,
+      {{"version", std::to_string(Decoded->m_Version)},
+       {"routes", std::to_string(Decoded->m_Routes.size())},
+       {"offset", std::to_string(m_Configuration.state().contentOffset())},
+       {"log_age_ms", std::to_string(m_Configuration.sourceAge().count())}});
+  net::HttpServerOptions Limits;
+  Limits.m_MaxConnections = m_Settings.m_MaxConnections;
+  Limits.m_MaxHeadBytes = Decoded->m_Limits.m_MaxHeadBytes;
+  Limits.m_MaxBodyBytes = Decoded->m_Limits.m_MaxBodyBytes;
+  Limits.m_HeadTimeout = Decoded->m_Limits.m_HeadTimeout;
+  Limits.m_IdleTimeout = Decoded->m_Limits.m_IdleTimeout;
+  m_Callers->setOptions(Limits);
+  m_Front.setRoutes(
+      std::make_shared<const direct::RouteTable>(std::move(*Decoded)));
+}
+
+void GatewayNode::serversChanged() {
+  std::vector<direct::BackendServer> Servers;
+  unsigned Draining = 0;
+  for (const auto &[Key, Value] : m_Servers.state().values()) {
+    auto Decoded = m_Records.m_DecodeServer(Key, Value);
+    if (!Decoded) {
+      m_Events.record(base::EventId::RecordUnreadable,
+                      {{"feed", "servers"},
+                       {"key", Key},
+                       {"why", Decoded.error().m_Message}});
+      continue;
+    }
+    if (Decoded->m_Draining)
+      ++Draining;
+    Servers.push_back(std::move(*Decoded));
+  }
+  m_Events.record(
+      base::EventId::ServersChanged,
+      {{"servers", std::to_string(Servers.size())},
+       {"draining", std::to_string(Draining)},
+       {"offset", std::to_string(m_Servers.state().contentOffset())},
+       {"log_age_ms", std::to_string(m_Servers.sourceAge().count())}});
+  m_Pool.replace(Servers, m_Clock.now());
+}
+
+void GatewayNode::fillBeat(wire::FleetBeat &Beat) const {
+  m_Configuration.fill(*Beat.mutable_configuration());
+  m_Servers.fill(*Beat.mutable_servers());
+  for (const auto &[Id, Load] : m_Pool.ownLoads()) {
+    wire::ServerWork &Work = *Beat.add_work();
+    Work.set_server(Id);
+    Work.set_requests(Load.m_Requests);
+    Work.set_prompt_tokens(static_cast<std::uint32_t>(Load.m_PromptTokens));
+  }
+}
+
+void GatewayNode::takeBeat(const wire::FleetBeat &Beat) {
+  if (Beat.sender().caller_address().empty())
+    return;
+  m_Configuration.heard(Beat.sender(), Beat.configuration());
+  m_Servers.heard(Beat.sender(), Beat.servers());
+  direct::ServerLoads Loads;
+  for (const wire::ServerWork &Work : Beat.work())
+    Loads[Work.server()] = {Work.requests(),
+                            static_cast<double>(Work.prompt_tokens())};
+  m_Pool.setPeerLoads(Beat.sender().node(), std::move(Loads), m_Clock.now());
+}
+
+void GatewayNode::peerRequest(
+    const std::shared_ptr<net::HttpExchange> &Exchange) {
+  constexpr int Ok = 200;
+  constexpr int NotFound = 404;
+  const std::string_view Target = Exchange->target();
+  for (const SharedFeed *Each : {&m_Configuration, &m_Servers})
+    if (Target.starts_with(FeedsPath) &&
+        Target.substr(FeedsPath.size()) == Each->name()) {
+      Each->serve(*Exchange);
+      return;
+    }
+  if (Target == "/metrics") {
+    Exchange->reply(Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                    m_Metrics.expose());
+    return;
+  }
+  Exchange->reply(NotFound, {}, "see /metrics\n");
+}
+
+void GatewayNode::beginStop(std::function<void()> Done) {
+  if (m_Stopping)
+    return;
+  m_Stopping = true;
+  m_StopBegun = m_Clock.now();
+  m_Stopped = std::move(Done);
+  m_Events.record(base::EventId::ProcessStopping,
+                  {{"in_flight", std::to_string(m_Front.inFlight())},
+                   {"connections", std::to_string(m_Callers->connections())}});
+  m_Fleet.leave();
+}
+
+void GatewayNode::checkStopped() {
+  const base::Millis Past = m_Clock.now() - m_StopBegun;
+  if (Past >= KeepConnectionsFor)
+    m_Callers->closeAfterAnswers();
+  const bool Idle = m_Front.inFlight() == 0 && m_Callers->connections() == 0;
+  if (Past < m_Settings.m_StopTimeout && !(Idle && Past >= LeastStop))
+    return;
+  m_Events.record(base::EventId::ProcessStopped,
+                  {{"in_flight", std::to_string(m_Front.inFlight())}});
+  if (m_Stopped)
+    std::exchange(m_Stopped, nullptr)();
+}
+
+} // namespace corneldeck::gateway
--- /dev/null
+++ b/Source/Gateway/SharedFeed.cpp
@@ -0,0 +1,115 @@
+#include "Gateway/SharedFeed.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace corneldeck::gateway {
+
+SharedFeed::SharedFeed(boost::asio::io_context &Context,
+                       const feed::LogPort &Log, net::HttpClient &Client,
+                       base::Timeline &Events, SharedFeedSettings Settings,
+                       feed::KeyedState::Matters Matters,
+                       std::function<void()> Changed)
+    : m_Settings(std::move(Settings)), m_Client(Client), m_Events(Events),
+      m_Changed(std::move(Changed)), m_State(std::move(Matters)),
+      m_Follower(Context, Log, m_State, m_Settings.m_Follower,
+                 {[this] { changed(); },
+                  [this](const base::Error *Failure) { contact(Failure); }}) {}
+
+void SharedFeed::fill(wire::FeedPosition &Position) const {
+  Position.set_loaded(m_State.isLoaded());
+  Position.set_content_offset(m_State.contentOffset());
+  Position.set_source_age_ms(
+      static_cast<std::uint32_t>(m_Follower.sourceAge().count()));
+}
+
+void SharedFeed::heard(const wire::NodeNews &From,
+                       const wire::FeedPosition &Position) {
+  m_Peers[From.node()] = {Position, m_Clock.now()};
+  const bool Ahead = Position.loaded() &&
+                     (!m_State.isLoaded() ||
+                      Position.content_offset() > m_State.contentOffset());
+  if (Ahead && !m_Fetching)
+    fetch(From);
+}
+
+void SharedFeed::chooseReaders(const std::string &Self,
+                               const std::vector<wire::NodeNews> &Entries) {
+  const base::Millis Now = m_Clock.now();
+  unsigned Before = 0;
+  for (const wire::NodeNews &Each : Entries) {
+    const auto Found = m_Peers.find(Each.node());
+    if (Each.node() >= Self || Each.leaving() || Found == m_Peers.end())
+      continue;
+    const Peer &Known = Found->second;
+    const base::Millis Age =
+        base::Millis(Known.m_Position.source_age_ms()) + (Now - Known.m_At);
+    if (Age <= m_Settings.m_FreshFor)
+      ++Before;
+  }
+  m_Follower.setActive(Before < m_Settings.m_Readers || !m_State.isLoaded());
+}
+
+void SharedFeed::serve(net::HttpExchange &Exchange) const {
+  wire::FeedState State;
+  State.set_content_offset(m_State.contentOffset());
+  for (const feed::KeyedRecord &Each : m_State.state()) {
+    wire::FeedRecord &Added = *State.add_records();
+    Added.set_offset(Each.m_Offset);
+    Added.set_key(Each.m_Key);
+    Added.set_has_value(Each.m_Value.has_value());
+    Added.set_value(Each.m_Value.value_or(std::string()));
+  }
+  constexpr int Ok = 200;
+  Exchange.reply(Ok, {{"Content-Type", "application/x-protobuf"}},
+                 State.SerializeAsString());
+}
+
+void SharedFeed::fetch(const wire::NodeNews &From) {
+  m_Fetching = true;
+  m_Client.get(
+      From.peer_address(), "/feeds/" + m_Settings.m_Name,
+      m_Settings.m_FetchTimeout,
+      [this, Node = From.node()](base::Result<net::HttpReply> Reply) {
+        m_Fetching = false;
+        wire::FeedState State;
+        constexpr int Ok = 200;
+        if (!Reply || Reply->m_Status != Ok ||
+            !State.ParseFromString(Reply->m_Body)) {
+          m_Events.record(
+              base::EventId::DependencyLost,
+              {{"on", "feed " + m_Settings.m_Name},
+               {"node", Node},
+               {"why", Reply ? "status " + std::to_string(Reply->m_Status)
+                             : Reply.error().m_Message}});
+          return;
+        }
+        std::vector<feed::KeyedRecord> Records;
+        Records.reserve(static_cast<std::size_t>(State.records_size()));
+        for (const wire::FeedRecord &Each : State.records()) {
+          feed::KeyedRecord &Added = Records.emplace_back();
+          Added.m_Offset = Each.offset();
+          Added.m_Key = Each.key();
+          if (Each.has_value())
+            Added.m_Value = Each.value();
+        }
+        if (m_State.applyState(Records, State.content_offset()))
+          changed();
+      });
+}
+
+void SharedFeed::contact(const base::Error *Failure) {
+  const bool Ok = Failure == nullptr;
+  if (Ok == m_InContact)
+    return;
+  m_InContact = Ok;
+  m_Events.record(Ok ? base::EventId::DependencyBack
+                     : base::EventId::DependencyLost,
+                  {{"on", "log " + m_Settings.m_Name},
+                   {"offset", std::to_string(m_State.contentOffset())},
+                   {"why", Ok ? std::string() : Failure->m_Message}});
+}
+
+void SharedFeed::changed() { m_Changed(); }
+
+} // namespace corneldeck::gateway
--- /dev/null
+++ b/Source/Log/DecisionLog.cpp
@@ -0,0 +1,73 @@
+#include "Log/DecisionLog.h"
+
+#include "Log/EventLog.h"
+
+#include <algorithm>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace corneldeck::log {
+
+namespace {
+
+constexpr double MillisPerSecond = 1000;
+
+std::string formatLine(const base::TimelineEvent &Event) {
+  return "ms=" + std::to_string(base::wallTime().count()) +
+         " node=" + Event.m_Node + " " + formatEvent(Event);
+}
+
+} // namespace
+
+DecisionLog::DecisionLog(DecisionLogOptions Options, base::Clock Time)
+    : m_Options(Options), m_Clock(std::move(Time)),
+      m_Tokens(Options.m_MaxSaved), m_FilledAt(m_Clock.now()) {
+  const int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (Flags >= 0)
+    ::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+}
+
+void DecisionLog::attach(base::Timeline &Events) {
+  Events.setSink(
+      [this](const base::TimelineEvent &Event) { write(formatLine(Event)); });
+}
+
+void DecisionLog::write(const std::string &Line) {
+  if (!takeToken() ||
+      m_Pending.size() + Line.size() > m_Options.m_MaxPendingBytes) {
+    ++m_Dropped;
+    ++m_DroppedSince;
+    return;
+  }
+  m_Pending += Line;
+  if (m_DroppedSince > 0)
+    m_Pending += " lines_dropped=" + std::to_string(m_DroppedSince);
+  m_DroppedSince = 0;
+  m_Pending += '\n';
+  flush();
+}
+
+bool DecisionLog::takeToken() {
+  const base::Millis Now = m_Clock.now();
+  const auto Past = static_cast<double>((Now - m_FilledAt).count());
+  m_FilledAt = Now;
+  m_Tokens =
+      std::min(m_Options.m_MaxSaved,
+               m_Tokens + Past * m_Options.m_LinesPerSecond / MillisPerSecond);
+  if (m_Tokens < 1)
+    return false;
+  m_Tokens -= 1;
+  return true;
+}
+
+void DecisionLog::flush() {
+  while (!m_Pending.empty()) {
+    const ssize_t Count =
+        ::write(STDOUT_FILENO, m_Pending.data(), m_Pending.size());
+    if (Count <= 0)
+      return;
+    m_Pending.erase(0, static_cast<std::size_t>(Count));
+  }
+}
+
+} // namespace corneldeck::log
--- /dev/null
+++ b/Source/Net/DatagramPort.cpp
@@ -0,0 +1,60 @@
+#include "Net/DatagramPort.h"
+
+#include "Net/Endpoint.h"
+
+namespace corneldeck::net {
+
+namespace asio = boost::asio;
+
+DatagramPort::DatagramPort(asio::io_context &Context, Receiver OnDatagram)
+    : m_Socket(Context), m_OnDatagram(std::move(OnDatagram)) {}
+
+base::Result<void> DatagramPort::open(const std::string &Address) {
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint)
+    return tl::make_unexpected(Endpoint.error());
+  const asio::ip::udp::endpoint Local(Endpoint->address(), Endpoint->port());
+  boost::system::error_code Code;
+  m_Socket.open(Local.protocol(), Code);
+  if (!Code)
+    m_Socket.bind(Local, Code);
+  if (!Code)
+    m_Socket.non_blocking(true, Code);
+  if (Code)
+    return base::failure(base::ResultCode::ConnectionFailed,
+                         "cannot take datagrams on " + Address + ": " +
+                             Code.message() + "; choose a free address");
+  receive();
+  return {};
+}
+
+void DatagramPort::send(const std::string &Address, std::string_view Bytes) {
+  const auto Endpoint = parseEndpoint(Address);
+  if (!Endpoint || Bytes.size() > MaxBytes)
+    return;
+  const asio::ip::udp::endpoint To(Endpoint->address(), Endpoint->port());
+  boost::system::error_code Ignored;
+  m_Socket.send_to(asio::buffer(Bytes.data(), Bytes.size()), To, 0, Ignored);
+}
+
+void DatagramPort::close() {
+  boost::system::error_code Ignored;
+  m_Socket.close(Ignored);
+}
+
+void DatagramPort::receive() {
+  m_Socket.async_receive_from(
+      asio::buffer(m_Buffer), m_From,
+      [this](const boost::system::error_code &Code, std::size_t Count) {
+        if (Code == asio::error::operation_aborted || !m_Socket.is_open())
+          return;
+        // A peer that is gone shows as an error of an earlier send.
+        if (!Code) {
+          const asio::ip::tcp::endpoint From(m_From.address(), m_From.port());
+          m_OnDatagram({m_Buffer.data(), Count}, formatEndpoint(From));
+        }
+        receive();
+      });
+}
+
+} // namespace corneldeck::net
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -42,8 +42,8 @@
       return nullptr;
     auto Connection = Found->second.back();
     Found->second.pop_back();
-    const bool Fresh =
-        m_Clock.now() - Connection->m_IdleSince < m_Options.m_MaxIdle;
+    const bool Fresh = m_Clock.now() - Connection->m_IdleSince <
+                       std::min(m_Options.m_MaxIdle, Connection->m_IdleLimit);
     if (Fresh && Connection->isUsable())
       return Connection;
     Connection->close();
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -20,6 +20,8 @@
   /// "ip:port".
   std::string m_Address;
   std::string m_Target = "/";
+  /// The value of the Host field; empty for the address.
+  std::string m_Host;
   HttpHeaders m_Headers;
   std::string m_Body;
   /// From the start to the end of the answer; zero for no bound.
@@ -38,8 +40,13 @@
 ///
 /// On failure, the code says whether the request may have run:
 /// ConnectionFailed if no byte of it was sent; Timeout or OutcomeUnknown if it
-/// may have run; StreamBroken if the answer began and did not end.
+/// may have run; BadMessage if what came is no answer; StreamBroken if the
+/// answer began and did not end.
 struct HttpCallbacks {
+  /// Says whether an answer belongs to this request. One that does not, such
+  /// as a late second answer to an earlier request, is dropped, and the
+  /// connection is not used again.
+  std::function<bool(const HttpAnswerHead &)> m_IsOurs;
   std::function<void(const HttpAnswerHead &)> m_OnHead;
   /// Called with each piece of the body, which is gone after the call.
   std::function<void(std::string_view)> m_OnData;
--- a/Source/Net/HttpClientConnection.cpp
+++ b/Source/Net/HttpClientConnection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <charconv>
 #include <chrono>
 #include <sys/socket.h>
 
@@ -23,7 +24,9 @@
   std::string Out;
   Out.reserve(HeadEstimate + Call.m_Body.size());
   Out.append(Call.m_Method).append(" ").append(Call.m_Target);
-  Out.append(" HTTP/1.1\r\nHost: ").append(Call.m_Address).append("\r\n");
+  Out.append(" HTTP/1.1\r\nHost: ")
+      .append(Call.m_Host.empty() ? Call.m_Address : Call.m_Host)
+      .append("\r\n");
   for (const HttpHeader &Header : Call.m_Headers)
     Out.append(Header.m_Name)
         .append(": ")
@@ -37,6 +40,23 @@
   return Out;
 }
 
+/// \returns how long the peer keeps an idle connection, less what a request
+/// on its way may take; none if it did not say.
+std::optional<base::Millis> idleLimit(const HttpHeaders &Headers) {
+  constexpr std::string_view Name = "timeout=";
+  constexpr base::Millis OnTheWay{500};
+  const std::string_view Value = findHeader(Headers, "Keep-Alive");
+  const std::size_t At = Value.find(Name);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view Digits = Value.substr(At + Name.size());
+  std::int64_t Seconds = 0;
+  if (std::from_chars(Digits.data(), Digits.data() + Digits.size(), Seconds)
+          .ec != std::errc())
+    return std::nullopt;
+  return std::max(base::seconds(Seconds) - OnTheWay, base::Millis(0));
+}
+
 HttpAnswerHead readHead(const http::response<http::string_body> &Message) {
   HttpAnswerHead Head;
   Head.m_Status = static_cast<int>(Message.result_int());
@@ -59,15 +79,9 @@
   Call->m_Connection = weak_from_this();
   m_Reused = m_Connected;
   m_Sent = false;
-  m_HeadDone = false;
   m_Begun = m_Clock.now();
   m_LastByte = m_Begun;
-  m_Parser.emplace();
-  m_Parser->eager(true);
-  m_Parser->header_limit(m_Options.m_MaxHeadBytes);
-  m_Parser->body_limit(boost::none);
-  if (Call->m_Request.m_Method == "HEAD")
-    m_Parser->skip(true);
+  expectHead();
   armTimer();
   if (m_Connected)
     write();
@@ -176,7 +190,7 @@
     return;
   }
   if (Code) {
-    peerClosed();
+    peerClosed(Code);
     return;
   }
   m_Buffer.commit(Count);
@@ -201,8 +215,9 @@
   const std::size_t Used = m_Parser->put(m_Buffer.data(), Code);
   m_Buffer.consume(Used);
   if (Code && Code != http::error::need_more) {
-    failAfterSending(m_Address +
-                     " sent an answer that can't be read: " + Code.message());
+    fail(m_HeadDone && !m_Stray ? base::ResultCode::StreamBroken
+                                : base::ResultCode::BadMessage,
+         m_Address + " sent an answer that can't be read: " + Code.message());
     return false;
   }
   if (!m_HeadDone && m_Parser->is_header_done() && !headDone())
@@ -212,6 +227,10 @@
     return Used > 0;
   if (!handOutBody())
     return false;
+  if (m_Parser->is_done() && m_Stray) {
+    expectHead();
+    return true;
+  }
   if (m_Parser->is_done()) {
     succeed();
     return false;
@@ -221,25 +240,41 @@
 
 bool HttpClientConnection::headDone() {
   if (m_Parser->get().result_int() < FirstFinalStatus) {
-    m_Parser.emplace();
-    m_Parser->eager(true);
-    m_Parser->header_limit(m_Options.m_MaxHeadBytes);
-    m_Parser->body_limit(boost::none);
+    expectHead();
     return true;
   }
   m_HeadDone = true;
   const auto Call = m_Call;
+  const HttpAnswerHead Head = readHead(m_Parser->get());
+  if (const auto Limit = idleLimit(Head.m_Headers))
+    m_IdleLimit = *Limit;
+  if (Call->m_Callbacks.m_IsOurs && !Call->m_Callbacks.m_IsOurs(Head)) {
+    m_Stray = true;
+    m_MetStray = true;
+    return true;
+  }
   if (Call->m_Callbacks.m_OnHead)
-    Call->m_Callbacks.m_OnHead(readHead(m_Parser->get()));
+    Call->m_Callbacks.m_OnHead(Head);
   return !Call->m_Ended;
 }
 
+void HttpClientConnection::expectHead() {
+  m_HeadDone = false;
+  m_Stray = false;
+  m_Parser.emplace();
+  m_Parser->eager(true);
+  m_Parser->header_limit(m_Options.m_MaxHeadBytes);
+  m_Parser->body_limit(boost::none);
+  if (m_Call->m_Request.m_Method == "HEAD")
+    m_Parser->skip(true);
+}
+
 bool HttpClientConnection::handOutBody() {
   std::string &Body = m_Parser->get().body();
   if (Body.empty())
     return true;
   const auto Call = m_Call;
-  if (Call->m_Callbacks.m_OnData)
+  if (!m_Stray && Call->m_Callbacks.m_OnData)
     Call->m_Callbacks.m_OnData(Body);
   if (Call->m_Ended || !m_Parser)
     return false;
@@ -247,11 +282,16 @@
   return true;
 }
 
-void HttpClientConnection::peerClosed() {
-  if (!m_HeadDone) {
+void HttpClientConnection::peerClosed(const boost::system::error_code &Why) {
+  if (!m_HeadDone || m_Stray) {
     failAfterSending(m_Address + " closed the connection before an answer");
     return;
   }
+  // Only an orderly end completes an answer without a length.
+  if (Why != asio::error::eof) {
+    failAfterSending(m_Address + " broke the connection: " + Why.message());
+    return;
+  }
   boost::system::error_code Code;
   if (!m_Parser->is_done())
     m_Parser->put_eof(Code);
@@ -310,7 +350,7 @@
 
 void HttpClientConnection::succeed() {
   const bool Keep = m_Parser->keep_alive() && m_Buffer.size() == 0 &&
-                    !m_WriteActive && m_Socket.is_open();
+                    !m_WriteActive && !m_MetStray && m_Socket.is_open();
   const auto Self = shared_from_this();
   const auto Call = std::exchange(m_Call, nullptr);
   m_Parser.reset();
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <limits>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
@@ -68,6 +69,8 @@
 
   const std::string m_Address;
   base::Millis m_IdleSince{};
+  /// How long the peer keeps an idle connection, if it said so.
+  base::Millis m_IdleLimit{std::numeric_limits<std::int64_t>::max()};
 
 private:
   using Parser =
@@ -82,8 +85,9 @@
   void parse();
   bool parseSome();
   bool headDone();
+  void expectHead();
   bool handOutBody();
-  void peerClosed();
+  void peerClosed(const boost::system::error_code &Why);
   void armTimer();
   void timerFired();
   void succeed();
@@ -106,6 +110,9 @@
   bool m_Sent = false;
   bool m_WriteActive = false;
   bool m_HeadDone = false;
+  /// The answer being read belongs to another request.
+  bool m_Stray = false;
+  bool m_MetStray = false;
   bool m_Closed = false;
 };
 
--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -165,6 +165,10 @@
   return m_Impl->listen(Address);
 }
 
+void HttpServer::setOptions(const HttpServerOptions &Options) {
+  m_Impl->m_Shared->m_Options = Options;
+}
+
 void HttpServer::stopAccepting() {
   boost::system::error_code Code;
   m_Impl->m_Acceptor.close(Code);
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -49,6 +49,9 @@
   /// \returns the address in use, or the error.
   base::Result<std::string> listen(const std::string &Address);
 
+  /// Sets other bounds, for requests that begin from now on.
+  void setOptions(const HttpServerOptions &Options);
+
   /// Takes no new connections; open ones go on.
   void stopAccepting();
 
--- a/Source/Node/DaemonMain.cpp
+++ b/Source/Node/DaemonMain.cpp
@@ -15,8 +15,10 @@
 } // namespace
 
 tl::expected<DaemonArguments, ExitCode>
-parseDaemonArguments(int Count, char **Words, const std::string &Program) {
+parseDaemonArguments(int Count, char **Words, const std::string &Program,
+                     const std::string &Config) {
   DaemonArguments Arguments;
+  Arguments.m_Config = Config;
   po::options_description Options(Program + " options");
   Options.add_options()("config", po::value(&Arguments.m_Config),
                         "the YAML file with the settings")(
--- a/Source/Node/DaemonMain.h
+++ b/Source/Node/DaemonMain.h
@@ -22,9 +22,11 @@
 };
 
 /// Reads the command line; prints the help or the version where asked.
+/// \param Config the settings file if the command line names none.
 /// \returns the arguments, or the exit code to end with at once.
 tl::expected<DaemonArguments, ExitCode>
-parseDaemonArguments(int Count, char **Words, const std::string &Program);
+parseDaemonArguments(int Count, char **Words, const std::string &Program,
+                     const std::string &Config = {});
 
 /// Runs \p Loop until a planned stop is done.
 ///
