RankAgent: plan expert maps from local counts and switch them at a held step

Agents now read their rank's counts locally, one of them, agreed through the log, plans copies and swaps, and all ranks are armed while the step of the switch is held.

--- a/Source/Fleet/FleetNode.cpp
+++ b/Source/Fleet/FleetNode.cpp
@@ -88,6 +88,14 @@
   return Live;
 }
 
+std::vector<wire::NodeNews> FleetNode::agents() const {
+  std::vector<wire::NodeNews> All;
+  for (const auto &[Node, Each] : m_Known)
+    if (!isEntry(Each.m_News))
+      All.push_back(Each.m_News);
+  return All;
+}
+
 std::string FleetNode::peerAddress(const std::string &Node) const {
   const auto Found = m_Known.find(Node);
   return Found == m_Known.end() ? std::string()
--- a/Source/Fleet/FleetNode.h
+++ b/Source/Fleet/FleetNode.h
@@ -72,6 +72,8 @@
   [[nodiscard]] const membership::Members &entries() const { return m_Entries; }
   /// \returns the entries that were heard lately and take callers.
   [[nodiscard]] std::vector<wire::NodeNews> liveEntries() const;
+  /// \returns the known nodes that take no callers.
+  [[nodiscard]] std::vector<wire::NodeNews> agents() const;
   /// \returns the peer address of \p Node, empty if it is not known.
   [[nodiscard]] std::string peerAddress(const std::string &Node) const;
 
--- /dev/null
+++ b/Source/RankAgent/PlannerLease.h
@@ -0,0 +1,61 @@
+#ifndef CORNELDECK_RANKAGENT_PLANNERLEASE_H
+#define CORNELDECK_RANKAGENT_PLANNERLEASE_H
+
+#include "Base/Clock.h"
+#include "Feed/LogPort.h"
+
+#include <functional>
+#include <string>
+
+namespace corneldeck::rankagent {
+
+/// Settings of PlannerLease.
+struct LeaseTerms {
+  std::string m_Topic;
+  /// A planner that was not heard for longer may be replaced.
+  base::Millis m_SilentAfter = base::Millis(1200);
+  /// Added for each rank, so that successors do not come all at once.
+  base::Millis m_Stagger = base::Millis(150);
+  base::Millis m_RetryPause = base::Millis(600);
+};
+
+/// Who plans a group's maps, agreed through the platform's log.
+///
+/// A claim is appended only if the topic still ends where the claimant read it,
+/// so one claim wins; its place in the log is the planner's term. A planner
+/// goes on without calls until a later term is seen; while the log is away
+/// nobody can take over, and the present planner stays.
+class PlannerLease {
+public:
+  /// Called with the term once this node is the planner.
+  using Won = std::function<void(std::uint64_t Term)>;
+
+  PlannerLease(const feed::LogPort &Log, LeaseTerms Terms, std::string Node,
+               Won OnWon);
+
+  /// Looks whether to claim.
+  /// \param Rank this node's place among the successors.
+  /// \param Heard when the planner was last heard, or this node started.
+  /// \param SeenTerm the latest term that this node knows of.
+  void tick(const std::string &Group, std::uint32_t Rank, base::Millis Heard,
+            std::uint64_t SeenTerm, base::Millis Now);
+
+private:
+  void claim(std::uint64_t SeenTerm);
+  void append(std::uint64_t At);
+
+  const feed::LogPort &m_Log;
+  const LeaseTerms m_Terms;
+  const std::string m_Node;
+  const Won m_OnWon;
+  const base::Clock m_Clock = base::steadyClock();
+  std::string m_Group;
+  bool m_Busy = false;
+  std::uint64_t m_Claims = 0;
+  std::uint64_t m_WaitedFor = 0;
+  base::Millis m_NotBefore{};
+};
+
+} // namespace corneldeck::rankagent
+
+#endif
--- /dev/null
+++ b/Source/RankGroup/RankDriver.cpp
@@ -0,0 +1,122 @@
+#include "RankGroup/RankDriver.h"
+
+namespace corneldeck::rankgroup {
+
+bool RankDriver::take(const wire::RankCommand &Command, base::Millis Now) {
+  if (Command.planner_term() < m_Term)
+    return false;
+  if (Command.planner_term() > m_Term) {
+    m_Command.Clear();
+    m_Open = false;
+    m_DoneCommand = 0;
+    m_DoneResult = 0;
+  }
+  m_Term = Command.planner_term();
+  m_Planner = Command.planner();
+  m_PlannerHeard = Now;
+  if (Command.command() == 0) {
+    m_Open = false;
+    return true;
+  }
+  if (Command.command() == m_Command.command())
+    return true;
+  m_Command = Command;
+  m_Open = true;
+  return true;
+}
+
+void RankDriver::state(const RankState &State) {
+  if (m_State && m_State->m_Epoch != State.m_Epoch)
+    m_Open = false;
+  m_State = State;
+}
+
+bool RankDriver::isShown() const {
+  switch (static_cast<LiveOrderKind>(m_Command.kind())) {
+  case LiveOrderKind::None:
+    return true;
+  case LiveOrderKind::Prepare:
+    return m_State->m_PreparedVersion == m_Command.version() ||
+           m_State->m_MapVersion == m_Command.version();
+  case LiveOrderKind::Arm:
+    return m_State->m_ArmedVersion == m_Command.version() &&
+           m_State->m_ArmedStep == m_Command.step();
+  case LiveOrderKind::Hold:
+    return m_State->m_HeldStep == m_Command.step();
+  case LiveOrderKind::Release:
+    return m_State->m_HeldStep != m_Command.step();
+  }
+  return true;
+}
+
+std::optional<LiveOrder> RankDriver::nextOrder(base::Millis Now,
+                                               std::size_t Experts) {
+  if (!m_Open || !m_State || m_Command.epoch() != m_State->m_Epoch)
+    return std::nullopt;
+  if (m_Waiting && Now - m_OrderedAt < m_Settings.m_OrderTimeout)
+    return std::nullopt;
+  if (isShown()) {
+    m_Open = false;
+    m_DoneCommand = m_Command.command();
+    m_DoneResult = 1 + static_cast<std::uint32_t>(OrderAnswer::Accepted);
+    return std::nullopt;
+  }
+  if (m_DoneCommand == m_Command.command())
+    return std::nullopt;
+  LiveOrder Order;
+  Order.m_Kind = static_cast<LiveOrderKind>(m_Command.kind());
+  Order.m_Epoch = m_Command.epoch();
+  Order.m_Version = m_Command.version();
+  Order.m_Step = m_Command.step();
+  if (Order.m_Kind == LiveOrderKind::Prepare) {
+    auto Maps =
+        unpackMaps({m_Command.map().begin(), m_Command.map().end()}, Experts);
+    if (!Maps) {
+      m_Open = false;
+      return std::nullopt;
+    }
+    Order.m_Maps = std::move(*Maps);
+  }
+  m_Waiting = true;
+  m_OrderedAt = Now;
+  m_OrderedCommand = m_Command.command();
+  return Order;
+}
+
+void RankDriver::answered(const base::Result<OrderAnswer> &Answer,
+                          base::Millis Now) {
+  // Without an answer the order stays open until it is shown or repeated.
+  if (!Answer) {
+    m_OrderedAt = Now - m_Settings.m_OrderTimeout;
+    return;
+  }
+  m_Waiting = false;
+  if (m_OrderedCommand != m_Command.command())
+    return;
+  m_DoneCommand = m_OrderedCommand;
+  m_DoneResult = 1 + static_cast<std::uint32_t>(*Answer);
+}
+
+void RankDriver::fill(wire::RankReport &Report) const {
+  Report.set_planner_term(m_Term);
+  Report.set_command(m_DoneCommand);
+  Report.set_command_result(m_DoneResult);
+  if (!m_State)
+    return;
+  Report.set_group(m_State->m_Group);
+  Report.set_epoch(m_State->m_Epoch);
+  Report.set_rank(m_State->m_Rank);
+  Report.set_size(m_State->m_Size);
+  Report.set_open(m_State->m_Open);
+  Report.set_step(m_State->m_Step);
+  Report.set_map_version(m_State->m_MapVersion);
+  Report.set_prepared_version(m_State->m_PreparedVersion);
+  Report.set_armed_version(m_State->m_ArmedVersion);
+  Report.set_armed_step(m_State->m_ArmedStep);
+  Report.set_held_step(m_State->m_HeldStep);
+  Report.set_active(m_State->m_Active);
+  Report.set_queued(m_State->m_Queued);
+  Report.set_pace(m_State->m_Pace);
+}
+
+} // namespace corneldeck::rankgroup
