RankGroup: weigh copies against samples of single ranks

Cause: a pass reads only a few prompts, each of which wants other experts, so maps that were even on average were uneven in each pass. Placement now lowers the expected square of the ranks' loads over samples of single ranks' counts.

--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -267,16 +267,16 @@
   m_Window.turn(m_Settings.m_Sets);
   if (!m_Window.isSound() || m_Present.empty())
     return;
-  const LayerPopularity &Popularity = m_Window.popularity();
-  m_Skew = meanSkew(m_Present, Popularity);
+  const LayerSamples Samples = m_Window.samples(m_Settings.m_Sets);
+  m_Skew = expectedSkew(m_Present, Samples);
   LayerMaps Better;
   std::size_t Copies = 0;
   for (std::size_t Set = 0; Set < m_Present.size(); ++Set) {
-    Better.push_back(improvePlacement(m_Present[Set], Popularity[Set],
-                                      m_Settings.m_Placement));
+    Better.push_back(
+        improvePlacement(m_Present[Set], Samples[Set], m_Settings.m_Placement));
     Copies += Better.back().copiesFrom(m_Present[Set]);
   }
-  const double After = meanSkew(Better, Popularity);
+  const double After = expectedSkew(Better, Samples);
   const double Gain = m_Skew - After;
   const bool Pays =
       Gain >= m_Settings.m_LeastGain &&
--- a/Source/RankGroup/LayerMaps.cpp
+++ b/Source/RankGroup/LayerMaps.cpp
@@ -10,24 +10,50 @@
 using Rank = ExpertMap::Rank;
 using Expert = ExpertMap::Expert;
 
-std::vector<double> rankLoads(const ExpertMap &Map,
-                              const std::vector<double> &Popularity) {
-  std::vector<double> Loads(Map.ranks(), 0.0);
-  for (Expert Which = 0; Which < Map.experts(); ++Which) {
-    const std::vector<Rank> &Copies = Map.replicas(Which);
-    const double Share = Popularity[Which] / static_cast<double>(Copies.size());
-    for (const Rank Where : Copies)
-      Loads[Where] += Share;
+/// The loads of each rank, sample by sample.
+class SampleLoads {
+public:
+  SampleLoads(const ExpertMap &Map, const ChoiceSamples &Samples)
+      : m_Count(Samples.size()), m_Loads(Map.ranks() * m_Count, 0.0F) {
+    for (std::size_t Index = 0; Index < m_Count; ++Index)
+      for (Expert Which = 0; Which < Map.experts(); ++Which) {
+        const std::vector<Rank> &Copies = Map.replicas(Which);
+        const float Share =
+            Samples[Index].m_Choices[Which] / static_cast<float>(Copies.size());
+        for (const Rank Where : Copies)
+          m_Loads[Where * m_Count + Index] += Share;
+      }
   }
-  return Loads;
-}
 
-double maxOverMean(const std::vector<double> &Loads) {
-  const double Sum = std::accumulate(Loads.begin(), Loads.end(), 0.0);
-  if (Sum <= 0)
-    return 1;
-  return *std::max_element(Loads.begin(), Loads.end()) *
-         static_cast<double>(Loads.size()) / Sum;
+  [[nodiscard]] float *of(Rank Where) {
+    return m_Loads.data() + Where * m_Count;
+  }
+  [[nodiscard]] const float *of(Rank Where) const {
+    return m_Loads.data() + Where * m_Count;
+  }
+  [[nodiscard]] std::size_t samples() const { return m_Count; }
+
+private:
+  std::size_t m_Count;
+  std::vector<float> m_Loads;
+};
+
+double setSkew(const ExpertMap &Map, const ChoiceSamples &Samples) {
+  const SampleLoads Loads(Map, Samples);
+  double Fullest = 0;
+  double Mean = 0;
+  for (std::size_t Index = 0; Index < Samples.size(); ++Index) {
+    double Max = 0;
+    double Sum = 0;
+    for (Rank Where = 0; Where < Map.ranks(); ++Where) {
+      const double Load = Loads.of(Where)[Index];
+      Max = std::max(Max, Load);
+      Sum += Load;
+    }
+    Fullest += Samples[Index].m_Weight * Max;
+    Mean += Samples[Index].m_Weight * Sum / static_cast<double>(Map.ranks());
+  }
+  return Mean > 0 ? Fullest / Mean : 1;
 }
 
 /// One change of a map: an expert comes to a rank, and what goes for it.
@@ -42,69 +68,98 @@
   bool m_Swaps = false;
   Expert m_Evicted = 0;
   unsigned m_Copies = 1;
-  /// By how much the sum of the squared loads falls.
+  /// By how much the weighted sum of the squared loads falls.
   double m_Gain = 0;
 };
 
 /// Searches the steps of one layer set.
 class Placement {
 public:
-  Placement(const ExpertMap &Present, const std::vector<double> &Popularity,
+  Placement(const ExpertMap &Present, const ChoiceSamples &Samples,
             const PlacementLimits &Limits)
-      : m_Start(Present), m_Map(Present), m_Popularity(Popularity),
-        m_Limits(Limits), m_Loads(rankLoads(Present, Popularity)),
-        m_Held(Present.ranks()), m_New(Present.ranks(), 0) {
+      : m_Start(Present), m_Map(Present), m_Samples(Samples), m_Limits(Limits),
+        m_Loads(Present, Samples), m_Held(Present.ranks()),
+        m_New(Present.ranks(), 0),
+        m_Choices(Present.experts() * Samples.size()) {
+    for (std::size_t Index = 0; Index < Samples.size(); ++Index)
+      for (Expert Which = 0; Which < Present.experts(); ++Which)
+        m_Choices[Which * Samples.size() + Index] =
+            Samples[Index].m_Choices[Which];
     for (Expert Which = 0; Which < m_Map.experts(); ++Which)
       for (const Rank Where : m_Map.replicas(Which))
         m_Held[Where].push_back(Which);
+    for (const ChoiceSample &Each : Samples) {
+      const double Mean =
+          std::accumulate(Each.m_Choices.begin(), Each.m_Choices.end(), 0.0) /
+          static_cast<double>(Present.ranks());
+      m_Ideal +=
+          Each.m_Weight * Mean * Mean * static_cast<double>(Present.ranks());
+    }
   }
 
   /// Takes steps while they pay.
   ExpertMap run() {
-    const std::size_t MostSteps = m_Loads.size() * m_Limits.m_Slots;
+    const std::size_t MostSteps = m_New.size() * m_Limits.m_Slots;
     for (std::size_t Count = 0; Count < MostSteps; ++Count) {
-      const double Before = maxOverMean(m_Loads);
-      if (Before <= m_Limits.m_GoodSkew)
-        break;
       const Step Best = best();
-      if (Best.m_Gain <= 0)
+      if (Best.m_Gain <=
+          m_Limits.m_GainPerCopy * m_Ideal * static_cast<double>(Best.m_Copies))
         break;
       apply(Best);
-      m_Copies += Best.m_Copies;
-      // Several ranks may be equally full, so one step need not show at once.
-      if (maxOverMean(m_Loads) <
-          m_BestSkew - m_Limits.m_GainPerCopy *
-                           static_cast<double>(m_Copies - m_BestCopies)) {
-        m_BestMap = m_Map;
-        m_BestSkew = maxOverMean(m_Loads);
-        m_BestCopies = m_Copies;
-      }
     }
-    return m_BestMap;
+    return m_Map;
   }
 
 private:
-  [[nodiscard]] double share(Expert Which) const {
-    return m_Popularity[Which] /
-           static_cast<double>(m_Map.replicas(Which).size());
+  /// An expert and the part of its choices that a rank gets or loses.
+  struct Part {
+    Expert m_Expert = 0;
+    float m_Share = 0;
+  };
+
+  [[nodiscard]] const float *choices(Expert Which) const {
+    return m_Choices.data() + Which * m_Samples.size();
+  }
+
+  [[nodiscard]] float copies(Expert Which) const {
+    return static_cast<float>(m_Map.replicas(Which).size());
   }
 
   [[nodiscard]] bool isNew(Rank Where, Expert Which) const {
     return !m_Start.holds(Where, Which);
   }
 
-  /// The change of the sum of squares if \p Where gets \p Added more.
-  [[nodiscard]] double squareChange(Rank Where, double Added) const {
-    return Added * (2 * m_Loads[Where] + Added);
+  /// \returns the change of the weighted sum of squares at \p Where.
+  [[nodiscard]] double squareChange(Rank Where, Part A, Part B) const {
+    const float *Load = m_Loads.of(Where);
+    const float *OfA = choices(A.m_Expert);
+    const float *OfB = choices(B.m_Expert);
+    float Sum = 0;
+    for (std::size_t Index = 0; Index < m_Samples.size(); ++Index) {
+      const float Added = A.m_Share * OfA[Index] + B.m_Share * OfB[Index];
+      Sum += m_Samples[Index].m_Weight * Added * (2 * Load[Index] + Added);
+    }
+    return Sum;
+  }
+
+  [[nodiscard]] double square(Rank Where) const {
+    const float *Load = m_Loads.of(Where);
+    double Sum = 0;
+    for (std::size_t Index = 0; Index < m_Samples.size(); ++Index)
+      Sum += m_Samples[Index].m_Weight * Load[Index] * Load[Index];
+    return Sum;
   }
 
   Step best() {
-    const auto Fullest = static_cast<Rank>(
-        std::max_element(m_Loads.begin(), m_Loads.end()) - m_Loads.begin());
+    std::vector<std::pair<double, Rank>> ByLoad;
+    for (Rank Where = 0; Where < m_New.size(); ++Where)
+      ByLoad.emplace_back(square(Where), Where);
+    std::sort(ByLoad.begin(), ByLoad.end());
     Step Best;
-    for (Rank To = 0; To < m_Loads.size(); ++To)
-      if (To != Fullest && m_Loads[To] < m_Loads[Fullest])
-        tryPair(Fullest, To, Best);
+    const std::size_t Receivers =
+        std::min(m_Limits.m_Receivers, ByLoad.size() - 1);
+    for (std::size_t Index = 0; Index < Receivers; ++Index)
+      tryPair(ByLoad.back().second, ByLoad[Index].second, Best);
     return Best;
   }
 
@@ -174,45 +229,63 @@
     return NewBack <= m_Limits.m_NewPerRank;
   }
 
-  /// \returns by how much the sum of squared loads falls.
+  /// \returns by how much the weighted sum of squared loads falls.
   [[nodiscard]] double gain(const Step &Wanted) const {
-    double To = 0;
-    double From = 0;
-    double Others = 0;
+    const Expert In = Wanted.m_Expert;
+    const Expert Out = Wanted.m_Evicts ? Wanted.m_Evicted : In;
+    Part InTo{In, 1 / copies(In)};
+    Part InFrom{In, -1 / copies(In)};
+    Part InOthers{In, 0};
     if (Wanted.m_Keep) {
-      const auto Copies =
-          static_cast<double>(m_Map.replicas(Wanted.m_Expert).size());
-      const double Before = m_Popularity[Wanted.m_Expert] / Copies;
-      const double After = m_Popularity[Wanted.m_Expert] / (Copies + 1);
-      To += After;
-      for (const Rank Where : m_Map.replicas(Wanted.m_Expert)) {
-        if (Where == Wanted.m_From)
-          From += After - Before;
-        else
-          Others += squareChange(Where, After - Before);
-      }
-    } else {
-      To += share(Wanted.m_Expert);
-      From -= share(Wanted.m_Expert);
+      InTo.m_Share = 1 / (copies(In) + 1);
+      InFrom.m_Share = InTo.m_Share - 1 / copies(In);
+      InOthers.m_Share = InFrom.m_Share;
     }
-    if (Wanted.m_Swaps) {
-      To -= share(Wanted.m_Evicted);
-      From += share(Wanted.m_Evicted);
-    } else if (Wanted.m_Evicts) {
-      const auto Copies =
-          static_cast<double>(m_Map.replicas(Wanted.m_Evicted).size());
-      const double Before = m_Popularity[Wanted.m_Evicted] / Copies;
-      const double After = m_Popularity[Wanted.m_Evicted] / (Copies - 1);
-      To -= Before;
-      for (const Rank Where : m_Map.replicas(Wanted.m_Evicted)) {
-        if (Where == Wanted.m_From)
-          From += After - Before;
-        else if (Where != Wanted.m_To)
-          Others += squareChange(Where, After - Before);
-      }
+    Part OutTo{Out, 0};
+    Part OutFrom{Out, 0};
+    Part OutOthers{Out, 0};
+    if (Wanted.m_Evicts)
+      OutTo.m_Share = -1 / copies(Out);
+    if (Wanted.m_Swaps)
+      OutFrom.m_Share = 1 / copies(Out);
+    else if (Wanted.m_Evicts)
+      OutOthers.m_Share = 1 / (copies(Out) - 1) - 1 / copies(Out);
+    double Change = squareChange(Wanted.m_To, InTo, OutTo);
+    if (OutOthers.m_Share != 0 && m_Map.holds(Wanted.m_From, Out))
+      OutFrom.m_Share = OutOthers.m_Share;
+    Change += squareChange(Wanted.m_From, InFrom, OutFrom);
+    if (InOthers.m_Share != 0)
+      Change += othersChange(Wanted, InOthers, OutOthers);
+    if (OutOthers.m_Share != 0)
+      Change += evictedChange(Wanted, InOthers, OutOthers);
+    return -Change;
+  }
+
+  /// The change at the other ranks that hold the expert that comes.
+  [[nodiscard]] double othersChange(const Step &Wanted, Part In,
+                                    Part Out) const {
+    double Change = 0;
+    for (const Rank Where : m_Map.replicas(In.m_Expert)) {
+      if (Where == Wanted.m_From || Where == Wanted.m_To)
+        continue;
+      const bool Both = Out.m_Share != 0 && m_Map.holds(Where, Out.m_Expert);
+      Change += squareChange(Where, In, Both ? Out : Part{Out.m_Expert, 0});
+    }
+    return Change;
+  }
+
+  /// The change at the other ranks that hold only the expert that goes.
+  [[nodiscard]] double evictedChange(const Step &Wanted, Part In,
+                                     Part Out) const {
+    double Change = 0;
+    for (const Rank Where : m_Map.replicas(Out.m_Expert)) {
+      if (Where == Wanted.m_From || Where == Wanted.m_To)
+        continue;
+      if (In.m_Share != 0 && m_Map.holds(Where, In.m_Expert))
+        continue;
+      Change += squareChange(Where, Part{In.m_Expert, 0}, Out);
     }
-    return -(squareChange(Wanted.m_To, To) + squareChange(Wanted.m_From, From) +
-             Others);
+    return Change;
   }
 
   void place(Expert Which, Rank Where) {
@@ -236,20 +309,20 @@
       place(Chosen.m_Evicted, Chosen.m_From);
     if (Chosen.m_Evicts)
       take(Chosen.m_Evicted, Chosen.m_To);
-    m_Loads = rankLoads(m_Map, m_Popularity);
+    m_Loads = SampleLoads(m_Map, m_Samples);
   }
 
   const ExpertMap &m_Start;
   ExpertMap m_Map;
-  const std::vector<double> &m_Popularity;
+  const ChoiceSamples &m_Samples;
   const PlacementLimits &m_Limits;
-  std::vector<double> m_Loads;
+  SampleLoads m_Loads;
   std::vector<std::vector<Expert>> m_Held;
   std::vector<std::size_t> m_New;
-  std::size_t m_Copies = 0;
-  ExpertMap m_BestMap = m_Map;
-  double m_BestSkew = maxOverMean(m_Loads);
-  std::size_t m_BestCopies = 0;
+  /// The samples, expert by expert.
+  std::vector<float> m_Choices;
+  /// The weighted sum of squares if all ranks had the same load.
+  double m_Ideal = 0;
 };
 
 } // namespace
@@ -307,19 +380,19 @@
   return Maps;
 }
 
-double meanSkew(const LayerMaps &Maps, const LayerPopularity &Popularity) {
+double expectedSkew(const LayerMaps &Maps, const LayerSamples &Samples) {
   if (Maps.empty())
     return 1;
   double Sum = 0;
   for (std::size_t Set = 0; Set < Maps.size(); ++Set)
-    Sum += maxOverMean(rankLoads(Maps[Set], Popularity[Set]));
+    Sum += setSkew(Maps[Set], Samples[Set]);
   return Sum / static_cast<double>(Maps.size());
 }
 
 ExpertMap improvePlacement(const ExpertMap &Present,
-                           const std::vector<double> &Popularity,
+                           const ChoiceSamples &Samples,
                            const PlacementLimits &Limits) {
-  return Placement(Present, Popularity, Limits).run();
+  return Placement(Present, Samples, Limits).run();
 }
 
 } // namespace corneldeck::rankgroup
--- a/Source/RankGroup/LayerMaps.h
+++ b/Source/RankGroup/LayerMaps.h
@@ -11,8 +11,19 @@
 /// One expert map for each layer set of a group.
 using LayerMaps = std::vector<ExpertMap>;
 
-/// Popularity of each expert, layer set by layer set.
-using LayerPopularity = std::vector<std::vector<double>>;
+/// What some requests chose in one layer set: a number for each expert.
+struct ChoiceSample {
+  std::vector<float> m_Choices;
+  /// How much the sample counts beside others.
+  float m_Weight = 1;
+};
+
+/// Samples of one layer set. Their sum says what is popular; their differences
+/// say which experts are wanted at the same time.
+using ChoiceSamples = std::vector<ChoiceSample>;
+
+/// Samples, layer set by layer set.
+using LayerSamples = std::vector<ChoiceSamples>;
 
 /// \returns the maps that an engine starts with: experts in turn over the
 /// ranks.
@@ -27,9 +38,9 @@
 base::Result<LayerMaps> unpackMaps(const std::vector<std::uint32_t> &Numbers,
                                    std::size_t Experts);
 
-/// \returns the mean over the layer sets of the fullest rank's load over the
-/// mean rank's.
-double meanSkew(const LayerMaps &Maps, const LayerPopularity &Popularity);
+/// \returns the mean over the layer sets of what the fullest rank is expected
+/// to have over the mean rank, sample by sample.
+double expectedSkew(const LayerMaps &Maps, const LayerSamples &Samples);
 
 /// The bounds of one change of maps.
 struct PlacementLimits {
@@ -37,21 +48,22 @@
   std::size_t m_Slots = 0;
   /// Experts of a layer set that are new to one rank.
   std::size_t m_NewPerRank = 0;
-  /// A change must lower the skew of its layer set by this for each copy.
+  /// A change must lower the mean square of the ranks' loads, as a share of the
+  /// square of the mean load, by this for each copy.
   double m_GainPerCopy = 0.004;
-  /// A layer set whose fullest rank has at most this over the mean is left.
-  double m_GoodSkew = 1.05;
+  /// Ranks that are weighed as receivers, the emptiest first.
+  std::size_t m_Receivers = 12;
 };
 
 /// Moves and copies a few experts of one layer set so that its fullest ranks
 /// have less to do.
 ///
-/// Answers a shift of popularity: hot experts get copies, and the fullest rank
-/// gives away or swaps others, as long as each copy pays.
-/// \param Popularity what each expert is chosen, in any unit.
+/// Answers a shift of popularity, and prompts of which each wants other
+/// experts: hot experts get copies, and experts that are wanted at the same
+/// time go to different ranks, as long as each copy pays.
 /// \returns the new map; \p Present if nothing pays.
 ExpertMap improvePlacement(const ExpertMap &Present,
-                           const std::vector<double> &Popularity,
+                           const ChoiceSamples &Samples,
                            const PlacementLimits &Limits);
 
 } // namespace corneldeck::rankgroup
--- a/Source/RankGroup/PopularityWindow.cpp
+++ b/Source/RankGroup/PopularityWindow.cpp
@@ -1,5 +1,6 @@
 #include "RankGroup/PopularityWindow.h"
 
+#include <algorithm>
 #include <cmath>
 #include <numeric>
 
@@ -7,19 +8,34 @@
 
 namespace {
 
-double sum(const std::vector<double> &Values) {
-  return std::accumulate(Values.begin(), Values.end(), 0.0);
+using Choices = std::vector<float>;
+
+void add(Choices &To, const Choices &Added) {
+  To.resize(std::max(To.size(), Added.size()), 0.0F);
+  for (std::size_t Index = 0; Index < Added.size(); ++Index)
+    To[Index] += Added[Index];
+}
+
+double total(const Choices &Of) {
+  return std::accumulate(Of.begin(), Of.end(), 0.0);
+}
+
+Choices sum(const std::vector<Choices> &Parts) {
+  Choices Sum;
+  for (const Choices &Each : Parts)
+    add(Sum, Each);
+  return Sum;
 }
 
 /// \returns half the sum of the differences of two distributions, 0 to 1.
-double distance(const std::vector<double> &A, const std::vector<double> &B) {
-  const double SumA = sum(A);
-  const double SumB = sum(B);
-  if (SumA <= 0 || SumB <= 0)
-    return 0;
+double distance(const Choices &A, const Choices &B) {
+  const double TotalA = total(A);
+  const double TotalB = total(B);
+  if (TotalA <= 0 || TotalB <= 0 || A.size() != B.size())
+    return 1;
   double Difference = 0;
   for (std::size_t Index = 0; Index < A.size(); ++Index)
-    Difference += std::abs(A[Index] / SumA - B[Index] / SumB);
+    Difference += std::abs(A[Index] / TotalA - B[Index] / TotalB);
   return Difference / 2;
 }
 
@@ -31,48 +47,67 @@
 void PopularityWindow::take(std::uint32_t Rank,
                             const std::vector<std::uint64_t> &Counts) {
   std::vector<std::uint64_t> &Last = m_Last[Rank];
-  if (m_Newest.size() != Counts.size()) {
-    m_Newest.assign(Counts.size(), 0);
-    m_Popularity.clear();
-  }
   const bool Comparable = Last.size() == Counts.size();
+  Choices Since(Counts.size(), 0.0F);
   for (std::size_t Index = 0; Comparable && Index < Counts.size(); ++Index)
     if (Counts[Index] >= Last[Index])
-      m_Newest[Index] += static_cast<double>(Counts[Index] - Last[Index]);
+      Since[Index] = static_cast<float>(Counts[Index] - Last[Index]);
   Last = Counts;
+  add(m_Newest[Rank], Since);
 }
 
 bool PopularityWindow::turn(std::size_t Sets) {
-  if (Sets == 0 || m_Newest.empty() || m_Newest.size() % Sets != 0)
-    return false;
-  const std::size_t Experts = m_Newest.size() / Sets;
+  Turn Ended;
+  for (const auto &[Rank, Each] : m_Newest)
+    if (total(Each) > 0)
+      Ended.push_back(Each);
+  const Choices Sum = sum(Ended);
   // Too few choices wait for the next turn.
-  if (sum(m_Newest) < m_Settings.m_LeastChoices * static_cast<double>(Sets))
+  if (Sets == 0 || Sum.size() % Sets != 0 ||
+      total(Sum) < m_Settings.m_LeastChoices * static_cast<double>(Sets))
     return false;
-  LayerPopularity Turn(Sets);
-  for (std::size_t Set = 0; Set < Sets; ++Set) {
-    const auto Begin =
-        m_Newest.begin() + static_cast<std::ptrdiff_t>(Set * Experts);
-    Turn[Set].assign(Begin, Begin + static_cast<std::ptrdiff_t>(Experts));
-  }
-  std::fill(m_Newest.begin(), m_Newest.end(), 0.0);
-  m_Sound = true;
-  if (m_Popularity.size() != Sets) {
-    m_Popularity = std::move(Turn);
-    return true;
-  }
-  double Distance = 0;
-  for (std::size_t Set = 0; Set < Sets; ++Set)
-    Distance += distance(m_Popularity[Set], Turn[Set]);
-  if (Distance / static_cast<double>(Sets) > m_Settings.m_ShiftDistance) {
-    m_Popularity = std::move(Turn);
-    return true;
+  m_Newest.clear();
+  Choices Before;
+  for (const Turn &Each : m_Kept)
+    add(Before, sum(Each));
+  const bool Shifted =
+      m_Kept.empty() || distance(Before, Sum) > m_Settings.m_ShiftDistance;
+  if (Shifted)
+    m_Kept.clear();
+  m_Kept.push_back(std::move(Ended));
+  while (m_Kept.size() > m_Settings.m_Turns)
+    m_Kept.pop_front();
+  return Shifted;
+}
+
+LayerSamples PopularityWindow::samples(std::size_t Sets) const {
+  LayerSamples Samples(Sets);
+  Choices All;
+  std::size_t Count = 0;
+  for (const Turn &Each : m_Kept) {
+    add(All, sum(Each));
+    Count += Each.size();
   }
-  for (std::size_t Set = 0; Set < Sets; ++Set)
-    for (std::size_t Which = 0; Which < Experts; ++Which)
-      m_Popularity[Set][Which] =
-          m_Popularity[Set][Which] * m_Settings.m_Keep + Turn[Set][Which];
-  return false;
+  const std::size_t Experts = All.size() / Sets;
+  const auto AddSample = [&](const Choices &From, double Scale, double Weight) {
+    for (std::size_t Set = 0; Set < Sets; ++Set) {
+      ChoiceSample &Added = Samples[Set].emplace_back();
+      Added.m_Weight = static_cast<float>(Weight);
+      Added.m_Choices.reserve(Experts);
+      for (std::size_t Which = 0; Which < Experts; ++Which)
+        Added.m_Choices.push_back(
+            static_cast<float>(From[Set * Experts + Which] * Scale));
+    }
+  };
+  // A pass holds a few samples: the expected square of a sum of N independent
+  // ones is N (N - 1) times the mean's square and N times the mean square.
+  const double PerPass = m_Settings.m_SamplesPerPass;
+  const auto Number = static_cast<double>(Count);
+  AddSample(All, 1 / Number, PerPass * (PerPass - 1));
+  for (const Turn &Each : m_Kept)
+    for (const Choices &Sample : Each)
+      AddSample(Sample, 1, PerPass / Number);
+  return Samples;
 }
 
 } // namespace corneldeck::rankgroup
