Direct: bound the requests of each rank by the pauses that all entries see

The governor learns from pauses how much longer passes are than evenly loaded ones and bounds what runs.

--- a/Source/Direct/ForwardCall.cpp
+++ b/Source/Direct/ForwardCall.cpp
@@ -158,7 +158,10 @@
         static_cast<double>((now() - m_Facts.m_Arrived).count()));
     m_Exchange->startStream(m_Head.m_Status,
                             m_Front.m_Codec.m_PassHeaders(m_Head));
+  } else {
+    m_Front.notePause(m_Facts.m_Service, now() - m_PassedAt);
   }
+  m_PassedAt = now();
   if (m_UnreadPrompt > 0) {
     m_Front.m_Parts.m_Pool.promptRead(m_Server, m_UnreadPrompt);
     m_UnreadPrompt = 0;
@@ -398,7 +401,7 @@
       m_Facts.m_Arrived;
   m_Front.m_Total.record(
       static_cast<double>((Now - m_Facts.m_Arrived).count()));
-  const auto Room = m_Front.m_Parts.m_Pool.room(m_Facts.m_Service, Now);
+  const auto Room = m_Front.room(m_Facts.m_Service);
   m_Front.m_Parts.m_Events.record(
       Event, {{"request", m_Facts.m_Request.m_Id},
               {"outcome", std::string(Outcome)},
@@ -412,7 +415,7 @@
               {"waited_ms", number(Waited.count())},
               {"ms", number((Now - m_Facts.m_Arrived).count())},
               {"in_flight", number(Room.m_InFlight)},
-              {"capacity", number(Room.m_Capacity)},
+              {"places", number(Room.m_Capacity)},
               {"why", m_LastEnd}});
   const auto Self = shared_from_this();
   m_Front.callEnded(m_Facts.m_Token, m_Facts.m_Service);
--- a/Source/Direct/ForwardCall.h
+++ b/Source/Direct/ForwardCall.h
@@ -80,6 +80,8 @@
   double m_UnreadPrompt = 0;
   base::Millis m_SentAt{};
   base::Millis m_LastByte{};
+  /// When events were last passed on.
+  base::Millis m_PassedAt{};
 
   EventCutter m_Cutter;
   std::vector<std::string> m_Tried;
--- a/Source/Direct/ForwardFront.cpp
+++ b/Source/Direct/ForwardFront.cpp
@@ -51,6 +51,9 @@
       m_Waited(Used.m_Metrics.histogram(
           "corneldeck_admission_wait_ms",
           "From a request's arrival to its first attempt.",
+          metrics::latencyBounds())),
+      m_Pauses(Used.m_Metrics.histogram(
+          "corneldeck_pause_ms", "Between two writes of events to a caller.",
           metrics::latencyBounds())) {}
 
 ForwardFront::~ForwardFront() = default;
@@ -116,9 +119,9 @@
   const auto Call = std::make_shared<ForwardCall>(*this, Exchange, Facts);
   m_Calls.emplace(Facts.m_Token, Call);
   Call->watch();
-  const auto Verdict = m_Parts.m_Gate.arrive(
-      Facts.m_Service, Facts.m_Token, Facts.m_Priority, Found->m_TargetLatency,
-      m_Parts.m_Pool.room(Facts.m_Service, Now), Now);
+  const auto Verdict =
+      m_Parts.m_Gate.arrive(Facts.m_Service, Facts.m_Token, Facts.m_Priority,
+                            Found->m_TargetLatency, room(Facts.m_Service), Now);
   if (Verdict == AdmissionGate::Verdict::Go)
     Call->go();
   else if (Verdict == AdmissionGate::Verdict::Refuse)
@@ -148,8 +151,7 @@
 void ForwardFront::advanceWaiting() {
   const base::Millis Now = m_Clock.now();
   for (const std::string &Service : m_Parts.m_Gate.services()) {
-    const auto Moves =
-        m_Parts.m_Gate.advance(Service, m_Parts.m_Pool.room(Service, Now), Now);
+    const auto Moves = m_Parts.m_Gate.advance(Service, room(Service), Now);
     for (const std::uint64_t Token : Moves.m_Go)
       if (const auto Found = m_Calls.find(Token); Found != m_Calls.end())
         std::shared_ptr<ForwardCall>(Found->second)->go();
@@ -161,6 +163,33 @@
     armGateTimer();
 }
 
+ServerPool::ServiceRoom ForwardFront::room(const std::string &Service) const {
+  ServerPool::ServiceRoom Room = m_Parts.m_Pool.room(Service, m_Clock.now());
+  const Configuration &Published = m_Routes->configuration();
+  const direct::Service *Of = Published.findService(Service);
+  if (!Of || !Of->m_Engine)
+    return Room;
+  base::Millis Target{};
+  for (const Route &Each : Published.m_Routes)
+    if (Each.m_Stream && !Each.m_Services.empty() &&
+        Each.m_Services.front().m_Service == Service)
+      Target = std::max(Target, Each.m_TargetPause);
+  const double Limit = m_Parts.m_Governor.limit(Service, *Of->m_Engine, Target);
+  Room.m_Capacity =
+      std::min(Room.m_Capacity, static_cast<unsigned>(Limit * Room.m_Servers));
+  return Room;
+}
+
+void ForwardFront::notePause(const std::string &Service, base::Millis Pause) {
+  m_Pauses.record(static_cast<double>(Pause.count()));
+  const direct::Service *Of = m_Routes->configuration().findService(Service);
+  const auto Room = m_Parts.m_Pool.room(Service, m_Clock.now());
+  if (Of && Of->m_Engine && Room.m_Servers > 0)
+    m_Parts.m_Governor.note(Service, *Of->m_Engine, Pause,
+                            static_cast<double>(Room.m_InFlight) /
+                                Room.m_Servers);
+}
+
 void ForwardFront::armGateTimer() {
   if (m_GateTimerArmed)
     return;
--- a/Source/Direct/ForwardFront.h
+++ b/Source/Direct/ForwardFront.h
@@ -4,6 +4,7 @@
 #include "Base/Timeline.h"
 #include "Direct/AdmissionGate.h"
 #include "Direct/ForwardFlow.h"
+#include "Direct/PauseGovernor.h"
 #include "Direct/RetryAllowance.h"
 #include "Direct/RouteTable.h"
 #include "Metrics/Registry.h"
@@ -85,6 +86,7 @@
     ServerPool &m_Pool;
     AdmissionGate &m_Gate;
     RetryAllowance &m_Retries;
+    PauseGovernor &m_Governor;
     base::Timeline &m_Events;
     metrics::Registry &m_Metrics;
     base::Random &m_Draw;
@@ -119,6 +121,9 @@
   [[nodiscard]] bool othersProgress(const std::string &Service,
                                     const std::string &Server) const;
   void armGateTimer();
+  /// \returns the service's room, bounded so that pauses stay on time.
+  [[nodiscard]] ServerPool::ServiceRoom room(const std::string &Service) const;
+  void notePause(const std::string &Service, base::Millis Pause);
 
   Parts m_Parts;
   const ForwardCodec m_Codec;
@@ -137,6 +142,7 @@
   metrics::Histogram &m_FirstByte;
   metrics::Histogram &m_Total;
   metrics::Histogram &m_Waited;
+  metrics::Histogram &m_Pauses;
 };
 
 } // namespace corneldeck::direct
--- /dev/null
+++ b/Source/Direct/PauseGovernor.h
@@ -0,0 +1,74 @@
+#ifndef CORNELDECK_DIRECT_PAUSEGOVERNOR_H
+#define CORNELDECK_DIRECT_PAUSEGOVERNOR_H
+
+#include "Direct/Configuration.h"
+
+#include <map>
+#include <string>
+
+namespace corneldeck::direct {
+
+/// Settings of PauseGovernor.
+struct GovernorSettings {
+  /// Weight of one pause in the averages: some hundred pauses, a second or two
+  /// of an entry's streams.
+  double m_Newest = 0.01;
+  /// Deviations above the mean that still have to be on time: a stream is late
+  /// by one late pause of many.
+  double m_Deviations = 2;
+  /// The part of the target pause that is aimed at.
+  double m_TargetShare = 0.95;
+  /// The least part of an engine's places that is used.
+  double m_LeastFill = 0.5;
+  /// The stretch of passes that is assumed before any pause was seen.
+  double m_FirstStretch = 1.6;
+};
+
+/// How many requests each engine of a service may run at once, so that the
+/// pauses between two events of a stream stay within their target.
+///
+/// Answers more streams than the passes of a rank group have time for: every
+/// request that an engine writes lengthens each pass of all ranks, and one late
+/// pause makes a stream late. The engine's published times say how long a pass
+/// takes with evenly loaded ranks; how much longer passes are, from uneven
+/// experts and prompts that are read, is learnt from the pauses that all
+/// entries see, since an entry that thought otherwise would fill the places of
+/// the rest.
+class PauseGovernor {
+public:
+  /// How much longer than evenly loaded passes are.
+  struct Stretch {
+    double m_Mean = 0;
+    double m_Variance = 0;
+  };
+  using Stretches = std::map<std::string, Stretch>;
+
+  explicit PauseGovernor(GovernorSettings Settings = {});
+
+  /// Takes a pause between two events of a stream.
+  /// \param InFlight requests for each engine of the service at that time.
+  void note(const std::string &Service, const EngineProfile &Engine,
+            base::Millis Pause, double InFlight);
+
+  /// \param Target the longest pause that is on time.
+  /// \returns the requests that one engine may have at once.
+  [[nodiscard]] double limit(const std::string &Service,
+                             const EngineProfile &Engine,
+                             base::Millis Target) const;
+
+  /// \returns what this entry sees, by service.
+  [[nodiscard]] const Stretches &own() const { return m_Own; }
+
+  /// Takes what another entry sees.
+  void setPeer(const std::string &Peer, Stretches Seen);
+  void forgetPeer(const std::string &Peer);
+
+private:
+  const GovernorSettings m_Settings;
+  Stretches m_Own;
+  std::map<std::string, Stretches> m_Peers;
+};
+
+} // namespace corneldeck::direct
+
+#endif
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -67,8 +67,8 @@
       m_PeerClient(Context, peerClient()),
       m_ServerClient(Context, serverClient(m_Settings)),
       m_Pool(m_Settings.m_Fleet.m_Zone), m_Retries(m_Settings.m_Retries),
-      m_Front({Context, m_ServerClient, m_Pool, m_Gate, m_Retries, Events,
-               Metrics, m_Draw},
+      m_Front({Context, m_ServerClient, m_Pool, m_Gate, m_Retries, m_Governor,
+               Events, Metrics, m_Draw},
               std::move(Requests)),
       m_Configuration(
           Context, m_Log, m_PeerClient, Events,
@@ -97,7 +97,10 @@
                [this](const wire::FleetBeat &Beat) { takeBeat(Beat); },
                {},
                {},
-               [this](const std::string &Node) { m_Pool.forgetPeer(Node); }}),
+               [this](const std::string &Node) {
+                 m_Pool.forgetPeer(Node);
+                 m_Governor.forgetPeer(Node);
+               }}),
       m_Advisor({m_Settings.m_AddressLifetime, m_Settings.m_MaxAddresses}),
       m_Peers(Context, {},
               [this](std::shared_ptr<net::HttpExchange> Exchange) {
@@ -215,6 +218,12 @@
     Work.set_requests(Load.m_Requests);
     Work.set_prompt_tokens(static_cast<std::uint32_t>(Load.m_PromptTokens));
   }
+  for (const auto &[Service, Seen] : m_Governor.own()) {
+    wire::PassStretch &Stretch = *Beat.add_stretches();
+    Stretch.set_service(Service);
+    Stretch.set_mean(Seen.m_Mean);
+    Stretch.set_variance(Seen.m_Variance);
+  }
 }
 
 void GatewayNode::takeBeat(const wire::FleetBeat &Beat) {
@@ -226,6 +235,10 @@
   for (const wire::ServerWork &Work : Beat.work())
     Loads[Work.server()] = {Work.requests(),
                             static_cast<double>(Work.prompt_tokens())};
+  direct::PauseGovernor::Stretches Stretches;
+  for (const wire::PassStretch &Each : Beat.stretches())
+    Stretches[Each.service()] = {Each.mean(), Each.variance()};
+  m_Governor.setPeer(Beat.sender().node(), std::move(Stretches));
   m_Pool.setPeerLoads(Beat.sender().node(), std::move(Loads), m_Clock.now());
 }
 
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -82,6 +82,7 @@
   direct::ServerPool m_Pool;
   direct::AdmissionGate m_Gate;
   direct::RetryAllowance m_Retries;
+  direct::PauseGovernor m_Governor;
   direct::ForwardFront m_Front;
   SharedFeed m_Configuration;
   SharedFeed m_Servers;
