--- /dev/null
+++ b/Tests/Direct/RouteTableTest.cpp
@@ -0,0 +1,93 @@
+#include "Direct/RouteTable.h"
+#include "Direct/EventCutter.h"
+
+#include <gtest/gtest.h>
+
+namespace corneldeck::direct {
+
+namespace {
+
+Configuration published() {
+  Configuration Made;
+  Made.m_Version = 3;
+  for (const char *Prefix : {"/", "/a/", "/a/b/"}) {
+    Route Added;
+    Added.m_Host = "x.example";
+    Added.m_PathPrefix = Prefix;
+    Added.m_Services = {{"s", 1}};
+    Made.m_Routes.push_back(Added);
+  }
+  Made.m_Routes[0].m_Host = "y.example";
+  Made.m_Customers = {{"c1", {"k1", "k2"}, 2}};
+  return Made;
+}
+
+std::string prefix(const RouteTable &Table, std::string_view Host,
+                   std::string_view Path) {
+  const Route *Found = Table.find(Host, Path);
+  return Found ? Found->m_PathPrefix : "none";
+}
+
+} // namespace
+
+TEST(RouteTable, TakesTheLongestPrefixOfTheHost) {
+  const RouteTable Table(published());
+  EXPECT_EQ(prefix(Table, "x.example", "/a/b/c"), "/a/b/");
+  EXPECT_EQ(prefix(Table, "X.Example", "/a/b"), "/a/");
+  EXPECT_EQ(prefix(Table, "x.example", "/a/"), "/a/");
+  EXPECT_EQ(prefix(Table, "x.example", "/ab/c"), "none");
+  EXPECT_EQ(prefix(Table, "y.example", "/ab/c"), "/");
+  EXPECT_EQ(prefix(Table, "z.example", "/a/b/"), "none");
+  EXPECT_EQ(prefix(Table, "x.example", ""), "none");
+  EXPECT_EQ(prefix(Table, "", "/a/"), "none");
+}
+
+TEST(RouteTable, KnowsCustomersByTheirKeys) {
+  const RouteTable Table(published());
+  ASSERT_NE(Table.findCustomer("k2"), nullptr);
+  EXPECT_EQ(Table.findCustomer("k2")->m_Name, "c1");
+  EXPECT_EQ(Table.findCustomer("k"), nullptr);
+  EXPECT_TRUE(Table.needsKey());
+}
+
+TEST(RouteTable, DrawsServicesByWeight) {
+  Route Split;
+  Split.m_Services = {{"s1", 90}, {"s2", 10}, {"s3", 0}};
+  base::Random Draw(1);
+  int Second = 0;
+  for (int Count = 0; Count < 10000; ++Count) {
+    const std::string_view Drawn = RouteTable::drawService(Split, Draw);
+    EXPECT_NE(Drawn, "s3");
+    Second += Drawn == "s2" ? 1 : 0;
+  }
+  EXPECT_NEAR(Second, 1000, 150);
+}
+
+TEST(EventCutter, HandsOutWholeEventsWhateverThePieces) {
+  const std::string Stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                             "id: 3\ndata: c\n\nid: 4\nda";
+  for (std::size_t Size = 1; Size < Stream.size(); ++Size) {
+    EventCutter Cutter;
+    std::string Out;
+    for (std::size_t At = 0; At < Stream.size(); At += Size)
+      Out += Cutter.feed(std::string_view(Stream).substr(At, Size)).value();
+    EXPECT_EQ(Out, Stream.substr(0, Stream.find("id: 4"))) << Size;
+    EXPECT_EQ(Cutter.lastId(), "3");
+    EXPECT_TRUE(Cutter.isPartial());
+  }
+}
+
+TEST(EventCutter, LeavesOutEventsThatWereHandedOut) {
+  EventCutter Cutter;
+  Cutter.feed("id: 5\ndata: a\n\nid: 6\nda");
+  Cutter.dropPartial();
+  EXPECT_EQ(Cutter.feed("id: 5\ndata: a\n\nid: 6\ndata: b\n\n").value(),
+            "id: 6\ndata: b\n\n");
+}
+
+TEST(EventCutter, GivesUpOnAnEventWithoutEnd) {
+  EventCutter Cutter(100);
+  EXPECT_FALSE(Cutter.feed(std::string(200, 'x')).has_value());
+}
+
+} // namespace corneldeck::direct
--- /dev/null
+++ b/Tests/Feed/FeedFollowerTest.cpp
@@ -0,0 +1,131 @@
+#include "Feed/FeedFollower.h"
+
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+namespace corneldeck::feed {
+
+namespace {
+
+/// A log in memory that answers on the loop.
+class FollowerTest : public testing::Test {
+protected:
+  void SetUp() override {
+    m_Port.m_Newest =
+        [this](const std::string &, const std::string &,
+               std::function<void(base::Result<NewestPage>)> Done) {
+          ++m_Lists;
+          NewestPage Page;
+          Page.m_EndOffset = m_Records.size();
+          std::map<std::string, KeyedRecord> Newest;
+          for (const KeyedRecord &Each : m_Records)
+            Newest[Each.m_Key] = Each;
+          for (const auto &[Key, Each] : Newest)
+            Page.m_Records.push_back(Each);
+          answer<NewestPage>(std::move(Done), Page);
+        };
+    m_Port.m_Read = [this](const std::string &, std::uint64_t From,
+                           base::Millis,
+                           std::function<void(base::Result<RecordRun>)> Done) {
+      ++m_Reads;
+      if (From < m_First) {
+        boost::asio::post(m_Loop, [Done = std::move(Done)] {
+          Done(base::failure(base::ResultCode::LogGap, "expired"));
+        });
+        return;
+      }
+      RecordRun Run;
+      for (std::uint64_t At = From; At < m_Records.size(); ++At)
+        Run.m_Records.push_back(m_Records[At]);
+      Run.m_NextOffset = m_Records.size();
+      answer<RecordRun>(std::move(Done), Run);
+    };
+    FollowerSettings Settings;
+    Settings.m_Period = base::Millis(1);
+    Settings.m_FirstPause = base::Millis(1);
+    Settings.m_LongestPause = base::Millis(2);
+    m_Follower.emplace(m_Loop, m_Port, m_State, Settings,
+                       FeedFollower::Hooks{[this] { ++m_Changes; },
+                                           [](const base::Error *) {}});
+  }
+
+  template <typename Value>
+  void answer(std::function<void(base::Result<Value>)> Done, Value Given) {
+    boost::asio::post(m_Loop, [this, Done = std::move(Done), Given] {
+      if (m_Down)
+        Done(base::failure(base::ResultCode::LogUnavailable, "down"));
+      else
+        Done(Given);
+    });
+  }
+
+  void put(const std::string &Key, std::optional<std::string> Value) {
+    m_Records.push_back({m_Records.size(), Key, std::move(Value)});
+  }
+
+  void runUntil(const std::function<bool()> &Done) {
+    for (int Count = 0; Count < 20000 && !Done(); ++Count)
+      m_Loop.run_one_for(std::chrono::milliseconds(10));
+    ASSERT_TRUE(Done());
+  }
+
+  boost::asio::io_context m_Loop;
+  LogPort m_Port;
+  KeyedState m_State{[](const std::string &, const std::string &Before,
+                        const std::string &After) { return Before != After; }};
+  std::optional<FeedFollower> m_Follower;
+  std::vector<KeyedRecord> m_Records;
+  std::uint64_t m_First = 0;
+  bool m_Down = false;
+  int m_Lists = 0;
+  int m_Reads = 0;
+  int m_Changes = 0;
+};
+
+} // namespace
+
+TEST_F(FollowerTest, ListsOnceAndReadsOn) {
+  put("a", "1");
+  m_Follower->setActive(true);
+  runUntil([this] { return m_State.values().count("a") == 1; });
+  put("a", "2");
+  runUntil([this] { return m_State.values().at("a") == "2"; });
+  EXPECT_EQ(m_Lists, 1);
+  EXPECT_EQ(m_Changes, 2);
+}
+
+TEST_F(FollowerTest, ListsAgainAfterAGap) {
+  put("a", "1");
+  m_Follower->setActive(true);
+  runUntil([this] { return m_State.values().count("a") == 1; });
+  put("a", std::nullopt);
+  put("b", "1");
+  m_First = 3;
+  runUntil([this] { return m_State.values().count("b") == 1; });
+  EXPECT_EQ(m_State.values().count("a"), 0U);
+  EXPECT_EQ(m_Lists, 2);
+}
+
+TEST_F(FollowerTest, GoesOnAfterAnOutage) {
+  m_Down = true;
+  m_Follower->setActive(true);
+  runUntil([this] { return m_Lists > 2; });
+  EXPECT_FALSE(m_State.isLoaded());
+  m_Down = false;
+  put("a", "1");
+  runUntil([this] { return m_State.values().count("a") == 1; });
+}
+
+TEST_F(FollowerTest, APassiveOneMakesNoCalls) {
+  m_Follower->setActive(true);
+  runUntil([this] { return m_Reads > 0; });
+  m_Follower->setActive(false);
+  for (int Count = 0; Count < 20; ++Count)
+    m_Loop.run_one_for(std::chrono::milliseconds(2));
+  const int Before = m_Reads;
+  for (int Count = 0; Count < 20; ++Count)
+    m_Loop.run_one_for(std::chrono::milliseconds(2));
+  EXPECT_EQ(m_Reads, Before);
+}
+
+} // namespace corneldeck::feed
--- /dev/null
+++ b/Tests/Platform/DecoderTest.cpp
@@ -0,0 +1,168 @@
+#include "Base/Random.h"
+#include "platform/EngineHttp.h"
+#include "platform/LogHttp.h"
+#include "platform/NodeSettings.h"
+#include "platform/Records.h"
+
+#include <gtest/gtest.h>
+
+namespace corneldeck::platform {
+
+namespace {
+
+constexpr const char *Config =
+    R"({"version":7,"routes":[{"name":"r","hostname":"h","path-prefix":"/a/",
+"type":"streaming","timeout-ms":8000,"target-latency-ms":500,"priority":1,
+"traffic-split":[{"backend":"s","weight":90},{"backend":"t","weight":10}],
+"max-attempts":2,"public":false,"resumable":true,"itl-target-ms":120}],
+"backends":[{"name":"s","health-check-path":"/healthz","max-connections":358,
+"engine":{"capacity":12,"step_ms":4.55,"per_seq_ms":0.905,"stride":4,
+"layer-sets":4,"experts":72,"placements":8,"reserve":3}}],
+"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,
+"header-timeout-ms":3000,"idle-timeout-ms":15000},
+"tenants":[{"name":"c","api-keys":["k"],"priority":1}]})";
+
+constexpr const char *Server =
+    R"({"backend":"s","address":"10.0.0.9:8080","zone":"z","capacity":12,
+"lifecycle-state":"ready","warmup-remaining-ms":5,"sequence":4,"born":17})";
+
+constexpr const char *Report =
+    R"({"group":{"name":"g","epoch":3,"rank":2,"lifecycle-state":"open"},
+"size":12,"step":40,"mapping":7,"preloaded":9,"enabled":{"version":9,
+"step":44},"held":44,"active":5,"queued":1,"pace":1.5})";
+
+/// Changes some bytes; cuts, doubles or swaps parts.
+std::string damage(std::string Text, base::Random &Draw) {
+  for (std::uint64_t Count = 1 + Draw.below(4); Count > 0 && !Text.empty();
+       --Count) {
+    const std::size_t At = Draw.below(Text.size());
+    switch (Draw.below(4)) {
+    case 0:
+      Text[At] = static_cast<char>(Draw.below(256));
+      break;
+    case 1:
+      Text.erase(At, 1 + Draw.below(20));
+      break;
+    case 2:
+      Text.insert(At, Text.substr(Draw.below(Text.size()), Draw.below(20)));
+      break;
+    default:
+      Text.insert(At, std::to_string(Draw.below(1ULL << 62)));
+      break;
+    }
+  }
+  return Text;
+}
+
+constexpr int Damaged = 20000;
+
+} // namespace
+
+TEST(Decoders, ReadAConfiguration) {
+  const auto Read = decodeConfiguration(Config);
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read->m_Version, 7U);
+  const direct::Route &Route = Read->m_Routes.at(0);
+  EXPECT_EQ(Route.m_Repeat, direct::RepeatPolicy::Resumable);
+  EXPECT_EQ(Route.m_Services.at(1).m_Weight, 10U);
+  EXPECT_EQ(Route.m_TargetPause, base::Millis(120));
+  EXPECT_EQ(Read->m_Services.at(0).m_Engine->m_SlotsPerSet, 8U);
+  EXPECT_EQ(Read->m_Customers.at(0).m_Keys.at(0), "k");
+}
+
+TEST(Decoders, AnUnknownKindOfRouteIsAnError) {
+  std::string Text = Config;
+  Text.replace(Text.find("streaming"), 9, "whatever");
+  const auto Read = decodeConfiguration(Text);
+  ASSERT_FALSE(Read.has_value());
+  EXPECT_NE(Read.error().m_Message.find("whatever"), std::string::npos);
+}
+
+TEST(Decoders, ReadAServer) {
+  const auto Read = decodeServer("i-1", Server);
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read->m_Service, "s");
+  EXPECT_EQ(Read->m_Started, 17U);
+  EXPECT_FALSE(Read->m_Draining);
+  for (const char *Broken :
+       {"", "[]", "null", "{\"backend\":\"s\"}",
+        R"({"backend":"s","address":"x","lifecycle-state":"ready"})",
+        R"({"backend":"s","address":"1.2.3.4:5","lifecycle-state":"odd"})",
+        R"({"backend":1,"address":"1.2.3.4:5","lifecycle-state":"ready"})"})
+    EXPECT_FALSE(decodeServer("i-1", Broken).has_value()) << Broken;
+}
+
+TEST(Decoders, ReadAnEngineReport) {
+  const auto Read = decodeState(Report);
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_TRUE(Read->m_Open);
+  EXPECT_EQ(Read->m_ArmedStep, 44U);
+  EXPECT_EQ(Read->m_HeldStep, 44U);
+  EXPECT_EQ(Read->m_PreparedVersion, 9U);
+}
+
+TEST(Decoders, RecordsComeBackFromTheirBytes) {
+  const std::string Body =
+      std::string(7, '\0') + '\x09' + std::string(8, '\0') +
+      encodeRecord({0, "key", "value"}) + encodeRecord({0, "gone", {}});
+  const auto Run = decodeRecords(Body, 5);
+  ASSERT_TRUE(Run.has_value());
+  ASSERT_EQ(Run->m_Records.size(), 2U);
+  EXPECT_EQ(Run->m_Records[0],
+            (feed::KeyedRecord{5, "key", std::string("value")}));
+  EXPECT_FALSE(Run->m_Records[1].m_Value.has_value());
+  EXPECT_EQ(Run->m_EndOffset, 9U);
+  EXPECT_EQ(Run->m_NextOffset, 7U);
+  for (std::size_t Cut = 0; Cut < 16; ++Cut)
+    EXPECT_FALSE(decodeRecords(Body.substr(0, Cut), 5).has_value());
+  EXPECT_FALSE(decodeRecords(Body.substr(0, Body.size() - 1), 5).has_value());
+}
+
+TEST(Decoders, DamagedInputIsAnErrorOrAValue) {
+  base::Random Draw(5);
+  const std::string Lists =
+      R"({"epoch":1,"mapping":{"version":0,"experts":[[0,1],[2]]}})";
+  const std::string Counts = R"({"step":8,"epoch":1,"counts":[5,8,9]})";
+  const std::string Newest =
+      R"({"entries":[{"key":"a","data":"eA==","offset":3}],"has-more":false,
+"end-offset":4})";
+  const std::string Records =
+      std::string(16, '\0') + encodeRecord({0, "key", "value"});
+  for (int Count = 0; Count < Damaged; ++Count) {
+    if (const auto Read = decodeConfiguration(damage(Config, Draw)); !Read)
+      EXPECT_FALSE(Read.error().m_Message.empty());
+    if (const auto Read = decodeServer("i", damage(Server, Draw)); !Read)
+      EXPECT_FALSE(Read.error().m_Message.empty());
+    if (const auto Read = decodeState(damage(Report, Draw)); !Read)
+      EXPECT_FALSE(Read.error().m_Message.empty());
+    decodeLists(damage(Lists, Draw));
+    decodeCounts(damage(Counts, Draw));
+    decodeNewest(damage(Newest, Draw));
+    decodeRecords(damage(Records, Draw), 0);
+  }
+}
+
+TEST(Decoders, AnOrderNamesEpochAndStep) {
+  rankgroup::LiveOrder Order;
+  Order.m_Kind = rankgroup::LiveOrderKind::Arm;
+  Order.m_Epoch = 3;
+  Order.m_Version = 9;
+  Order.m_Step = 44;
+  EXPECT_EQ(encodeOrder(Order),
+            R"({"epoch":3,"operation":"arm","step":44,"version":9})");
+  Order.m_Kind = rankgroup::LiveOrderKind::Prepare;
+  Order.m_Maps = rankgroup::startMaps(1, 2, 4);
+  EXPECT_EQ(encodeOrder(Order),
+            R"({"epoch":3,"mapping":[[[0,2],[1,3]]],"operation":"prepare",)"
+            R"("version":9})");
+}
+
+TEST(NodeSettings, NameEveryProblem) {
+  const auto Read = readNodeSettings(settings::Reader::fromText(
+      "node: n\nzone: z\nip: 1.2.3.4\npeer_port: no\nextra: 1\n", "s.yaml"));
+  ASSERT_FALSE(Read.has_value());
+  for (const char *Part : {"peer_port", "extra", "log", "retries"})
+    EXPECT_NE(Read.error().m_Message.find(Part), std::string::npos) << Part;
+}
+
+} // namespace corneldeck::platform
--- /dev/null
+++ b/Tests/Platform/EntryTest.cpp
@@ -0,0 +1,445 @@
+#include "StandinServer.h"
+#include "StandinStore.h"
+
+#include "Net/HttpClient.h"
+#include "platform/EntryProcess.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace corneldeck::tests {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::seconds HangBound{60};
+
+struct Answer {
+  bool m_Ended = false;
+  bool m_Broken = false;
+  int m_Status = 0;
+  net::HttpHeaders m_Headers;
+  std::string m_Body;
+};
+using AnswerPtr = std::shared_ptr<Answer>;
+
+json route(const std::string &Prefix, const std::string &Type,
+           const std::string &Service) {
+  return {{"name", "r-" + Prefix},
+          {"hostname", "x.example"},
+          {"path-prefix", Prefix},
+          {"type", Type},
+          {"timeout-ms", 4000},
+          {"target-latency-ms", 300},
+          {"priority", 1},
+          {"backend", Service},
+          {"max-attempts", 3},
+          {"public", false},
+          {"resumable", Type == "streaming" && Prefix != "/stream/once/"}};
+}
+
+/// Two entries of the platform on loopback, before stand-ins of its store and
+/// backend servers.
+class PlatformEntry : public testing::Test {
+protected:
+  static constexpr int Entries = 2;
+
+  void SetUp() override {
+    for (int Index = 0; Index < 3; ++Index) {
+      m_Servers.push_back(std::make_unique<StandinServer>(
+          m_Loop, "i-" + std::to_string(Index), "svc"));
+      m_Servers.back()->listen();
+      m_Store.put("keyed.servers", m_Servers.back()->id(),
+                  m_Servers.back()->record());
+    }
+    publish(1);
+    const std::string Log = m_Store.listen();
+    for (int Index = 0; Index < Entries; ++Index) {
+      platform::NodeSettings Settings;
+      Settings.m_Node = "entry-" + std::to_string(Index);
+      Settings.m_Zone = "a";
+      Settings.m_PeerAddress = freeAddress();
+      Settings.m_CallerAddress = freeAddress();
+      Settings.m_ReadyAddress = freeAddress();
+      Settings.m_DirectoryAddress = freeAddress();
+      Settings.m_LogAddress = Log;
+      Settings.m_Retries.m_Extra = 1000;
+      Settings.m_AddressLifetime = base::seconds(5);
+      Settings.m_GracePeriod = base::seconds(2);
+      Settings.m_MaxOpenFiles = 1000;
+      m_Settings.push_back(Settings);
+    }
+    for (platform::NodeSettings &Settings : m_Settings)
+      Settings.m_Seeds = {m_Settings[0].m_PeerAddress};
+    for (const platform::NodeSettings &Settings : m_Settings) {
+      m_Entries.push_back(
+          std::make_unique<platform::EntryProcess>(m_Loop, Settings));
+      ASSERT_TRUE(m_Entries.back()->start().has_value());
+    }
+    for (int Index = 0; Index < Entries; ++Index)
+      runUntil([this, Index] { return isReady(Index); });
+  }
+
+  std::string freeAddress() {
+    static int Next = 34'000 + ::getpid() * 67 % 20'000;
+    for (;;) {
+      boost::system::error_code Problem;
+      boost::asio::ip::tcp::acceptor Probe(m_Loop, boost::asio::ip::tcp::v4());
+      Probe.bind({boost::asio::ip::make_address("127.0.0.1"),
+                  static_cast<std::uint16_t>(++Next)},
+                 Problem);
+      if (!Problem)
+        return "127.0.0.1:" + std::to_string(Next);
+    }
+  }
+
+  void publish(int Version, const std::string &Extra = {}) {
+    json Routes = {route("/plain/", "idempotent", "svc"),
+                   route("/once/", "non_idempotent", "svc"),
+                   route("/stream/", "streaming", "svc"),
+                   route("/stream/once/", "streaming", "svc")};
+    if (!Extra.empty())
+      Routes.push_back(route(Extra, "idempotent", "svc"));
+    const json Config = {
+        {"version", Version},
+        {"routes", Routes},
+        {"backends", {{{"name", "svc"}, {"max-connections", 50}}}},
+        {"limits",
+         {{"max-header-bytes", 4096},
+          {"max-body-bytes", 10000},
+          {"header-timeout-ms", 3000},
+          {"idle-timeout-ms", 15000}}},
+        {"tenants", {{{"name", "cust"}, {"api-keys", {"key-1"}}}}}};
+    m_Store.put("keyed.op", "config", Config.dump());
+  }
+
+  void runUntil(const std::function<bool()> &Done) {
+    const auto Bound = std::chrono::steady_clock::now() + HangBound;
+    while (!Done()) {
+      m_Loop.run_one_for(std::chrono::milliseconds(20));
+      ASSERT_LT(std::chrono::steady_clock::now(), Bound) << "no progress";
+    }
+  }
+
+  AnswerPtr call(const std::string &Method, const std::string &Target,
+                 const std::string &Id, net::HttpHeaders Extra = {},
+                 const std::string &Key = "key-1", int Entry = 0) {
+    net::HttpCall Call;
+    Call.m_Method = Method;
+    Call.m_Address = m_Settings[Entry].m_CallerAddress;
+    Call.m_Target = Target;
+    Call.m_Host = "x.example";
+    Call.m_Headers = std::move(Extra);
+    Call.m_Headers.push_back({"Attempt-Id", Id});
+    Call.m_Headers.push_back({"Deadline-Ms", "8000"});
+    if (!Key.empty())
+      Call.m_Headers.push_back({"Authorization", "Token " + Key});
+    if (Method == "POST")
+      Call.m_Body = "request " + Id;
+    Call.m_Timeout = base::seconds(20);
+    auto Got = std::make_shared<Answer>();
+    net::HttpCallbacks Hooks;
+    Hooks.m_OnHead = [Got](const net::HttpAnswerHead &Head) {
+      Got->m_Status = Head.m_Status;
+      Got->m_Headers = Head.m_Headers;
+    };
+    Hooks.m_OnData = [Got](std::string_view Data) { Got->m_Body += Data; };
+    Hooks.m_OnEnd = [Got](const base::Result<void> &Outcome) {
+      Got->m_Ended = true;
+      Got->m_Broken = !Outcome;
+    };
+    m_LastCancel = m_Http.request(std::move(Call), std::move(Hooks));
+    return Got;
+  }
+
+  AnswerPtr finish(AnswerPtr Got) {
+    runUntil([&Got] { return Got->m_Ended; });
+    return Got;
+  }
+
+  bool isReady(int Entry) {
+    int Status = 0;
+    m_Http.get(m_Settings[Entry].m_ReadyAddress, "/readyz", base::seconds(5),
+               [&Status](base::Result<net::HttpReply> Reply) {
+                 Status = Reply ? Reply->m_Status : -1;
+               });
+    runUntil([&Status] { return Status != 0; });
+    return Status == 200;
+  }
+
+  std::vector<std::string> addresses(int Entry) {
+    std::optional<json> Body;
+    bool Done = false;
+    m_Http.get(m_Settings[Entry].m_DirectoryAddress,
+               "/resolution?name=x.example&region=r&zone=a", base::seconds(5),
+               [&](base::Result<net::HttpReply> Reply) {
+                 Done = true;
+                 if (Reply && Reply->m_Status == 200)
+                   Body = json::parse(Reply->m_Body);
+               });
+    runUntil([&Done] { return Done; });
+    return Body ? Body->at("addresses").get<std::vector<std::string>>()
+                : std::vector<std::string>{};
+  }
+
+  void setAll(Behaviour Way) {
+    for (const auto &Each : m_Servers)
+      Each->m_Behaviour = Way;
+  }
+  int runs(const std::string &Id) {
+    int Sum = 0;
+    for (const auto &Each : m_Servers)
+      Sum += Each->runs(Id);
+    return Sum;
+  }
+  std::size_t sent(const std::string &Id) {
+    std::size_t Sum = 0;
+    for (const auto &Each : m_Servers)
+      for (const SeenRequest &Seen : Each->m_Seen)
+        Sum += Seen.m_Id == Id ? 1 : 0;
+    return Sum;
+  }
+  const SeenRequest &seen(const std::string &Id) {
+    for (const auto &Each : m_Servers)
+      for (const SeenRequest &Seen : Each->m_Seen)
+        if (Seen.m_Id == Id)
+          return Seen;
+    static const SeenRequest None;
+    return None;
+  }
+
+  boost::asio::io_context m_Loop{1};
+  StandinStore m_Store{m_Loop};
+  std::vector<std::unique_ptr<StandinServer>> m_Servers;
+  std::vector<platform::NodeSettings> m_Settings;
+  std::vector<std::unique_ptr<platform::EntryProcess>> m_Entries;
+  net::HttpClient m_Http{m_Loop};
+  net::HttpCancel m_LastCancel;
+};
+
+std::string events(int From, int To) {
+  std::string All;
+  for (int Index = From; Index <= To; ++Index)
+    All += "id: " + std::to_string(Index) +
+           "\ndata: " + std::to_string(Index * 7) + "\n\n";
+  return All;
+}
+
+bool isPromise(int Status) {
+  return Status == 503 || Status == 429 || Status == 408 || Status == 421;
+}
+
+} // namespace
+
+TEST_F(PlatformEntry, PassesAnAnswerOnUnchanged) {
+  const auto Got = finish(call("POST", "/once/a?b=c", "r1", {{"X-Own", "v"}}));
+  EXPECT_EQ(Got->m_Status, 200);
+  EXPECT_EQ(net::findHeader(Got->m_Headers, "Attempt-Id"), "r1");
+  EXPECT_FALSE(net::findHeader(Got->m_Headers, "Response-Signature").empty());
+  EXPECT_TRUE(Got->m_Body.starts_with("body of r1"));
+  const SeenRequest &Seen = seen("r1");
+  EXPECT_EQ(Seen.m_Line, "POST /once/a?b=c HTTP/1.1\r");
+  EXPECT_EQ(Seen.m_Body, "request r1");
+  EXPECT_EQ(Seen.m_Headers.at("X-Own"), "v");
+  EXPECT_EQ(Seen.m_Headers.at("Host"), "x.example");
+  EXPECT_EQ(Seen.m_Headers.at("Tenant"), "cust");
+  EXPECT_EQ(Seen.m_Headers.count("Authorization"), 0U);
+  EXPECT_LE(std::stoi(Seen.m_Headers.at("Deadline-Ms")), 4000);
+}
+
+TEST_F(PlatformEntry, CallersCannotSetWhatTheEntrySets) {
+  finish(call("GET", "/plain/a", "r1",
+              {{"Tenant", "other"},
+               {"Expected-Instance", "i-9"},
+               {"Connection", "X-Hop"},
+               {"X-Hop", "1"}}));
+  const SeenRequest &Seen = seen("r1");
+  EXPECT_EQ(Seen.m_Headers.at("Tenant"), "cust");
+  EXPECT_NE(Seen.m_Headers.at("Expected-Instance"), "i-9");
+  EXPECT_EQ(Seen.m_Headers.count("X-Hop"), 0U);
+}
+
+TEST_F(PlatformEntry, RefusesWhatNoVersionAllows) {
+  EXPECT_EQ(finish(call("GET", "/none/", "r1"))->m_Status, 404);
+  EXPECT_EQ(finish(call("GET", "/plain/", "r2", {}, "bad"))->m_Status, 401);
+  EXPECT_EQ(finish(call("GET", "/plain/", "r3", {}, ""))->m_Status, 401);
+  EXPECT_EQ(finish(call("GET", "/plain/", ""))->m_Status, 400);
+  net::HttpHeaders Large = {{"X-Large", std::string(5000, 'x')}};
+  const int Status = finish(call("GET", "/plain/", "r4", Large))->m_Status;
+  EXPECT_TRUE(Status == 431 || Status == 413);
+  EXPECT_EQ(sent("r1") + sent("r2") + sent("r3") + sent("r4"), 0U);
+}
+
+// Each fault of the first server, for each kind of request: at most one run of
+// what must not run twice, and "not run" only if nothing ran.
+TEST_F(PlatformEntry, KeepsItsPromisesWithEachFaultOfServers) {
+  int Next = 0;
+  for (const Behaviour Way :
+       {Behaviour::NotRun, Behaviour::WrongServer, Behaviour::ServerError,
+        Behaviour::Unsigned, Behaviour::Reset, Behaviour::NoLength,
+        Behaviour::ResetNoLength, Behaviour::Stray, Behaviour::Extra,
+        Behaviour::Garbage})
+    for (const std::string Path : {"/plain/", "/once/", "/stream/"}) {
+      setAll(Behaviour::Serve);
+      for (const auto &Each : m_Servers)
+        if (Each != m_Servers.back())
+          Each->m_Behaviour = Way;
+      for (int Count = 0; Count < 4; ++Count) {
+        const std::string Id = "q" + std::to_string(++Next);
+        const auto Got = finish(call("POST", Path + "x", Id));
+        const std::string What =
+            Id + " " + Path + " fault " + std::to_string(static_cast<int>(Way));
+        if (Path == "/once/")
+          EXPECT_LE(runs(Id), 1) << What;
+        if (isPromise(Got->m_Status))
+          EXPECT_EQ(runs(Id), 0) << What;
+        if (Got->m_Status != 200 || Got->m_Broken)
+          continue;
+        EXPECT_FALSE(
+            net::findHeader(Got->m_Headers, "Response-Signature").empty())
+            << What;
+        EXPECT_EQ(net::findHeader(Got->m_Headers, "Attempt-Id"), Id) << What;
+        if (Path == "/stream/" && Got->m_Body.starts_with("id:"))
+          EXPECT_EQ(Got->m_Body, events(1, 5)) << What;
+        else
+          EXPECT_TRUE(Got->m_Body.starts_with("body of " + Id)) << What;
+      }
+    }
+}
+
+TEST_F(PlatformEntry, AResetAnswerWithoutLengthIsNotComplete) {
+  setAll(Behaviour::ResetNoLength);
+  EXPECT_NE(finish(call("POST", "/once/a", "r1"))->m_Status, 200);
+  setAll(Behaviour::NoLength);
+  const auto Got = finish(call("POST", "/once/a", "r2"));
+  EXPECT_EQ(Got->m_Status, 200);
+  EXPECT_TRUE(Got->m_Body.starts_with("body of r2"));
+}
+
+TEST_F(PlatformEntry, StreamsGoOnElsewhereAfterTheirLastEvent) {
+  for (const auto &Each : m_Servers)
+    Each->m_Events = 8;
+  m_Servers[0]->m_Behaviour = Behaviour::CutStream;
+  m_Servers[1]->m_Behaviour = Behaviour::CutStream;
+  for (int Count = 0; Count < 6; ++Count) {
+    const auto Got =
+        finish(call("POST", "/stream/a", "s" + std::to_string(Count)));
+    EXPECT_FALSE(Got->m_Broken);
+    EXPECT_EQ(Got->m_Body, events(1, 8));
+  }
+}
+
+TEST_F(PlatformEntry, AStreamThatMayRunOnceIsCutNotRepeated) {
+  setAll(Behaviour::CutStream);
+  const auto Got = finish(call("POST", "/stream/once/a", "s1"));
+  EXPECT_TRUE(Got->m_Broken);
+  EXPECT_EQ(runs("s1"), 1);
+}
+
+TEST_F(PlatformEntry, PassesEventsOnAsTheyArrive) {
+  for (const auto &Each : m_Servers) {
+    Each->m_Events = 3;
+    Each->m_EventPause = 400;
+  }
+  const auto Got = call("POST", "/stream/a", "s1");
+  runUntil([&Got] { return !Got->m_Body.empty(); });
+  EXPECT_FALSE(Got->m_Ended);
+  EXPECT_EQ(Got->m_Body, events(1, 1));
+  finish(Got);
+  EXPECT_EQ(Got->m_Body, events(1, 3));
+}
+
+TEST_F(PlatformEntry, ACallerThatLeavesEndsTheWork) {
+  setAll(Behaviour::Mute);
+  const auto Got = call("POST", "/once/a", "r1");
+  runUntil([this] { return sent("r1") == 1; });
+  m_LastCancel.cancel();
+  runUntil([this] {
+    int CutOff = 0;
+    for (const auto &Each : m_Servers)
+      CutOff += Each->m_CutOff;
+    return CutOff == 1;
+  });
+  EXPECT_FALSE(Got->m_Ended);
+}
+
+TEST_F(PlatformEntry, ReusesConnectionsToServers) {
+  for (int Count = 0; Count < 20; ++Count)
+    finish(call("GET", "/plain/a", "r" + std::to_string(Count)));
+  int Connections = 0;
+  for (const auto &Each : m_Servers)
+    Connections += Each->m_Connections;
+  EXPECT_LE(Connections, 3);
+}
+
+TEST_F(PlatformEntry, ADrainingServerGetsNoNewWork) {
+  m_Store.put("keyed.servers", "i-0", m_Servers[0]->record("draining"));
+  m_Store.put("keyed.servers", "i-1", std::nullopt);
+  const std::size_t Last = m_Servers[2]->m_Seen.size();
+  int Next = 0;
+  runUntil([&] {
+    const std::size_t Before =
+        m_Servers[0]->m_Seen.size() + m_Servers[1]->m_Seen.size();
+    for (int Count = 0; Count < 6; ++Count)
+      finish(call("GET", "/plain/a", "d" + std::to_string(++Next)));
+    return m_Servers[0]->m_Seen.size() + m_Servers[1]->m_Seen.size() == Before;
+  });
+  EXPECT_GT(m_Servers[2]->m_Seen.size(), Last);
+}
+
+TEST_F(PlatformEntry, ANewVersionIsInForceAndNeverGoesBack) {
+  publish(2, "/added/");
+  for (int Entry = 0; Entry < Entries; ++Entry)
+    runUntil([&] {
+      return finish(call("GET", "/added/a", "v", {}, "key-1", Entry))
+                 ->m_Status == 200;
+    });
+  publish(1);
+  m_Store.put("keyed.op", "config", "{\"version\":9,\"routes\":5}");
+  m_Store.forgetHistory("keyed.op");
+  for (int Count = 0; Count < 30; ++Count)
+    EXPECT_EQ(finish(call("GET", "/added/a", "w"))->m_Status, 200);
+}
+
+TEST_F(PlatformEntry, ServesWhileTheStoreIsOut) {
+  m_Store.m_Faults.m_Down = true;
+  for (int Count = 0; Count < 20; ++Count)
+    EXPECT_EQ(finish(call("GET", "/plain/a", "r"))->m_Status, 200);
+  EXPECT_TRUE(isReady(0));
+  m_Store.m_Faults.m_Down = false;
+  publish(2, "/added/");
+  runUntil(
+      [&] { return finish(call("GET", "/added/a", "v"))->m_Status == 200; });
+}
+
+TEST_F(PlatformEntry, UnreadableServersNameNoServer) {
+  m_Store.put("keyed.servers", "bad-1", "\x01\x02");
+  m_Store.put("keyed.servers", "bad-2", "{\"backend\":7}");
+  m_Store.put("keyed.servers", "bad-3",
+              "{\"backend\":\"svc\",\"address\":\"nowhere\","
+              "\"lifecycle-state\":\"ready\"}");
+  m_Store.put("keyed.servers", "i-0", std::nullopt);
+  const std::size_t Before = m_Servers[0]->m_Seen.size();
+  for (int Count = 0; Count < 40; ++Count)
+    EXPECT_EQ(finish(call("GET", "/plain/a", "r"))->m_Status, 200);
+  EXPECT_LT(m_Servers[0]->m_Seen.size(), Before + 40);
+}
+
+TEST_F(PlatformEntry, NamesBothEntriesAndForgetsOneThatStops) {
+  runUntil([this] { return addresses(0).size() == 2; });
+  runUntil([this] { return addresses(1).size() == 2; });
+  bool Stopped = false;
+  m_Entries[1]->beginStop([&Stopped] { Stopped = true; });
+  runUntil([this] { return addresses(0).size() == 1; });
+  EXPECT_EQ(addresses(0)[0], m_Settings[0].m_CallerAddress);
+  EXPECT_FALSE(isReady(1));
+  // Callers that still have its address are served until it ends.
+  EXPECT_EQ(finish(call("GET", "/plain/a", "r1", {}, "key-1", 1))->m_Status,
+            200);
+  runUntil([&Stopped] { return Stopped; });
+}
+
+} // namespace corneldeck::tests
--- /dev/null
+++ b/Tests/Platform/StandinServer.cpp
@@ -0,0 +1,321 @@
+#include "StandinServer.h"
+
+#include "Net/Endpoint.h"
+
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace corneldeck::tests {
+
+namespace asio = boost::asio;
+
+/// One connection. Raw sockets, so that answers can be broken anywhere.
+class StandinServer::Connection
+    : public std::enable_shared_from_this<Connection> {
+public:
+  Connection(StandinServer &Server, asio::ip::tcp::socket Socket)
+      : m_Server(Server), m_Socket(std::move(Socket)),
+        m_Timer(Server.m_Context) {}
+
+  void readHead() {
+    asio::async_read_until(
+        m_Socket, m_Buffer, "\r\n\r\n",
+        [Self = shared_from_this()](const boost::system::error_code &Code,
+                                    std::size_t Count) {
+          if (!Code)
+            Self->gotHead(Count);
+        });
+  }
+
+  void reset() {
+    boost::system::error_code Ignored;
+    m_Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+    m_Socket.close(Ignored);
+  }
+
+private:
+  void gotHead(std::size_t Count) {
+    std::string Head(asio::buffers_begin(m_Buffer.data()),
+                     asio::buffers_begin(m_Buffer.data()) +
+                         static_cast<std::ptrdiff_t>(Count));
+    m_Buffer.consume(Count);
+    m_Request = {};
+    std::istringstream Lines(Head);
+    std::getline(Lines, m_Request.m_Line);
+    for (std::string Line; std::getline(Lines, Line) && Line != "\r";) {
+      const std::size_t Colon = Line.find(": ");
+      m_Request.m_Headers[Line.substr(0, Colon)] =
+          Line.substr(Colon + 2, Line.size() - Colon - 3);
+    }
+    m_Request.m_Id = m_Request.m_Headers["Attempt-Id"];
+    const std::string Length = m_Request.m_Headers["Content-Length"];
+    const std::size_t Wanted = Length.empty() ? 0 : std::stoul(Length);
+    const std::size_t Missing =
+        Wanted > m_Buffer.size() ? Wanted - m_Buffer.size() : 0;
+    asio::async_read(m_Socket, m_Buffer, asio::transfer_exactly(Missing),
+                     [Self = shared_from_this(), Wanted](
+                         const boost::system::error_code &Code, std::size_t) {
+                       if (!Code)
+                         Self->gotBody(Wanted);
+                     });
+  }
+
+  void gotBody(std::size_t Size) {
+    m_Request.m_Body.assign(asio::buffers_begin(m_Buffer.data()),
+                            asio::buffers_begin(m_Buffer.data()) +
+                                static_cast<std::ptrdiff_t>(Size));
+    m_Buffer.consume(Size);
+    const std::string Expected = m_Request.m_Headers["Expected-Instance"];
+    const bool Other = !Expected.empty() && Expected != m_Server.m_Id;
+    const Behaviour Way = Other ? Behaviour::WrongServer : m_Server.m_Behaviour;
+    m_Request.m_Ran = Way != Behaviour::NotRun && Way != Behaviour::WrongServer;
+    m_Server.m_Seen.push_back(m_Request);
+    answer(Way);
+  }
+
+  [[nodiscard]] std::string head(int Status, const std::string &Extra) const {
+    std::string Head = "HTTP/1.1 " + std::to_string(Status) + " X\r\n";
+    Head += "Attempt-Id: " + m_Request.m_Id + "\r\n";
+    return Head + Extra;
+  }
+
+  [[nodiscard]] std::string signedHead(int Status,
+                                       const std::string &Extra) const {
+    return head(Status, "Response-Signature: " + m_Server.m_Id + "." +
+                            m_Request.m_Id + "\r\n" + Extra);
+  }
+
+  [[nodiscard]] std::string whole(int Status, const std::string &Body) const {
+    return signedHead(Status, "Content-Length: " + std::to_string(Body.size()) +
+                                  "\r\n\r\n") +
+           Body;
+  }
+
+  [[nodiscard]] bool isStream() const {
+    return m_Request.m_Line.find("/stream/") != std::string::npos;
+  }
+
+  [[nodiscard]] std::string body() const {
+    return "body of " + m_Request.m_Id + " from " + m_Server.m_Id;
+  }
+
+  void answer(Behaviour Way) {
+    const bool Streams = isStream() && Way == Behaviour::Serve;
+    if (Streams || Way == Behaviour::CutStream) {
+      startEvents();
+      return;
+    }
+    switch (Way) {
+    case Behaviour::Serve:
+      send(whole(200, body()));
+      return;
+    case Behaviour::NotRun:
+      send(head(503, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+      return;
+    case Behaviour::WrongServer:
+      send(head(421, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+      return;
+    case Behaviour::ServerError:
+      send(whole(500, "failed"));
+      return;
+    case Behaviour::Unsigned:
+      send(head(200, "Content-Length: 2\r\n\r\nno"));
+      return;
+    case Behaviour::Reset:
+      reset();
+      return;
+    case Behaviour::Mute:
+      watch();
+      return;
+    case Behaviour::NoLength:
+      sendLast(signedHead(200, "\r\n") + body(), false);
+      return;
+    case Behaviour::ResetNoLength:
+      sendLast(signedHead(200, "\r\n") + body(), true);
+      return;
+    case Behaviour::Stray: {
+      const std::string Own = whole(200, body());
+      send("HTTP/1.1 200 X\r\nAttempt-Id: other\r\nResponse-Signature: "
+           "other\r\nContent-Length: 5\r\n\r\nother" +
+           Own);
+      return;
+    }
+    case Behaviour::Extra:
+      send(whole(200, body()) + whole(200, "extra"));
+      return;
+    case Behaviour::Garbage:
+      sendLast("\x01\x02 no answer at all \r\n\r\n", false);
+      return;
+    case Behaviour::CutStream:
+      return;
+    }
+  }
+
+  void send(const std::string &Bytes) {
+    m_Out = Bytes;
+    asio::async_write(m_Socket, asio::buffer(m_Out),
+                      [Self = shared_from_this()](
+                          const boost::system::error_code &Code, std::size_t) {
+                        if (!Code)
+                          Self->readHead();
+                      });
+  }
+
+  void sendLast(const std::string &Bytes, bool Reset) {
+    m_Out = Bytes;
+    asio::async_write(m_Socket, asio::buffer(m_Out),
+                      [Self = shared_from_this(),
+                       Reset](const boost::system::error_code &, std::size_t) {
+                        // The bytes go out before the connection ends.
+                        Self->m_Timer.expires_after(
+                            std::chrono::milliseconds(20));
+                        Self->m_Timer.async_wait(
+                            [Self, Reset](const boost::system::error_code &) {
+                              boost::system::error_code Ignored;
+                              if (Reset)
+                                Self->reset();
+                              else
+                                Self->m_Socket.close(Ignored);
+                            });
+                      });
+  }
+
+  /// Notices that the caller closes the connection while a request runs.
+  void watch() {
+    m_Watching = true;
+    m_Socket.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [Self = shared_from_this()](const boost::system::error_code &Code) {
+          if (Code || !Self->m_Watching)
+            return;
+          boost::system::error_code Ignored;
+          if (Self->m_Socket.available(Ignored) == 0) {
+            ++Self->m_Server.m_CutOff;
+            Self->m_Timer.cancel();
+            Self->m_Socket.close(Ignored);
+          }
+        });
+  }
+
+  void startEvents() {
+    const std::string Last = m_Request.m_Headers["Last-Event-Id"];
+    m_NextEvent = Last.empty() ? 1 : std::stoi(Last) + 1;
+    m_Out = signedHead(200, "Content-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n");
+    watch();
+    asio::async_write(m_Socket, asio::buffer(m_Out),
+                      [Self = shared_from_this()](
+                          const boost::system::error_code &Code, std::size_t) {
+                        if (!Code)
+                          Self->nextEvent();
+                      });
+  }
+
+  static std::string chunk(const std::string &Data) {
+    std::ostringstream Out;
+    Out << std::hex << Data.size() << "\r\n" << Data << "\r\n";
+    return Out.str();
+  }
+
+  void nextEvent() {
+    if (m_NextEvent > m_Server.m_Events) {
+      m_Watching = false;
+      send("0\r\n\r\n");
+      return;
+    }
+    std::string Event = "id: " + std::to_string(m_NextEvent) +
+                        "\ndata: " + std::to_string(m_NextEvent * 7) + "\n\n";
+    constexpr int CutAt = 3;
+    const bool Cut =
+        m_Server.m_Behaviour == Behaviour::CutStream && m_NextEvent == CutAt;
+    ++m_NextEvent;
+    m_Out = chunk(Cut ? Event.substr(0, Event.size() / 2) : Event);
+    asio::async_write(
+        m_Socket, asio::buffer(m_Out),
+        [Self = shared_from_this(), Cut](const boost::system::error_code &Code,
+                                         std::size_t) {
+          if (Code)
+            return;
+          Self->m_Timer.expires_after(
+              std::chrono::milliseconds(Self->m_Server.m_EventPause));
+          Self->m_Timer.async_wait(
+              [Self, Cut](const boost::system::error_code &Stopped) {
+                if (Stopped)
+                  return;
+                if (Cut)
+                  Self->reset();
+                else
+                  Self->nextEvent();
+              });
+        });
+  }
+
+  StandinServer &m_Server;
+  asio::ip::tcp::socket m_Socket;
+  asio::steady_timer m_Timer;
+  asio::streambuf m_Buffer;
+  SeenRequest m_Request;
+  std::string m_Out;
+  int m_NextEvent = 1;
+  bool m_Watching = false;
+};
+
+StandinServer::StandinServer(asio::io_context &Context, std::string Id,
+                             std::string Service)
+    : m_Context(Context), m_Id(std::move(Id)), m_Service(std::move(Service)),
+      m_Acceptor(Context) {}
+
+std::string StandinServer::listen() {
+  const asio::ip::tcp::endpoint Any(asio::ip::make_address("127.0.0.1"), 0);
+  m_Acceptor.open(Any.protocol());
+  m_Acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+  m_Acceptor.bind(Any);
+  m_Acceptor.listen();
+  m_Address = net::formatEndpoint(m_Acceptor.local_endpoint());
+  accept();
+  return m_Address;
+}
+
+void StandinServer::accept() {
+  m_Acceptor.async_accept([this](const boost::system::error_code &Code,
+                                 asio::ip::tcp::socket Socket) {
+    if (Code)
+      return;
+    ++m_Connections;
+    auto Added = std::make_shared<Connection>(*this, std::move(Socket));
+    m_Open.push_back(Added);
+    Added->readHead();
+    accept();
+  });
+}
+
+void StandinServer::stop() {
+  boost::system::error_code Ignored;
+  m_Acceptor.close(Ignored);
+  for (const auto &Each : m_Open)
+    if (const auto Open = Each.lock())
+      Open->reset();
+}
+
+std::string StandinServer::record(const std::string &State) const {
+  return nlohmann::json{
+      {"backend", m_Service}, {"address", m_Address},     {"zone", "a"},
+      {"capacity", 8},        {"lifecycle-state", State}, {"sequence", 1}}
+      .dump();
+}
+
+int StandinServer::runs(const std::string &Request) const {
+  return static_cast<int>(
+      std::count_if(m_Seen.begin(), m_Seen.end(), [&](const SeenRequest &Each) {
+        return Each.m_Ran && Each.m_Id == Request;
+      }));
+}
+
+} // namespace corneldeck::tests
--- a/Tests/RankGroup/LayerMapsTest.cpp
+++ b/Tests/RankGroup/LayerMapsTest.cpp
@@ -52,8 +52,7 @@
 TEST(LayerMaps, AHotExpertGetsCopies) {
   const ChoiceSamples Samples = {sample({{0, 300.0F}})};
   const LayerMaps Before = startMaps(1, Ranks, Experts);
-  const LayerMaps After = {
-      improvePlacement(Before[0], Samples, limits())};
+  const LayerMaps After = {improvePlacement(Before[0], Samples, limits())};
   EXPECT_GT(After[0].replicas(0).size(), 1U);
   EXPECT_LT(expectedSkew(After, {Samples}),
             0.7 * expectedSkew(Before, {Samples}));
@@ -62,10 +61,9 @@
 TEST(LayerMaps, ExpertsWantedTogetherGoToDifferentRanks) {
   // Experts 0 and 4 stand on one rank and are always chosen together; on
   // average the ranks are even.
-  const ChoiceSamples Samples = {sample({{0, 90.0F}, {4, 90.0F}}),
-                                 sample({{1, 90.0F}, {5, 90.0F}}),
-                                 sample({{2, 90.0F}, {6, 90.0F}}),
-                                 sample({{3, 90.0F}, {7, 90.0F}})};
+  const ChoiceSamples Samples = {
+      sample({{0, 90.0F}, {4, 90.0F}}), sample({{1, 90.0F}, {5, 90.0F}}),
+      sample({{2, 90.0F}, {6, 90.0F}}), sample({{3, 90.0F}, {7, 90.0F}})};
   const LayerMaps Before = startMaps(1, Ranks, Experts);
   const LayerMaps After = {improvePlacement(Before[0], Samples, limits())};
   EXPECT_LT(expectedSkew(After, {Samples}),
--- a/Tests/RankGroup/LiveGroup.cpp
+++ b/Tests/RankGroup/LiveGroup.cpp
@@ -196,9 +196,8 @@
   for (const std::uint64_t Each : m_Engines[Rank].m_Counts)
     Report.add_counts(Each);
   if (m_Mistake == Mistake::ForgetHold)
-    Report.set_held_step(Report.held_step() > Report.step() + 4
-                             ? Report.held_step()
-                             : 0);
+    Report.set_held_step(
+        Report.held_step() > Report.step() + 4 ? Report.held_step() : 0);
   if (m_Mistake == Mistake::GiveUpHold && Rank != 0 && !m_Planners.empty() &&
       m_Planners.back().m_Planner->phase() == SwitchPhase::Gather) {
     Report.set_prepared_version(0);
