Soak: run entries as processes under faults from outside

Plays callers, faults of links, processes, the store and backend servers, and checks what callers and servers see.

--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -43,15 +43,15 @@
 /// may have run; BadMessage if what came is no answer; StreamBroken if the
 /// answer began and did not end.
 struct HttpCallbacks {
-  /// Says whether an answer belongs to this request. One that does not, such
-  /// as a late second answer to an earlier request, is dropped, and the
-  /// connection is not used again.
-  std::function<bool(const HttpAnswerHead &)> m_IsOurs;
   std::function<void(const HttpAnswerHead &)> m_OnHead;
   /// Called with each piece of the body, which is gone after the call.
   std::function<void(std::string_view)> m_OnData;
   /// Called once, last.
   std::function<void(base::Result<void>)> m_OnEnd;
+  /// Says whether an answer belongs to this request. One that does not, such
+  /// as a late second answer to an earlier request, is dropped, and the
+  /// connection is not used again.
+  std::function<bool(const HttpAnswerHead &)> m_IsOurs;
 };
 
 /// The bounds of a client.
--- /dev/null
+++ b/Tests/Soak/Soak.h
@@ -0,0 +1,134 @@
+#ifndef CORNELDECK_TESTS_SOAK_SOAK_H
+#define CORNELDECK_TESTS_SOAK_SOAK_H
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "ChildProcess.h"
+#include "LoopbackProxy.h"
+#include "Net/HttpClient.h"
+#include "Platform/StandinServer.h"
+#include "Platform/StandinStore.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace corneldeck::tests {
+
+/// A mistake that is played from outside; the soak must report it.
+enum class Plant {
+  None,
+  RetryAfterSilence, ///< A request that may run once reaches a second server.
+  VersionGoesBack,   ///< An entry answers as before a version that it served.
+  LeavingStillUsed,  ///< A server that leaves goes on getting work.
+  AnswerOfAnother    ///< A caller gets the answer to another request.
+};
+
+struct SoakSettings {
+  std::uint64_t m_Seed = 1;
+  base::Millis m_Length = base::seconds(12);
+  std::string m_EntryProgram;
+  std::string m_Folder;
+  Plant m_Plant = Plant::None;
+  int m_Entries = 3;
+};
+
+/// Runs entries as processes before stand-ins, with callers and random faults
+/// from outside, and checks what callers and servers see against the promises.
+class Soak {
+public:
+  explicit Soak(SoakSettings Settings);
+  ~Soak();
+
+  /// Plays the whole run.
+  void run();
+
+  /// \returns the broken promises, one line each.
+  [[nodiscard]] const std::vector<std::string> &violations() const {
+    return m_Violations;
+  }
+  [[nodiscard]] std::string summary() const;
+
+private:
+  struct Server {
+    std::unique_ptr<StandinServer> m_Server;
+    std::unique_ptr<LoopbackProxy> m_Proxy;
+    std::string m_Address;
+    /// When its leaving was acknowledged; zero while it stays.
+    base::Millis m_LeftAt{};
+    std::size_t m_Checked = 0;
+  };
+  struct Entry {
+    std::string m_Name;
+    std::string m_CallerAddress;
+    std::string m_DirectoryAddress;
+    std::unique_ptr<ChildProcess> m_Process;
+    /// Until when faults excuse it from the bounds of time.
+    base::Millis m_ExcusedUntil{};
+    /// The latest version that its present process has served.
+    int m_SeenVersion = 0;
+    std::uint64_t m_Starts = 0;
+    base::Millis m_RestartAt{};
+    base::Millis m_ContinueAt{};
+  };
+  struct Asked {
+    std::string m_Id;
+    std::string m_Path;
+    std::size_t m_Entry = 0;
+    std::uint64_t m_Start = 0;
+    int m_Version = 0;
+    int m_Status = 0;
+    bool m_Whole = false;
+    net::HttpHeaders m_Headers;
+    std::string m_Body;
+  };
+  using AskedPtr = std::shared_ptr<Asked>;
+
+  void addServer();
+  void addEntry(int Index);
+  void startEntry(Entry &Of);
+  void publish();
+  void registerServer(const Server &Of, const std::string &State);
+  void ask();
+  void answered(const AskedPtr &Request);
+  void checkBody(const Asked &Request);
+  void injectFault();
+  void faultOfEntry();
+  void faultOfServer();
+  void faultOfStore();
+  void heal();
+  void checkServers();
+  void checkPromises();
+  void excuseAll(base::Millis For);
+  void violate(const std::string &What);
+  void every(base::Millis Period, std::function<void()> Do);
+  [[nodiscard]] base::Millis now() const { return m_Clock.now(); }
+
+  const SoakSettings m_Settings;
+  const base::Clock m_Clock = base::steadyClock();
+  base::Random m_Draw;
+  boost::asio::io_context m_Loop{1};
+  StandinStore m_Store{m_Loop};
+  std::string m_StoreAddress;
+  net::HttpClient m_Http{m_Loop};
+  std::vector<Server> m_Servers;
+  std::vector<Entry> m_Entries;
+  std::vector<AskedPtr> m_Promised;
+  std::set<std::string> m_RunOnce;
+  std::map<std::string, int> m_Statuses;
+  std::vector<std::string> m_Violations;
+  std::vector<std::string> m_Faults;
+  int m_Version = 0;
+  int m_NextRequest = 0;
+  int m_NextServer = 0;
+  bool m_Asking = true;
+  bool m_Planted = false;
+};
+
+} // namespace corneldeck::tests
+
+#endif
--- /dev/null
+++ b/Tests/Soak/SoakMain.cpp
@@ -0,0 +1,83 @@
+#include "Soak.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <map>
+
+namespace po = boost::program_options;
+using namespace corneldeck;
+using namespace corneldeck::tests;
+
+namespace {
+
+const std::map<std::string, Plant> Plants = {
+    {"retry-after-silence", Plant::RetryAfterSilence},
+    {"version-goes-back", Plant::VersionGoesBack},
+    {"leaving-still-used", Plant::LeavingStillUsed},
+    {"answer-of-another", Plant::AnswerOfAnother}};
+
+/// Plays one seed. \returns whether all promises were kept.
+bool playSeed(SoakSettings Settings, const std::string &Folder) {
+  const std::filesystem::path Own = std::filesystem::path(Folder) /
+                                    ("seed-" + std::to_string(Settings.m_Seed));
+  std::filesystem::remove_all(Own);
+  std::filesystem::create_directories(Own);
+  Settings.m_Folder = Own.string();
+  Soak Run(Settings);
+  Run.run();
+  std::cout << Run.summary() << '\n';
+  for (const std::string &Each : Run.violations())
+    std::cout << "  broken: " << Each << '\n';
+  if (!Run.violations().empty())
+    return false;
+  std::filesystem::remove_all(Own);
+  return true;
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  std::uint64_t First = 1;
+  std::uint64_t Seeds = 1;
+  std::int64_t Seconds = 12;
+  std::string Program;
+  std::string Folder = "soak-logs";
+  std::string Planted;
+  po::options_description Options("corneldeck-soak options");
+  Options.add_options()("entry", po::value(&Program)->required(),
+                        "the program of an entry")(
+      "seed", po::value(&First), "the first seed")("seeds", po::value(&Seeds),
+                                                   "how many seeds to play")(
+      "seconds", po::value(&Seconds),
+      "the length of each")("folder", po::value(&Folder),
+                            "where settings and logs of failed seeds stay")(
+      "plant", po::value(&Planted),
+      "a mistake that must be found")("help", "print this text and exit");
+  SoakSettings Settings;
+  try {
+    po::variables_map Values;
+    po::store(po::parse_command_line(Count, Words, Options), Values);
+    if (Values.count("help") > 0) {
+      std::cout << Options;
+      return 0;
+    }
+    po::notify(Values);
+    if (!Planted.empty())
+      Settings.m_Plant = Plants.at(Planted);
+  } catch (const std::exception &Problem) {
+    std::cerr << "corneldeck-soak: " << Problem.what() << "; see --help\n";
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  Settings.m_EntryProgram = Program;
+  Settings.m_Length = base::seconds(Seconds);
+  std::uint64_t Broken = 0;
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
+    Settings.m_Seed = Seed;
+    Broken += playSeed(Settings, Folder) ? 0 : 1;
+  }
+  std::cout << Seeds << " seeds, " << Broken << " broken\n";
+  return Broken == 0 ? 0 : 1;
+}
--- a/Utilities/check-lint.sh
+++ b/Utilities/check-lint.sh
@@ -25,5 +25,5 @@
 }
 export -f lint_one
 
-git ls-files -co --exclude-standard -- 'Source/*.cpp' 'Tests/*.cpp' |
+git ls-files -co --exclude-standard -- 'Source/*.cpp' 'Tests/*.cpp' 'platform/*.cpp' |
   xargs -r -P "$(nproc)" -I{} bash -c 'lint_one "$1" || { echo "lint: $1"; exit 1; }' _ {}
