--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -103,14 +103,15 @@
                }}),
       m_Advisor({m_Settings.m_AddressLifetime, m_Settings.m_MaxAddresses}),
       m_Peers(Context, {},
-              [this](std::shared_ptr<net::HttpExchange> Exchange) {
+              [this](const std::shared_ptr<net::HttpExchange> &Exchange) {
                 peerRequest(Exchange);
               }),
       m_Timer(Context) {
   net::HttpServerOptions Options;
   Options.m_MaxConnections = m_Settings.m_MaxConnections;
   m_Callers = std::make_unique<net::HttpServer>(
-      Context, Options, [this](std::shared_ptr<net::HttpExchange> Exchange) {
+      Context, Options,
+      [this](const std::shared_ptr<net::HttpExchange> &Exchange) {
         m_Front.handle(Exchange);
       });
 }
--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -1,6 +1,7 @@
 #include "RankGroup/GroupPlanner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace corneldeck::rankgroup {
 
@@ -13,8 +14,8 @@
 
 std::string fraction(double Value) {
   constexpr double Thousand = 1000;
-  constexpr std::uint64_t Places = 1000;
-  const auto Thousandths = static_cast<std::uint64_t>(Value * Thousand + 0.5);
+  constexpr std::int64_t Places = 1000;
+  const std::int64_t Thousandths = std::llround(Value * Thousand);
   std::string Digits = std::to_string(Thousandths % Places);
   Digits.insert(0, 3 - Digits.size(), '0');
   return std::to_string(Thousandths / Places) + "." + Digits;
--- a/Source/RankGroup/LayerMaps.cpp
+++ b/Source/RankGroup/LayerMaps.cpp
@@ -45,8 +45,8 @@
   for (std::size_t Index = 0; Index < Samples.size(); ++Index) {
     double Max = 0;
     double Sum = 0;
-    for (Rank Where = 0; Where < Map.ranks(); ++Where) {
-      const double Load = Loads.of(Where)[Index];
+    for (std::size_t Where = 0; Where < Map.ranks(); ++Where) {
+      const double Load = Loads.of(static_cast<Rank>(Where))[Index];
       Max = std::max(Max, Load);
       Sum += Load;
     }
@@ -152,8 +152,9 @@
 
   Step best() {
     std::vector<std::pair<double, Rank>> ByLoad;
-    for (Rank Where = 0; Where < m_New.size(); ++Where)
-      ByLoad.emplace_back(square(Where), Where);
+    for (std::size_t Where = 0; Where < m_New.size(); ++Where)
+      ByLoad.emplace_back(square(static_cast<Rank>(Where)),
+                          static_cast<Rank>(Where));
     std::sort(ByLoad.begin(), ByLoad.end());
     Step Best;
     const std::size_t Receivers =
--- a/Tests/Platform/EntryTest.cpp
+++ b/Tests/Platform/EntryTest.cpp
@@ -222,9 +222,10 @@
 
 std::string events(int From, int To) {
   std::string All;
-  for (int Index = From; Index <= To; ++Index)
-    All += "id: " + std::to_string(Index) +
-           "\ndata: " + std::to_string(Index * 7) + "\n\n";
+  for (int Index = From; Index <= To; ++Index) {
+    All.append("id: ").append(std::to_string(Index));
+    All.append("\ndata: ").append(std::to_string(Index * 7)).append("\n\n");
+  }
   return All;
 }
 
--- a/Tests/Platform/StandinStore.cpp
+++ b/Tests/Platform/StandinStore.cpp
@@ -43,9 +43,9 @@
 } // namespace
 
 StandinStore::StandinStore(boost::asio::io_context &Context)
-    : m_Context(Context), m_Server(Context, {}, [this](ExchangePtr Exchange) {
-        handle(Exchange);
-      }) {}
+    : m_Context(Context),
+      m_Server(Context, {},
+               [this](const ExchangePtr &Exchange) { handle(Exchange); }) {}
 
 std::string StandinStore::listen() { return *m_Server.listen("127.0.0.1:0"); }
 
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -266,8 +266,11 @@
   }
   std::string Events;
   for (int Index = 1; Index <= m_Servers.front().m_Server->m_Events; ++Index)
-    Events += "id: " + std::to_string(Index) +
-              "\ndata: " + std::to_string(Index * 7) + "\n\n";
+    Events.append("id: ")
+        .append(std::to_string(Index))
+        .append("\ndata: ")
+        .append(std::to_string(Index * 7))
+        .append("\n\n");
   if (Request.m_Path == "/stream/" && Request.m_Body != Events)
     violate(Request.m_Id + " got a stream of " +
             std::to_string(Request.m_Body.size()) + " bytes as complete");
--- a/Utilities/check-format.sh
+++ b/Utilities/check-format.sh
@@ -9,5 +9,5 @@
   Mode=(-i)
 fi
 git ls-files -co --exclude-standard -- 'Source/*.h' 'Source/*.cpp' \
-  'Tests/*.h' 'Tests/*.cpp' ':!*.pb.h' |
+  'Tests/*.h' 'Tests/*.cpp' 'platform/*.h' 'platform/*.cpp' ':!*.pb.h' |
   xargs -r clang-format "${Mode[@]}"
