Net: call an unreadable answer's outcome unknown again

Cause: an answer that can't be parsed had got the code of a bad message, which says that the request did not run; it may have. NetTest failed for it.

--- a/Source/Direct/ForwardCall.cpp
+++ b/Source/Direct/ForwardCall.cpp
@@ -183,8 +183,6 @@
       return AttemptEnd::NotConnected;
     case base::ResultCode::Timeout:
       return AttemptEnd::Silent;
-    case base::ResultCode::BadMessage:
-      return AttemptEnd::Garbled;
     default:
       return AttemptEnd::Broken;
     }
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -40,8 +40,7 @@
 ///
 /// On failure, the code says whether the request may have run:
 /// ConnectionFailed if no byte of it was sent; Timeout or OutcomeUnknown if it
-/// may have run; BadMessage if what came is no answer; StreamBroken if the
-/// answer began and did not end.
+/// may have run; StreamBroken if the answer began and did not end.
 struct HttpCallbacks {
   std::function<void(const HttpAnswerHead &)> m_OnHead;
   /// Called with each piece of the body, which is gone after the call.
--- a/Source/Net/HttpClientConnection.cpp
+++ b/Source/Net/HttpClientConnection.cpp
@@ -215,9 +215,8 @@
   const std::size_t Used = m_Parser->put(m_Buffer.data(), Code);
   m_Buffer.consume(Used);
   if (Code && Code != http::error::need_more) {
-    fail(m_HeadDone && !m_Stray ? base::ResultCode::StreamBroken
-                                : base::ResultCode::BadMessage,
-         m_Address + " sent an answer that can't be read: " + Code.message());
+    failAfterSending(m_Address +
+                     " sent an answer that can't be read: " + Code.message());
     return false;
   }
   if (!m_HeadDone && m_Parser->is_header_done() && !headDone())
@@ -365,8 +364,8 @@
 }
 
 void HttpClientConnection::failAfterSending(const std::string &Message) {
-  fail(m_HeadDone ? base::ResultCode::StreamBroken
-                  : base::ResultCode::OutcomeUnknown,
+  fail(m_HeadDone && !m_Stray ? base::ResultCode::StreamBroken
+                              : base::ResultCode::OutcomeUnknown,
        Message);
 }
 
--- a/Tests/Platform/EntryTest.cpp
+++ b/Tests/Platform/EntryTest.cpp
@@ -291,8 +291,9 @@
       for (int Count = 0; Count < 4; ++Count) {
         const std::string Id = "q" + std::to_string(++Next);
         const auto Got = finish(call("POST", Path + "x", Id));
-        const std::string What =
-            Id + " " + Path + " fault " + std::to_string(static_cast<int>(Way));
+        std::string What = Id;
+        What.append(" ").append(Path).append(" fault ");
+        What.append(std::to_string(static_cast<int>(Way)));
         if (Path == "/once/")
           EXPECT_LE(runs(Id), 1) << What;
         if (isPromise(Got->m_Status))
