--- a/Source/Bench/BenchMain.cpp
+++ b/Source/Bench/BenchMain.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 using namespace corneldeck;
 namespace po = boost::program_options;
@@ -34,6 +35,7 @@
   std::uint64_t m_Schedules = 1000;
   bool m_Check = false;
   bool m_Json = false;
+  bool m_Version = false;
 };
 
 Arguments parse(int Count, char **Words) {
@@ -45,9 +47,10 @@
       "fleet", po::value(&Args.m_Options.m_Fleet))("format",
                                                    po::value(&Args.m_Format))(
       "promise", po::value(&Args.m_Promise))("plant", po::value(&Args.m_Plant))(
-      "schedules", po::value(&Args.m_Schedules))(
-      "check", po::bool_switch(&Args.m_Check))("json",
-                                               po::bool_switch(&Args.m_Json));
+      "schedules",
+      po::value(&Args.m_Schedules))("check", po::bool_switch(&Args.m_Check))(
+      "json", po::bool_switch(&Args.m_Json))("version",
+                                             po::bool_switch(&Args.m_Version));
   po::positional_options_description Positions;
   Positions.add("command", 1).add("subject", 1);
   po::variables_map Values;
@@ -196,6 +199,10 @@
 }
 
 int dispatch(const Arguments &Args) {
+  if (Args.m_Version) {
+    std::cout << "corneldeck-bench " << CORNELDECK_VERSION << '\n';
+    return ExitOk;
+  }
   if (Args.m_Command == "list")
     return listAll();
   if (Args.m_Command == "run")
@@ -216,5 +223,9 @@
   } catch (const po::error &Problem) {
     std::cerr << Problem.what() << '\n' << Usage;
     return ExitUsage;
+  } catch (const std::runtime_error &Problem) {
+    // A scenario that lacks what it measures says how to start it.
+    std::cerr << "corneldeck-bench: " << Problem.what() << '\n';
+    return ExitUsage;
   }
 }
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -151,12 +151,6 @@
 
 void ServerPool::forgetPeer(const std::string &Peer) { m_Peers.erase(Peer); }
 
-void ServerPool::setUnusable(const std::string &Id, base::Millis Until) {
-  if (const auto Found = m_Entries.find(Id); Found != m_Entries.end())
-    Found->second.m_Health.m_PausedUntil =
-        std::max(Found->second.m_Health.m_PausedUntil, Until);
-}
-
 ServerPool::ServiceRoom ServerPool::room(std::string_view Service,
                                          base::Millis Now) const {
   ServiceRoom Room;
@@ -173,14 +167,6 @@
   return Room;
 }
 
-std::vector<BackendServer> ServerPool::servers() const {
-  std::vector<BackendServer> All;
-  All.reserve(m_Entries.size());
-  for (const auto &[Id, Each] : m_Entries)
-    All.push_back(Each.m_Server);
-  return All;
-}
-
 double ServerPool::failureRate(const Health &Of, base::Millis Now) const {
   const auto Age = static_cast<double>((Now - Of.m_RatedAt).count());
   const auto HalfLife =
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -119,10 +119,6 @@
                     base::Millis Now);
   void forgetPeer(const std::string &Peer);
 
-  /// A rank group without all its ranks runs nothing; its servers are left
-  /// out while others serve the service.
-  void setUnusable(const std::string &Id, base::Millis Until);
-
   /// \returns this entry's own work in flight, for the other entries.
   [[nodiscard]] const ServerLoads &ownLoads() const { return m_Own; }
 
@@ -135,8 +131,6 @@
   [[nodiscard]] ServiceRoom room(std::string_view Service,
                                  base::Millis Now) const;
 
-  [[nodiscard]] std::vector<BackendServer> servers() const;
-
 private:
   struct Health {
     double m_FailureRate = 0;
--- a/Source/Fleet/FleetNode.cpp
+++ b/Source/Fleet/FleetNode.cpp
@@ -96,12 +96,6 @@
   return All;
 }
 
-std::string FleetNode::peerAddress(const std::string &Node) const {
-  const auto Found = m_Known.find(Node);
-  return Found == m_Known.end() ? std::string()
-                                : Found->second.m_News.peer_address();
-}
-
 void FleetNode::hearSelf() {
   if (m_Settings.m_CallerAddress.empty())
     return;
--- a/Source/Fleet/FleetNode.h
+++ b/Source/Fleet/FleetNode.h
@@ -74,8 +74,6 @@
   [[nodiscard]] std::vector<wire::NodeNews> liveEntries() const;
   /// \returns the known nodes that take no callers.
   [[nodiscard]] std::vector<wire::NodeNews> agents() const;
-  /// \returns the peer address of \p Node, empty if it is not known.
-  [[nodiscard]] std::string peerAddress(const std::string &Node) const;
 
 private:
   void tick();
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -94,7 +94,6 @@
   bool m_Stopping = false;
   base::Millis m_StopBegun{};
   std::function<void()> m_Stopped;
-  std::map<std::string, std::uint64_t> m_BadRecords;
 };
 
 } // namespace corneldeck::gateway
