RankGroup: follow a shift of popularity within half a second

Ruled out: single prompts that dominate a pass. Short windows differ by 0.03 to 0.12 without a shift and by 0.2 to 0.5 with one.

--- a/Source/RankAgent/RankAgentNode.cpp
+++ b/Source/RankAgent/RankAgentNode.cpp
@@ -121,11 +121,12 @@
     m_HasLists = false;
   if (!m_HasLists && !m_AskingLists)
     askLists();
+  giveOrder();
   if (m_Clock.now() - m_CountsAt >= m_Settings.m_CountsPeriod &&
-      !m_AskingCounts)
+      !m_AskingCounts && State->m_Step != m_Counts.m_Step)
     askCounts();
-  giveOrder();
-  report();
+  else
+    report({});
 }
 
 void RankAgentNode::askCounts() {
@@ -136,7 +137,7 @@
     if (!Counts)
       return;
     m_Counts = std::move(*Counts);
-    m_NewCounts = true;
+    report(m_Meter.take(m_Counts));
   });
 }
 
@@ -185,7 +186,7 @@
       });
 }
 
-void RankAgentNode::report() {
+void RankAgentNode::report(const std::vector<std::uint64_t> &Chosen) {
   wire::Datagram Message;
   wire::RankReport &Report = *Message.mutable_report();
   m_Driver.fill(Report);
@@ -202,10 +203,8 @@
       for (const std::uint32_t Each : Set)
         Report.add_held(Each);
     }
-  if (m_NewCounts)
-    for (const std::uint64_t Each : m_Counts.m_Counts)
-      Report.add_counts(Each);
-  m_NewCounts = false;
+  for (const std::uint64_t Each : Chosen)
+    Report.add_chosen(Each);
   if (m_Planner)
     takeReport(Report);
   else if (!m_Driver.planner().empty())
@@ -236,6 +235,15 @@
   if (!m_Planner || !Engine || Report.group() != Engine->m_Group)
     return;
   m_Planner->take(Report, m_Clock.now());
+  // Reports that are read together are answered together.
+  if (m_StepPosted)
+    return;
+  m_StepPosted = true;
+  boost::asio::post(m_Timer.get_executor(), [this] {
+    m_StepPosted = false;
+    if (m_Planner)
+      stepPlanner();
+  });
 }
 
 void RankAgentNode::wonLease(std::uint64_t Term) {
@@ -271,7 +279,6 @@
   m_Planner = std::make_unique<rankgroup::GroupPlanner>(
       Engine->m_Group, m_Settings.m_Fleet.m_PeerAddress, Term, Settings,
       m_Events);
-  m_LastCommands.clear();
   wire::RankCommand Follow;
   Follow.set_group(Engine->m_Group);
   Follow.set_planner(m_Settings.m_Fleet.m_PeerAddress);
@@ -281,7 +288,10 @@
 
 void RankAgentNode::stepPlanner() {
   const base::Millis Now = m_Clock.now();
-  const auto Commands = m_Planner->tick(Now);
+  const bool Repeat = Now - m_CommandsAt >= m_Settings.m_PlannerBeat;
+  if (Repeat)
+    m_CommandsAt = Now;
+  const auto Commands = m_Planner->tick(Now, Repeat);
   if (m_Planner->isSuperseded()) {
     m_Events.record(base::EventId::PlannerChanged,
                     {{"term", std::to_string(m_Planner->term())},
@@ -297,15 +307,9 @@
 
 void RankAgentNode::sendCommands(
     const std::vector<wire::RankCommand> &Commands) {
-  const base::Millis Now = m_Clock.now();
-  const bool Beat = Now - m_CommandsAt >= m_Settings.m_PlannerBeat;
-  if (Beat)
-    m_CommandsAt = Now;
   for (const wire::RankCommand &Command : Commands) {
-    std::uint64_t &Last = m_LastCommands[Command.rank()];
-    if (!Beat && Last == Command.command())
-      continue;
-    Last = Command.command();
+    if (!m_Planner)
+      return;
     const std::string Agent = m_Planner->agentOf(Command.rank());
     if (Agent == m_Settings.m_Fleet.m_PeerAddress) {
       takeCommand(Command);
--- a/Source/RankAgent/RankAgentNode.h
+++ b/Source/RankAgent/RankAgentNode.h
@@ -22,9 +22,9 @@
   std::string m_Service;
   LeaseTerms m_Lease;
   /// Between two looks at the engine, at rest and while a switch is open.
-  base::Millis m_RestPeriod = base::Millis(250);
-  base::Millis m_SwitchPeriod = base::Millis(60);
-  base::Millis m_CountsPeriod = base::Millis(400);
+  base::Millis m_RestPeriod = base::Millis(100);
+  base::Millis m_SwitchPeriod = base::Millis(30);
+  base::Millis m_CountsPeriod = base::Millis(100);
   /// Between two commands to an agent that say nothing new.
   base::Millis m_PlannerBeat = base::Millis(400);
 };
@@ -52,7 +52,7 @@
   void askCounts();
   void askLists();
   void giveOrder();
-  void report();
+  void report(const std::vector<std::uint64_t> &Chosen);
   void takeCommand(const wire::RankCommand &Command);
   void takeReport(const wire::RankReport &Report);
   void wonLease(std::uint64_t Term);
@@ -79,7 +79,8 @@
   rankgroup::RankLists m_Lists;
   bool m_HasLists = false;
   rankgroup::RankCounts m_Counts;
-  bool m_NewCounts = false;
+  rankgroup::ChoiceMeter m_Meter;
+  bool m_StepPosted = false;
   bool m_Looking = false;
   bool m_Ordering = false;
   bool m_AskingCounts = false;
@@ -90,7 +91,6 @@
   base::Millis m_CountsAt{};
   base::Millis m_CommandsAt{};
   base::Millis m_FoundAt{};
-  std::map<std::uint32_t, std::uint64_t> m_LastCommands;
 };
 
 } // namespace corneldeck::rankagent
--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -83,9 +83,9 @@
   Rank &Known = m_Ranks[Report.rank()];
   Known.m_Report = Report;
   Known.m_At = Now;
-  if (Report.counts_size() > 0)
+  if (Report.chosen_size() > 0)
     m_Window.take(Report.rank(),
-                  {Report.counts().begin(), Report.counts().end()});
+                  {Report.chosen().begin(), Report.chosen().end()});
 }
 
 std::string GroupPlanner::agentOf(std::uint32_t Rank) const {
@@ -129,7 +129,8 @@
   m_Wanted.clear();
 }
 
-std::vector<wire::RankCommand> GroupPlanner::tick(base::Millis Now) {
+std::vector<wire::RankCommand> GroupPlanner::tick(base::Millis Now,
+                                                  bool Repeat) {
   if (m_Superseded || m_Size == 0)
     return {};
   if (m_Phase == SwitchPhase::Gather) {
@@ -138,7 +139,7 @@
   } else {
     advance(Now);
   }
-  return commands();
+  return commands(Repeat);
 }
 
 void GroupPlanner::gather(base::Millis Now) {
@@ -265,18 +266,21 @@
   if (Now - m_TurnedAt < m_Settings.m_TurnPeriod)
     return;
   m_TurnedAt = Now;
-  m_Window.turn(m_Settings.m_Sets);
-  if (!m_Window.isSound() || m_Present.empty())
+  const bool Shifted = m_Window.turn(m_Settings.m_Sets);
+  // The turn in which popularity shifts holds choices of before and after.
+  if (Shifted || !m_Window.isSound() || m_Present.empty())
     return;
-  const LayerSamples Samples = m_Window.samples(m_Settings.m_Sets);
+  const LayerSamples Means = m_Window.means();
+  const bool Urgent = expectedSkew(m_Present, Means) >= m_Settings.m_UrgentSkew;
+  const LayerSamples Samples = Urgent ? Means : m_Window.samples();
+  PlacementLimits Limits = m_Settings.m_Placement;
+  if (Urgent)
+    Limits.m_NewPerRankInAll = m_Settings.m_NewPerRankIfUrgent;
   m_Skew = expectedSkew(m_Present, Samples);
-  LayerMaps Better;
+  LayerMaps Better = improveMaps(m_Present, Samples, Limits);
   std::size_t Copies = 0;
-  for (std::size_t Set = 0; Set < m_Present.size(); ++Set) {
-    Better.push_back(
-        improvePlacement(m_Present[Set], Samples[Set], m_Settings.m_Placement));
-    Copies += Better.back().copiesFrom(m_Present[Set]);
-  }
+  for (std::size_t Set = 0; Set < m_Present.size(); ++Set)
+    Copies += Better[Set].copiesFrom(m_Present[Set]);
   const double After = expectedSkew(Better, Samples);
   const double Gain = m_Skew - After;
   const bool Pays =
@@ -289,6 +293,7 @@
   m_Events.record(base::EventId::RebalancePlanned,
                   {{"group", m_Group},
                    {"version", number(m_Version)},
+                   {"urgent", Urgent ? "true" : "false"},
                    {"skew", fraction(m_Skew)},
                    {"skew_after", fraction(After)},
                    {"copies", number(Copies)},
@@ -415,18 +420,23 @@
   enter(SwitchPhase::Gather, Now);
 }
 
-std::vector<wire::RankCommand> GroupPlanner::commands() {
+std::vector<wire::RankCommand> GroupPlanner::commands(bool Repeat) {
   std::vector<wire::RankCommand> All;
-  for (const auto &[Index, Each] : m_Ranks) {
-    wire::RankCommand Command;
-    if (const auto Found = m_Wanted.find(Index); Found != m_Wanted.end())
+  for (auto &[Index, Each] : m_Ranks) {
+    const auto Found = m_Wanted.find(Index);
+    const std::uint64_t Number =
+        Found == m_Wanted.end() ? 0 : Found->second.command();
+    if (!Repeat && Number == Each.m_Told)
+      continue;
+    Each.m_Told = Number;
+    wire::RankCommand &Command = All.emplace_back();
+    if (Found != m_Wanted.end())
       Command = Found->second;
     Command.set_group(m_Group);
     Command.set_epoch(m_Epoch);
     Command.set_rank(Index);
     Command.set_planner_term(m_Term);
     Command.set_planner(m_Self);
-    All.push_back(std::move(Command));
   }
   return All;
 }
--- a/Source/RankGroup/GroupPlanner.h
+++ b/Source/RankGroup/GroupPlanner.h
@@ -23,10 +23,15 @@
   /// A report that is older says nothing of its rank.
   base::Millis m_FreshFor = base::Millis(1000);
   /// Between two turns of the popularity window.
-  base::Millis m_TurnPeriod = base::Millis(500);
+  base::Millis m_TurnPeriod = base::Millis(100);
   /// Passes between the newest one known and the one on which ranks switch, so
   /// that orders arrive before it and no pass waits.
-  std::uint64_t m_StepsAhead = 6;
+  std::uint64_t m_StepsAhead = 3;
+  /// From this skew of the mean choices on, the next map is one that is copied
+  /// quickly.
+  double m_UrgentSkew = 1.5;
+  /// Experts that one rank copies for such a map.
+  std::size_t m_NewPerRankIfUrgent = 2;
   /// A new map must lower the mean skew by this share, and by this for each
   /// copy.
   double m_LeastGain = 0.05;
@@ -72,8 +77,9 @@
   void take(const wire::RankReport &Report, base::Millis Now);
 
   /// Moves on.
+  /// \param Repeat whether agents are told again what they were told before.
   /// \returns the commands to send now, each to the agent of its rank.
-  std::vector<wire::RankCommand> tick(base::Millis Now);
+  std::vector<wire::RankCommand> tick(base::Millis Now, bool Repeat);
 
   /// \returns whether a report showed a later planner.
   [[nodiscard]] bool isSuperseded() const { return m_Superseded; }
@@ -88,6 +94,8 @@
   struct Rank {
     wire::RankReport m_Report;
     base::Millis m_At{};
+    /// The command that the agent was told last.
+    std::uint64_t m_Told = 0;
   };
 
   [[nodiscard]] bool allFresh(base::Millis Now) const;
@@ -106,7 +114,7 @@
   void checkHeld(base::Millis Now);
   void checkArmed(base::Millis Now);
   void checkSettled(base::Millis Now);
-  std::vector<wire::RankCommand> commands();
+  std::vector<wire::RankCommand> commands(bool Repeat);
 
   const std::string m_Group;
   const std::string m_Self;
--- a/Source/RankGroup/LayerMaps.cpp
+++ b/Source/RankGroup/LayerMaps.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <optional>
 
 namespace corneldeck::rankgroup {
 
@@ -75,11 +76,12 @@
 /// Searches the steps of one layer set.
 class Placement {
 public:
+  /// \param NewInAll counts the experts new to each rank over all layer sets.
   Placement(const ExpertMap &Present, const ChoiceSamples &Samples,
-            const PlacementLimits &Limits)
+            const PlacementLimits &Limits, std::vector<std::size_t> &NewInAll)
       : m_Start(Present), m_Map(Present), m_Samples(Samples), m_Limits(Limits),
-        m_Loads(Present, Samples), m_Held(Present.ranks()),
-        m_New(Present.ranks(), 0),
+        m_NewInAll(NewInAll), m_Loads(Present, Samples),
+        m_Held(Present.ranks()), m_New(Present.ranks(), 0),
         m_Choices(Present.experts() * Samples.size()) {
     for (std::size_t Index = 0; Index < Samples.size(); ++Index)
       for (Expert Which = 0; Which < Present.experts(); ++Which)
@@ -97,19 +99,25 @@
     }
   }
 
-  /// Takes steps while they pay.
-  ExpertMap run() {
-    const std::size_t MostSteps = m_New.size() * m_Limits.m_Slots;
-    for (std::size_t Count = 0; Count < MostSteps; ++Count) {
-      const Step Best = best();
-      if (Best.m_Gain <=
-          m_Limits.m_GainPerCopy * m_Ideal * static_cast<double>(Best.m_Copies))
-        break;
-      apply(Best);
-    }
-    return m_Map;
+  /// Finds the step that gains most for each copy, unless the one found before
+  /// still stands.
+  /// \returns its gain as a share of the load, 0 if no step pays.
+  double look() {
+    if (!m_Best || !fits(*m_Best))
+      m_Best = best();
+    const double Gain =
+        m_Best->m_Gain / (m_Ideal * static_cast<double>(m_Best->m_Copies));
+    return Gain > m_Limits.m_GainPerCopy ? Gain : 0;
+  }
+
+  /// Takes the step that look() found.
+  void step() {
+    apply(*m_Best);
+    m_Best.reset();
   }
 
+  [[nodiscard]] const ExpertMap &map() const { return m_Map; }
+
 private:
   /// An expert and the part of its choices that a rank gets or loses.
   struct Part {
@@ -219,7 +227,7 @@
     New += isNew(Wanted.m_To, Wanted.m_Expert) ? 1 : 0;
     if (Wanted.m_Evicts && isNew(Wanted.m_To, Wanted.m_Evicted))
       --New;
-    if (New > m_Limits.m_NewPerRank)
+    if (!fits(Wanted.m_To, New))
       return false;
     if (!Wanted.m_Swaps)
       return true;
@@ -227,7 +235,13 @@
     NewBack += isNew(Wanted.m_From, Wanted.m_Evicted) ? 1 : 0;
     if (isNew(Wanted.m_From, Wanted.m_Expert))
       --NewBack;
-    return NewBack <= m_Limits.m_NewPerRank;
+    return fits(Wanted.m_From, NewBack);
+  }
+
+  /// \returns whether \p Where may have \p New new experts of this layer set.
+  [[nodiscard]] bool fits(Rank Where, std::size_t New) const {
+    return New <= m_Limits.m_NewPerRank &&
+           m_NewInAll[Where] - m_New[Where] + New <= m_Limits.m_NewPerRankInAll;
   }
 
   /// \returns by how much the weighted sum of squared loads falls.
@@ -293,12 +307,14 @@
     m_Map.add(Which, Where);
     m_Held[Where].push_back(Which);
     m_New[Where] += isNew(Where, Which) ? 1 : 0;
+    m_NewInAll[Where] += isNew(Where, Which) ? 1 : 0;
   }
 
   void take(Expert Which, Rank Where) {
     m_Map.remove(Which, Where);
     std::erase(m_Held[Where], Which);
     m_New[Where] -= isNew(Where, Which) ? 1 : 0;
+    m_NewInAll[Where] -= isNew(Where, Which) ? 1 : 0;
   }
 
   void apply(const Step &Chosen) {
@@ -317,6 +333,7 @@
   ExpertMap m_Map;
   const ChoiceSamples &m_Samples;
   const PlacementLimits &m_Limits;
+  std::vector<std::size_t> &m_NewInAll;
   SampleLoads m_Loads;
   std::vector<std::vector<Expert>> m_Held;
   std::vector<std::size_t> m_New;
@@ -324,6 +341,7 @@
   std::vector<float> m_Choices;
   /// The weighted sum of squares if all ranks had the same load.
   double m_Ideal = 0;
+  std::optional<Step> m_Best;
 };
 
 } // namespace
@@ -390,10 +408,32 @@
   return Sum / static_cast<double>(Maps.size());
 }
 
-ExpertMap improvePlacement(const ExpertMap &Present,
-                           const ChoiceSamples &Samples,
-                           const PlacementLimits &Limits) {
-  return Placement(Present, Samples, Limits).run();
+LayerMaps improveMaps(const LayerMaps &Present, const LayerSamples &Samples,
+                      const PlacementLimits &Limits) {
+  const std::size_t Ranks = Present.empty() ? 0 : Present.front().ranks();
+  std::vector<std::size_t> NewInAll(Ranks, 0);
+  std::vector<Placement> Sets;
+  Sets.reserve(Present.size());
+  for (std::size_t Set = 0; Set < Present.size(); ++Set)
+    Sets.emplace_back(Present[Set], Samples[Set], Limits, NewInAll);
+  // The layer sets take turns, so that none uses up what the ranks may copy.
+  const std::size_t MostSteps = Present.size() * Ranks * Limits.m_Slots;
+  for (std::size_t Count = 0; Count < MostSteps; ++Count) {
+    Placement *Best = nullptr;
+    double Gain = 0;
+    for (Placement &Each : Sets)
+      if (const double Found = Each.look(); Found > Gain) {
+        Gain = Found;
+        Best = &Each;
+      }
+    if (!Best)
+      break;
+    Best->step();
+  }
+  LayerMaps Better;
+  for (const Placement &Each : Sets)
+    Better.push_back(Each.map());
+  return Better;
 }
 
 } // namespace corneldeck::rankgroup
--- a/Source/RankGroup/LayerMaps.h
+++ b/Source/RankGroup/LayerMaps.h
@@ -4,6 +4,7 @@
 #include "RankGroup/ExpertMap.h"
 
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 namespace corneldeck::rankgroup {
@@ -48,6 +49,9 @@
   std::size_t m_Slots = 0;
   /// Experts of a layer set that are new to one rank.
   std::size_t m_NewPerRank = 0;
+  /// Experts of all layer sets together that are new to one rank; it copies
+  /// them one after the other.
+  std::size_t m_NewPerRankInAll = std::numeric_limits<std::size_t>::max();
   /// A change must lower the mean square of the ranks' loads, as a share of the
   /// square of the mean load, by this for each copy.
   double m_GainPerCopy = 0.004;
@@ -55,16 +59,15 @@
   std::size_t m_Receivers = 12;
 };
 
-/// Moves and copies a few experts of one layer set so that its fullest ranks
-/// have less to do.
+/// Moves and copies a few experts so that the fullest ranks have less to do.
 ///
 /// Answers a shift of popularity, and prompts of which each wants other
 /// experts: hot experts get copies, and experts that are wanted at the same
 /// time go to different ranks, as long as each copy pays.
-/// \returns the new map; \p Present if nothing pays.
-ExpertMap improvePlacement(const ExpertMap &Present,
-                           const ChoiceSamples &Samples,
-                           const PlacementLimits &Limits);
+/// \param Samples for each layer set of \p Present.
+/// \returns the new maps; \p Present if nothing pays.
+LayerMaps improveMaps(const LayerMaps &Present, const LayerSamples &Samples,
+                      const PlacementLimits &Limits);
 
 } // namespace corneldeck::rankgroup
 
--- a/Source/RankGroup/PopularityWindow.cpp
+++ b/Source/RankGroup/PopularityWindow.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <numeric>
 
 namespace corneldeck::rankgroup {
@@ -20,13 +21,6 @@
   return std::accumulate(Of.begin(), Of.end(), 0.0);
 }
 
-Choices sum(const std::vector<Choices> &Parts) {
-  Choices Sum;
-  for (const Choices &Each : Parts)
-    add(Sum, Each);
-  return Sum;
-}
-
 /// \returns half the sum of the differences of two distributions, 0 to 1.
 double distance(const Choices &A, const Choices &B) {
   const double TotalA = total(A);
@@ -41,72 +35,99 @@
 
 } // namespace
 
+std::vector<std::uint64_t> ChoiceMeter::take(const RankCounts &Counts) {
+  std::vector<std::uint64_t> Since;
+  const auto &Last = m_Last.m_Counts;
+  const auto &Now = Counts.m_Counts;
+  const bool Comparable =
+      Last.size() == Now.size() &&
+      std::equal(Now.begin(), Now.end(), Last.begin(), std::greater_equal<>());
+  if (Comparable) {
+    Since.resize(Now.size());
+    std::transform(Now.begin(), Now.end(), Last.begin(), Since.begin(),
+                   std::minus<>());
+  }
+  m_Last = Counts;
+  return Since;
+}
+
 PopularityWindow::PopularityWindow(WindowSettings Settings)
     : m_Settings(Settings) {}
 
 void PopularityWindow::take(std::uint32_t Rank,
-                            const std::vector<std::uint64_t> &Counts) {
-  std::vector<std::uint64_t> &Last = m_Last[Rank];
-  const bool Comparable = Last.size() == Counts.size();
-  Choices Since(Counts.size(), 0.0F);
-  for (std::size_t Index = 0; Comparable && Index < Counts.size(); ++Index)
-    if (Counts[Index] >= Last[Index])
-      Since[Index] = static_cast<float>(Counts[Index] - Last[Index]);
-  Last = Counts;
-  add(m_Newest[Rank], Since);
+                            const std::vector<std::uint64_t> &Chosen) {
+  add(m_Newest[Rank], {Chosen.begin(), Chosen.end()});
 }
 
 bool PopularityWindow::turn(std::size_t Sets) {
-  Turn Ended;
+  Choices Sum;
   for (const auto &[Rank, Each] : m_Newest)
-    if (total(Each) > 0)
-      Ended.push_back(Each);
-  const Choices Sum = sum(Ended);
+    add(Sum, Each);
   // Too few choices wait for the next turn.
   if (Sets == 0 || Sum.size() % Sets != 0 ||
       total(Sum) < m_Settings.m_LeastChoices * static_cast<double>(Sets))
     return false;
+  m_Sets.resize(Sets);
+  const auto Experts = static_cast<std::ptrdiff_t>(Sum.size() / Sets);
+  bool Shifted = false;
+  for (std::size_t Set = 0; Set < Sets; ++Set) {
+    const auto Part = [&](const Choices &Of) {
+      const auto From = Of.begin() + static_cast<std::ptrdiff_t>(Set) * Experts;
+      return Choices(From, From + Experts);
+    };
+    SetWindow &Window = m_Sets[Set];
+    const Choices SetSum = Part(Sum);
+    if (distance(Window.m_Sum, SetSum) > m_Settings.m_ShiftDistance) {
+      Shifted = true;
+      Window = {};
+    }
+    std::vector<Choices> Ended;
+    for (const auto &[Rank, Each] : m_Newest)
+      if (Each.size() == Sum.size() && total(Part(Each)) > 0)
+        Ended.push_back(Part(Each));
+    addTurn(Window, std::move(Ended), SetSum);
+  }
   m_Newest.clear();
-  Choices Before;
-  for (const Turn &Each : m_Kept)
-    add(Before, sum(Each));
-  const bool Shifted =
-      m_Kept.empty() || distance(Before, Sum) > m_Settings.m_ShiftDistance;
-  if (Shifted)
-    m_Kept.clear();
-  m_Kept.push_back(std::move(Ended));
-  while (m_Kept.size() > m_Settings.m_Turns)
-    m_Kept.pop_front();
   return Shifted;
 }
 
-LayerSamples PopularityWindow::samples(std::size_t Sets) const {
-  LayerSamples Samples(Sets);
-  Choices All;
-  std::size_t Count = 0;
-  for (const Turn &Each : m_Kept) {
-    add(All, sum(Each));
-    Count += Each.size();
+void PopularityWindow::addTurn(SetWindow &To, std::vector<Choices> Ended,
+                               const Choices &Sum) {
+  add(To.m_Sum, Sum);
+  To.m_Count += Ended.size();
+  To.m_Turns.push_back(std::move(Ended));
+  while (To.m_Turns.size() > m_Settings.m_Turns)
+    To.m_Turns.pop_front();
+}
+
+LayerSamples PopularityWindow::means() const {
+  LayerSamples Means;
+  for (const SetWindow &Each : m_Sets) {
+    ChoiceSample Mean;
+    for (const float Chosen : Each.m_Sum)
+      Mean.m_Choices.push_back(Chosen / static_cast<float>(Each.m_Count));
+    Means.push_back({std::move(Mean)});
   }
-  const std::size_t Experts = All.size() / Sets;
-  const auto AddSample = [&](const Choices &From, double Scale, double Weight) {
-    for (std::size_t Set = 0; Set < Sets; ++Set) {
-      ChoiceSample &Added = Samples[Set].emplace_back();
-      Added.m_Weight = static_cast<float>(Weight);
-      Added.m_Choices.reserve(Experts);
-      for (std::size_t Which = 0; Which < Experts; ++Which)
-        Added.m_Choices.push_back(
-            static_cast<float>(From[Set * Experts + Which] * Scale));
-    }
-  };
+  return Means;
+}
+
+LayerSamples PopularityWindow::samples() const {
   // A pass holds a few samples: the expected square of a sum of N independent
   // ones is N (N - 1) times the mean's square and N times the mean square.
   const double PerPass = m_Settings.m_SamplesPerPass;
-  const auto Number = static_cast<double>(Count);
-  AddSample(All, 1 / Number, PerPass * (PerPass - 1));
-  for (const Turn &Each : m_Kept)
-    for (const Choices &Sample : Each)
-      AddSample(Sample, 1, PerPass / Number);
+  LayerSamples Samples = means();
+  for (std::size_t Set = 0; Set < m_Sets.size(); ++Set) {
+    ChoiceSamples &To = Samples[Set];
+    To.front().m_Weight = static_cast<float>(PerPass * (PerPass - 1));
+    std::size_t Count = 0;
+    for (const std::vector<Choices> &Turn : m_Sets[Set].m_Turns)
+      Count += Turn.size();
+    const auto Weight =
+        static_cast<float>(PerPass / static_cast<double>(Count));
+    for (const std::vector<Choices> &Turn : m_Sets[Set].m_Turns)
+      for (const Choices &Each : Turn)
+        To.push_back({Each, Weight});
+  }
   return Samples;
 }
 
--- a/Source/RankGroup/PopularityWindow.h
+++ b/Source/RankGroup/PopularityWindow.h
@@ -1,7 +1,7 @@
 #ifndef CORNELDECK_RANKGROUP_POPULARITYWINDOW_H
 #define CORNELDECK_RANKGROUP_POPULARITYWINDOW_H
 
-#include "RankGroup/LayerMaps.h"
+#include "RankGroup/EnginePort.h"
 
 #include <cstdint>
 #include <deque>
@@ -10,52 +10,79 @@
 
 namespace corneldeck::rankgroup {
 
+/// Turns an engine's running counts into what was chosen since the last time.
+class ChoiceMeter {
+public:
+  /// \returns the choices of each expert since the counts before, layer set by
+  /// layer set; empty if there are none to compare with, as after a restart of
+  /// the rank.
+  std::vector<std::uint64_t> take(const RankCounts &Counts);
+
+private:
+  RankCounts m_Last;
+};
+
 /// Settings of PopularityWindow.
 struct WindowSettings {
-  /// Turns that are kept.
+  /// Turns whose samples of single ranks are kept; older turns only add to the
+  /// sum.
   std::size_t m_Turns = 8;
-  /// A turn differs from the average by more than this share only after a
-  /// shift of popularity.
-  double m_ShiftDistance = 0.35;
+  /// A turn that differs from those before by more than this share follows a
+  /// shift of popularity; 100 ms of unchanged traffic differ by 0.03 to 0.12.
+  double m_ShiftDistance = 0.18;
   /// Choices of one layer set below which a turn is too noisy to judge.
-  double m_LeastChoices = 2000;
+  double m_LeastChoices = 10000;
   /// Samples of single ranks that fall together into one pass: every pass reads
   /// only a few prompts.
   double m_SamplesPerPass = 3;
 };
 
-/// What is popular now, from the running counts of all ranks.
+/// What is popular now, from what the requests of all ranks chose.
 ///
-/// Answers a shift of popularity: as soon as one turn's counts differ from the
-/// average by more than noise does, the window starts anew from them. Each
-/// rank's counts of one turn are a sample of what its few requests want at the
-/// same time.
+/// Answers a shift of popularity: as soon as one turn's choices in a layer set
+/// differ from those before by more than noise does, the set's window starts
+/// anew from them. Each rank's choices of one turn are a sample of what its few
+/// requests want at the same time.
 class PopularityWindow {
 public:
   explicit PopularityWindow(WindowSettings Settings = {});
 
-  /// Takes a rank's running counts; ones that fell mean a restarted rank.
-  void take(std::uint32_t Rank, const std::vector<std::uint64_t> &Counts);
+  /// Takes what a rank's requests chose since its last report, layer set by
+  /// layer set. A lost report only makes the sample smaller.
+  void take(std::uint32_t Rank, const std::vector<std::uint64_t> &Chosen);
 
   /// Ends a turn.
-  /// \param Sets layer sets, in which the counts are grouped.
-  /// \returns whether a shift was seen.
+  /// \param Sets layer sets, in which the choices are grouped.
+  /// \returns whether a shift was seen in some set.
   bool turn(std::size_t Sets);
 
   /// \returns whether enough was counted to plan by.
-  [[nodiscard]] bool isSound() const { return !m_Kept.empty(); }
+  [[nodiscard]] bool isSound() const { return !m_Sets.empty(); }
+
+  /// \returns for each layer set the mean choices of a rank's turn.
+  [[nodiscard]] LayerSamples means() const;
 
-  /// \returns samples of the kept turns, and their sum as one more sample.
-  [[nodiscard]] LayerSamples samples(std::size_t Sets) const;
+  /// \returns for each layer set the mean choices and the samples of single
+  /// ranks.
+  [[nodiscard]] LayerSamples samples() const;
 
 private:
   using Choices = std::vector<float>;
-  using Turn = std::vector<Choices>;
+
+  /// What is known of one layer set since its last shift.
+  struct SetWindow {
+    /// All choices, and of how many ranks and turns.
+    Choices m_Sum;
+    std::size_t m_Count = 0;
+    /// Samples of the latest turns.
+    std::deque<std::vector<Choices>> m_Turns;
+  };
+
+  void addTurn(SetWindow &To, std::vector<Choices> Ended, const Choices &Sum);
 
   const WindowSettings m_Settings;
-  std::map<std::uint32_t, std::vector<std::uint64_t>> m_Last;
   std::map<std::uint32_t, Choices> m_Newest;
-  std::deque<Turn> m_Kept;
+  std::vector<SetWindow> m_Sets;
 };
 
 } // namespace corneldeck::rankgroup
--- a/Tests/RankGroup/LayerMapsTest.cpp
+++ b/Tests/RankGroup/LayerMapsTest.cpp
@@ -1,4 +1,5 @@
 #include "RankGroup/LayerMaps.h"
+#include "Base/Random.h"
 #include "RankGroup/PopularityWindow.h"
 
 #include <gtest/gtest.h>
@@ -52,7 +53,7 @@
 TEST(LayerMaps, AHotExpertGetsCopies) {
   const ChoiceSamples Samples = {sample({{0, 300.0F}})};
   const LayerMaps Before = startMaps(1, Ranks, Experts);
-  const LayerMaps After = {improvePlacement(Before[0], Samples, limits())};
+  const LayerMaps After = improveMaps(Before, {Samples}, limits());
   EXPECT_GT(After[0].replicas(0).size(), 1U);
   EXPECT_LT(expectedSkew(After, {Samples}),
             0.7 * expectedSkew(Before, {Samples}));
@@ -65,7 +66,7 @@
       sample({{0, 90.0F}, {4, 90.0F}}), sample({{1, 90.0F}, {5, 90.0F}}),
       sample({{2, 90.0F}, {6, 90.0F}}), sample({{3, 90.0F}, {7, 90.0F}})};
   const LayerMaps Before = startMaps(1, Ranks, Experts);
-  const LayerMaps After = {improvePlacement(Before[0], Samples, limits())};
+  const LayerMaps After = improveMaps(Before, {Samples}, limits());
   EXPECT_LT(expectedSkew(After, {Samples}),
             0.8 * expectedSkew(Before, {Samples}));
 }
@@ -75,7 +76,7 @@
     const ChoiceSamples Samples = {
         sample({{Hot, 500.0F}, {(Hot + 5) % Experts, 200.0F}})};
     const ExpertMap Before = startMaps(1, Ranks, Experts)[0];
-    const ExpertMap After = improvePlacement(Before, Samples, limits());
+    const ExpertMap After = improveMaps({Before}, {Samples}, limits())[0];
     EXPECT_TRUE(After.check(limits().m_Slots).has_value());
     for (ExpertMap::Rank Where = 0; Where < Ranks; ++Where)
       EXPECT_LE(After.missing(Before, Where).size(), limits().m_NewPerRank);
@@ -84,33 +85,103 @@
 
 TEST(LayerMaps, EvenLoadMovesNothing) {
   const ChoiceSamples Samples = {sample({})};
-  const ExpertMap Before = startMaps(1, Ranks, Experts)[0];
-  EXPECT_EQ(improvePlacement(Before, Samples, limits()), Before);
+  const LayerMaps Before = startMaps(1, Ranks, Experts);
+  EXPECT_EQ(improveMaps(Before, {Samples}, limits()), Before);
+}
+
+TEST(LayerMaps, AQuickMapSharesWhatARankCopiesAmongTheSets) {
+  // A shift in all layer sets at once, and time for one copy a rank.
+  LayerSamples Samples;
+  for (std::size_t Set = 0; Set < 4; ++Set)
+    Samples.push_back({sample({{Set, 300.0F}})});
+  PlacementLimits Quick = limits();
+  Quick.m_NewPerRankInAll = 1;
+  const LayerMaps Before = startMaps(4, Ranks, Experts);
+  const LayerMaps After = improveMaps(Before, Samples, Quick);
+  for (ExpertMap::Rank Where = 0; Where < Ranks; ++Where) {
+    std::size_t New = 0;
+    for (std::size_t Set = 0; Set < Before.size(); ++Set)
+      New += After[Set].missing(Before[Set], Where).size();
+    EXPECT_LE(New, 1U) << Where;
+  }
+  for (std::size_t Set = 0; Set < Before.size(); ++Set)
+    EXPECT_EQ(After[Set].replicas(Set).size(), 2U) << Set;
 }
 
 TEST(PopularityWindow, AShiftStartsTheWindowAnew) {
+  constexpr int Turns = 4;
   PopularityWindow Window;
-  std::vector<std::uint64_t> Counts(Experts, 0);
-  Window.take(0, Counts);
-  for (int Turn = 0; Turn < 4; ++Turn) {
-    Counts[0] += 5000;
-    Window.take(0, Counts);
+  std::vector<std::uint64_t> Chosen(Experts, 0);
+  Chosen[0] = 20000;
+  for (int Turn = 0; Turn < Turns; ++Turn) {
+    Window.take(0, Chosen);
     EXPECT_EQ(Window.turn(1), Turn == 0);
   }
-  Counts[7] += 5000;
-  Window.take(0, Counts);
+  Chosen[0] = 0;
+  Chosen[7] = 20000;
+  Window.take(0, Chosen);
   EXPECT_TRUE(Window.turn(1));
-  const LayerSamples Samples = Window.samples(1);
+  const LayerSamples Samples = Window.samples();
   EXPECT_EQ(Samples[0].front().m_Choices[0], 0.0F);
   EXPECT_GT(Samples[0].front().m_Choices[7], 0.0F);
 }
 
-TEST(PopularityWindow, ARestartedRankAddsNothingTwice) {
+TEST(PopularityWindow, AShiftInOneSetLeavesTheOthers) {
+  PopularityWindow Window;
+  std::vector<std::uint64_t> Chosen(2 * Experts, 2000);
+  Window.take(0, Chosen);
+  EXPECT_TRUE(Window.turn(2));
+  Window.take(0, Chosen);
+  EXPECT_FALSE(Window.turn(2));
+  Chosen[Experts] = 40000;
+  Window.take(0, Chosen);
+  EXPECT_TRUE(Window.turn(2));
+  const LayerSamples Samples = Window.samples();
+  // The mean and the samples of three turns; the mean and one.
+  EXPECT_EQ(Samples[0].size(), 4U);
+  EXPECT_EQ(Samples[1].size(), 2U);
+}
+
+TEST(PopularityWindow, NoiseOfShortTurnsIsNoShift) {
+  // Twelve ranks, of which each reads a few prompts of nine topics a turn: the
+  // choices of 100 ms.
+  constexpr std::uint32_t ManyRanks = 12;
+  constexpr std::size_t Topics = 9;
+  constexpr int Turns = 200;
+  base::Random Draw(7);
+  PopularityWindow Window;
+  int Shifts = 0;
+  for (int Turn = 0; Turn < Turns; ++Turn) {
+    for (std::uint32_t Rank = 0; Rank < ManyRanks; ++Rank) {
+      std::vector<std::uint64_t> Chosen(Experts, 700);
+      for (int Prompt = 0; Prompt < 4; ++Prompt)
+        Chosen[Draw.below(Topics)] += 600;
+      Window.take(Rank, Chosen);
+    }
+    Shifts += Window.turn(1) ? 1 : 0;
+  }
+  EXPECT_EQ(Shifts, 1) << "the first turn begins a window";
+}
+
+TEST(PopularityWindow, TooFewChoicesWaitForTheNextTurn) {
   PopularityWindow Window;
-  Window.take(0, std::vector<std::uint64_t>(Experts, 1000));
   Window.take(0, std::vector<std::uint64_t>(Experts, 10));
   EXPECT_FALSE(Window.turn(1));
   EXPECT_FALSE(Window.isSound());
 }
 
+TEST(ChoiceMeter, ARestartedRankAddsNothingTwice) {
+  ChoiceMeter Meter;
+  RankCounts Counts;
+  Counts.m_Counts.assign(Experts, 1000);
+  EXPECT_TRUE(Meter.take(Counts).empty());
+  Counts.m_Counts[3] += 5;
+  const std::vector<std::uint64_t> Chosen = Meter.take(Counts);
+  ASSERT_EQ(Chosen.size(), Experts);
+  EXPECT_EQ(Chosen[3], 5U);
+  EXPECT_EQ(Chosen[0], 0U);
+  Counts.m_Counts.assign(Experts, 10);
+  EXPECT_TRUE(Meter.take(Counts).empty());
+}
+
 } // namespace corneldeck::rankgroup
--- a/Tests/RankGroup/LiveGroup.cpp
+++ b/Tests/RankGroup/LiveGroup.cpp
@@ -143,7 +143,7 @@
     // Popularity moves on every few hundred passes.
     const std::uint64_t Hot = m_Step / 90 + Rank / 2;
     for (std::size_t Which = 0; Which < Experts; ++Which)
-      Of.m_Counts[Which] += Which == Hot % Experts ? 900 : 40;
+      Of.m_Counts[Which] += Which == Hot % Experts ? 9000 : 400;
   }
   for (const Engine &Each : m_Engines)
     m_Mixed = m_Mixed || Each.m_Map != m_Engines[0].m_Map ||
@@ -169,7 +169,7 @@
 
 void LiveGroup::agentTurn(std::uint32_t Rank) {
   if (m_Draw.chance(m_Faults.m_AgentRestarted))
-    m_Agents[Rank].m_Driver = std::make_unique<RankDriver>();
+    m_Agents[Rank] = {std::make_unique<RankDriver>(), {}};
   RankDriver &Driver = *m_Agents[Rank].m_Driver;
   Driver.state(stateOf(Rank));
   if (const auto Order = Driver.nextOrder(now(), Experts)) {
@@ -193,8 +193,9 @@
   Report.set_agent("agent-" + std::to_string(Rank));
   for (const std::uint32_t Each : m_Engines[Rank].m_Lists)
     Report.add_held(Each);
-  for (const std::uint64_t Each : m_Engines[Rank].m_Counts)
-    Report.add_counts(Each);
+  for (const std::uint64_t Each :
+       m_Agents[Rank].m_Meter.take({m_Epoch, m_Step, m_Engines[Rank].m_Counts}))
+    Report.add_chosen(Each);
   if (m_Mistake == Mistake::ForgetHold)
     Report.set_held_step(
         Report.held_step() > Report.step() + 4 ? Report.held_step() : 0);
@@ -220,7 +221,7 @@
 void LiveGroup::plannerTurn(Planner &Of) {
   if (m_Turn < Of.m_PausedUntil)
     return;
-  auto Commands = Of.m_Planner->tick(now());
+  auto Commands = Of.m_Planner->tick(now(), true);
   if (Of.m_Planner->phase() == SwitchPhase::Gather) {
     wire::RankCommand Follow;
     Follow.set_planner_term(Of.m_Planner->term());
--- a/Tests/RankGroup/LiveGroup.h
+++ b/Tests/RankGroup/LiveGroup.h
@@ -76,6 +76,7 @@
   };
   struct Agent {
     std::unique_ptr<rankgroup::RankDriver> m_Driver;
+    rankgroup::ChoiceMeter m_Meter;
   };
   struct Planner {
     std::unique_ptr<rankgroup::GroupPlanner> m_Planner;
