Direct, RankAgent: tell callers when a closed rank group is expected back

Entries tried one rank after the other, then named 0.8 s to come back; callers came back to the closed group and were lost. Agents found the entries only after a second, since lonely nodes beat at their usual period and the seeds started last; the planner's successor waited 2.4 s: 1.2 s of silence, then 1.2 s for the claim of the process that had just died.

Change: agents say in their beats whether their group is open; entries refuse at once while it is closed, with the time that the group is expected to need; lonely nodes beat each 100 ms and greet entries they learn of; an agent that finds its own claim as the latest, or none, claims at once. An order without an answer is repeated after 40 ms, not 100.

--- a/Source/Direct/AdmissionGate.cpp
+++ b/Source/Direct/AdmissionGate.cpp
@@ -78,6 +78,14 @@
   return Result;
 }
 
+std::vector<std::uint64_t> AdmissionGate::clear(const std::string &Service) {
+  std::vector<std::uint64_t> All;
+  for (const Waiting &Each : m_Lines[Service].m_Waiting)
+    All.push_back(Each.m_Token);
+  m_Lines[Service].m_Waiting.clear();
+  return All;
+}
+
 base::Millis AdmissionGate::retryAfter(const std::string &Service,
                                        base::Random &Draw) const {
   double Wait = static_cast<double>(m_Settings.m_LeastRetryAfter.count());
--- a/Source/Direct/AdmissionGate.h
+++ b/Source/Direct/AdmissionGate.h
@@ -72,6 +72,9 @@
   Moves advance(const std::string &Service, ServerPool::ServiceRoom Room,
                 base::Millis Now);
 
+  /// Takes all out of the line, as the service can't serve them.
+  std::vector<std::uint64_t> clear(const std::string &Service);
+
   /// \returns when a refused request should come back.
   base::Millis retryAfter(const std::string &Service, base::Random &Draw) const;
 
--- a/Source/Direct/Configuration.h
+++ b/Source/Direct/Configuration.h
@@ -69,6 +69,8 @@
   unsigned m_NewPerOrder = 0;
   double m_ExpertMegabytes = 0;
   double m_CopyMegabitsPerSecond = 0;
+  /// How long a rank group takes to form once all ranks are there.
+  base::Millis m_FormTime{};
 };
 
 /// A service and what its backend servers have in common.
--- a/Source/Direct/ForwardCall.cpp
+++ b/Source/Direct/ForwardCall.cpp
@@ -59,8 +59,15 @@
 void ForwardCall::refuseFull() {
   m_Waiting = false;
   answerError(base::ResultCode::Overloaded, "all backend servers are full",
-              m_Front.m_Parts.m_Gate.retryAfter(m_Facts.m_Service,
-                                                m_Front.m_Parts.m_Draw));
+              m_Front.retryAfter(m_Facts.m_Service));
+}
+
+void ForwardCall::refuseClosed() {
+  m_Waiting = false;
+  m_LastEnd = "the rank group is closed";
+  answerError(base::ResultCode::NoReplica,
+              "the rank group of the service has lost a rank",
+              m_Front.retryAfter(m_Facts.m_Service));
 }
 
 void ForwardCall::startAttempt() {
@@ -246,12 +253,11 @@
     startAttempt();
     return;
   case NextStep::Refuse:
-    answerError(End == AttemptEnd::NotRun ? base::ResultCode::Overloaded
-                                          : base::ResultCode::NoReplica,
-                "no backend server took the request",
-                std::max(RetryWithoutServer,
-                         m_Front.m_Parts.m_Gate.retryAfter(
-                             m_Facts.m_Service, m_Front.m_Parts.m_Draw)));
+    answerError(
+        End == AttemptEnd::NotRun ? base::ResultCode::Overloaded
+                                  : base::ResultCode::NoReplica,
+        "no backend server took the request",
+        std::max(RetryWithoutServer, m_Front.retryAfter(m_Facts.m_Service)));
     return;
   case NextStep::Fail:
     answerError(base::ResultCode::BackendFailed,
--- a/Source/Direct/ForwardCall.h
+++ b/Source/Direct/ForwardCall.h
@@ -38,6 +38,8 @@
   void go();
   /// Answers that there is no place, and when to come back.
   void refuseFull();
+  /// Answers that the service's rank group is closed, and when to come back.
+  void refuseClosed();
 
   [[nodiscard]] const Facts &facts() const { return m_Facts; }
 
--- a/Source/Direct/ForwardFront.cpp
+++ b/Source/Direct/ForwardFront.cpp
@@ -119,6 +119,10 @@
   const auto Call = std::make_shared<ForwardCall>(*this, Exchange, Facts);
   m_Calls.emplace(Facts.m_Token, Call);
   Call->watch();
+  if (m_Parts.m_Groups.outFor(Facts.m_Service, Now)) {
+    Call->refuseClosed();
+    return;
+  }
   const auto Verdict =
       m_Parts.m_Gate.arrive(Facts.m_Service, Facts.m_Token, Facts.m_Priority,
                             Found->m_TargetLatency, room(Facts.m_Service), Now);
@@ -151,6 +155,10 @@
 void ForwardFront::advanceWaiting() {
   const base::Millis Now = m_Clock.now();
   for (const std::string &Service : m_Parts.m_Gate.services()) {
+    if (m_Parts.m_Groups.outFor(Service, Now))
+      for (const std::uint64_t Token : m_Parts.m_Gate.clear(Service))
+        if (const auto Found = m_Calls.find(Token); Found != m_Calls.end())
+          std::shared_ptr<ForwardCall>(Found->second)->refuseClosed();
     const auto Moves = m_Parts.m_Gate.advance(Service, room(Service), Now);
     for (const std::uint64_t Token : Moves.m_Go)
       if (const auto Found = m_Calls.find(Token); Found != m_Calls.end())
@@ -163,6 +171,14 @@
     armGateTimer();
 }
 
+base::Millis ForwardFront::retryAfter(const std::string &Service) const {
+  const direct::Service *Of = m_Routes->configuration().findService(Service);
+  const base::Millis FormTime =
+      Of && Of->m_Engine ? Of->m_Engine->m_FormTime : base::Millis(0);
+  return m_Parts.m_Groups.expectedWait(Service, FormTime, m_Clock.now()) +
+         m_Parts.m_Gate.retryAfter(Service, m_Parts.m_Draw);
+}
+
 ServerPool::ServiceRoom ForwardFront::room(const std::string &Service) const {
   ServerPool::ServiceRoom Room = m_Parts.m_Pool.room(Service, m_Clock.now());
   const Configuration &Published = m_Routes->configuration();
--- a/Source/Direct/ForwardFront.h
+++ b/Source/Direct/ForwardFront.h
@@ -4,6 +4,7 @@
 #include "Base/Timeline.h"
 #include "Direct/AdmissionGate.h"
 #include "Direct/ForwardFlow.h"
+#include "Direct/GroupWatch.h"
 #include "Direct/PauseGovernor.h"
 #include "Direct/RetryAllowance.h"
 #include "Direct/RouteTable.h"
@@ -87,6 +88,7 @@
     AdmissionGate &m_Gate;
     RetryAllowance &m_Retries;
     PauseGovernor &m_Governor;
+    GroupWatch &m_Groups;
     base::Timeline &m_Events;
     metrics::Registry &m_Metrics;
     base::Random &m_Draw;
@@ -120,6 +122,8 @@
   /// \returns whether another server of the service sent something lately.
   [[nodiscard]] bool othersProgress(const std::string &Service,
                                     const std::string &Server) const;
+  /// \returns when a refused request of the service should come back.
+  [[nodiscard]] base::Millis retryAfter(const std::string &Service) const;
   void armGateTimer();
   /// \returns the service's room, bounded so that pauses stay on time.
   [[nodiscard]] ServerPool::ServiceRoom room(const std::string &Service) const;
--- a/Source/Fleet/FleetNode.cpp
+++ b/Source/Fleet/FleetNode.cpp
@@ -10,6 +10,9 @@
 /// Known nodes that say nothing for longer are forgotten; a VM that is replaced
 /// comes back under another address.
 constexpr base::Millis ForgetAfter = base::seconds(20);
+/// Between two beats of a node that no entry has answered yet; after a loss of
+/// power the seeds may start last.
+constexpr base::Millis LonelyPeriod{100};
 
 bool isEntry(const wire::NodeNews &News) {
   return !News.caller_address().empty();
@@ -60,6 +63,10 @@
     return;
   Entry.m_News = News;
   Entry.m_Heard = m_Clock.now();
+  // After a loss of power all nodes find each other anew; a beat now saves them
+  // waiting for the next one.
+  if (isEntry(News))
+    sendBeat(News.peer_address(), false, false);
 }
 
 void FleetNode::send(const std::string &Address,
@@ -121,15 +128,17 @@
   std::erase_if(m_Known, [Now = m_Clock.now()](const auto &Each) {
     return Now - Each.second.m_Heard > ForgetAfter;
   });
-  beat();
-  m_Timer.expires_after(std::chrono::milliseconds(m_Settings.m_Period.count()));
+  const base::Millis Period = beat()
+                                  ? m_Settings.m_Period
+                                  : std::min(m_Settings.m_Period, LonelyPeriod);
+  m_Timer.expires_after(std::chrono::milliseconds(Period.count()));
   m_Timer.async_wait([this](const boost::system::error_code &Code) {
     if (!Code)
       tick();
   });
 }
 
-void FleetNode::beat() {
+bool FleetNode::beat() {
   const bool WithList = m_Beats++ % m_Settings.m_BeatsPerList == 0;
   bool AnyEntry = false;
   for (const auto &[Node, Each] : m_Known) {
@@ -143,6 +152,7 @@
     for (const std::string &Seed : m_Settings.m_Seeds)
       if (Seed != m_Settings.m_PeerAddress)
         sendBeat(Seed, false, true);
+  return AnyEntry;
 }
 
 void FleetNode::sendBeat(const std::string &Address, bool WithList, bool Ask) {
--- a/Source/Fleet/FleetNode.h
+++ b/Source/Fleet/FleetNode.h
@@ -61,6 +61,9 @@
   /// Tells the others at once that this node leaves.
   void leave();
 
+  /// Sends a beat now, as what this node has to say has changed.
+  void announce() { beat(); }
+
   /// Adds a node that was found elsewhere, such as in the log.
   void learn(const wire::NodeNews &News);
 
@@ -77,7 +80,8 @@
 
 private:
   void tick();
-  void beat();
+  /// \returns whether an entry has answered so far.
+  bool beat();
   void sendBeat(const std::string &Address, bool WithList, bool Ask);
   void received(std::string_view Bytes, const std::string &From);
   void takeBeat(const wire::FleetBeat &Beat, const std::string &From);
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -68,7 +68,7 @@
       m_ServerClient(Context, serverClient(m_Settings)),
       m_Pool(m_Settings.m_Fleet.m_Zone), m_Retries(m_Settings.m_Retries),
       m_Front({Context, m_ServerClient, m_Pool, m_Gate, m_Retries, m_Governor,
-               Events, Metrics, m_Draw},
+               m_Groups, Events, Metrics, m_Draw},
               std::move(Requests)),
       m_Configuration(
           Context, m_Log, m_PeerClient, Events,
@@ -228,8 +228,10 @@
 }
 
 void GatewayNode::takeBeat(const wire::FleetBeat &Beat) {
-  if (Beat.sender().caller_address().empty())
+  if (Beat.sender().caller_address().empty()) {
+    takeAgentBeat(Beat);
     return;
+  }
   m_Configuration.heard(Beat.sender(), Beat.configuration());
   m_Servers.heard(Beat.sender(), Beat.servers());
   direct::ServerLoads Loads;
@@ -243,6 +245,25 @@
   m_Pool.setPeerLoads(Beat.sender().node(), std::move(Loads), m_Clock.now());
 }
 
+void GatewayNode::takeAgentBeat(const wire::FleetBeat &Beat) {
+  if (!Beat.has_group())
+    return;
+  const wire::GroupNews &News = Beat.group();
+  const base::Millis Now = m_Clock.now();
+  if (!m_Groups.take(Beat.sender().node(),
+                     {News.service(), News.group(), News.epoch(), News.open()},
+                     Now))
+    return;
+  m_Events.record(m_Groups.outFor(News.service(), Now)
+                      ? base::EventId::GroupOut
+                      : base::EventId::GroupBack,
+                  {{"service", News.service()},
+                   {"group", News.group()},
+                   {"epoch", std::to_string(News.epoch())},
+                   {"by", Beat.sender().node()}});
+  m_Front.advanceWaiting();
+}
+
 void GatewayNode::peerRequest(
     const std::shared_ptr<net::HttpExchange> &Exchange) {
   constexpr int Ok = 200;
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -68,6 +68,7 @@
   void peerRequest(const std::shared_ptr<net::HttpExchange> &Exchange);
   void fillBeat(wire::FleetBeat &Beat) const;
   void takeBeat(const wire::FleetBeat &Beat);
+  void takeAgentBeat(const wire::FleetBeat &Beat);
   void checkStopped();
 
   const GatewaySettings m_Settings;
@@ -83,6 +84,7 @@
   direct::AdmissionGate m_Gate;
   direct::RetryAllowance m_Retries;
   direct::PauseGovernor m_Governor;
+  direct::GroupWatch m_Groups;
   direct::ForwardFront m_Front;
   SharedFeed m_Configuration;
   SharedFeed m_Servers;
--- a/Source/RankAgent/PlannerLease.cpp
+++ b/Source/RankAgent/PlannerLease.cpp
@@ -11,6 +11,11 @@
                         base::Millis Heard, std::uint64_t SeenTerm,
                         base::Millis Now) {
   m_Group = Group;
+  if (!m_Begun && !m_Busy && Now >= m_NotBefore) {
+    m_Busy = true;
+    begin();
+    return;
+  }
   const base::Millis Due =
       Heard + m_Terms.m_SilentAfter + m_Terms.m_Stagger * Rank;
   if (m_Busy || Now < Due || Now < m_NotBefore)
@@ -19,6 +24,35 @@
   claim(SeenTerm);
 }
 
+void PlannerLease::begin() {
+  m_Log.m_Newest(
+      m_Terms.m_Topic, {}, [this](const base::Result<feed::NewestPage> &Page) {
+        m_NotBefore = m_Clock.now() + m_Terms.m_RetryPause;
+        m_Busy = false;
+        if (!Page)
+          return;
+        m_Begun = true;
+        m_NotBefore = {};
+        const feed::KeyedRecord *Latest = latest(*Page);
+        m_WaitedFor = Latest ? Latest->m_Offset + 1 : 0;
+        const bool OwnClaim = Latest && Latest->m_Value &&
+                              Latest->m_Value->starts_with(m_Node + " ");
+        if (Latest && !OwnClaim)
+          return;
+        m_Busy = true;
+        append(Page->m_EndOffset);
+      });
+}
+
+const feed::KeyedRecord *
+PlannerLease::latest(const feed::NewestPage &Page) const {
+  const feed::KeyedRecord *Latest = nullptr;
+  for (const feed::KeyedRecord &Each : Page.m_Records)
+    if (Each.m_Key == m_Group)
+      Latest = &Each;
+  return Latest;
+}
+
 void PlannerLease::claim(std::uint64_t SeenTerm) {
   m_Log.m_Newest(m_Terms.m_Topic, {},
                  [this, SeenTerm](const base::Result<feed::NewestPage> &Page) {
@@ -27,10 +61,8 @@
                      m_Busy = false;
                      return;
                    }
-                   std::uint64_t Latest = 0;
-                   for (const feed::KeyedRecord &Each : Page->m_Records)
-                     if (Each.m_Key == m_Group)
-                       Latest = Each.m_Offset + 1;
+                   const feed::KeyedRecord *Last = latest(*Page);
+                   const std::uint64_t Latest = Last ? Last->m_Offset + 1 : 0;
                    // Another node has just claimed; it gets the time to be
                    // heard.
                    if (Latest > SeenTerm && Latest != m_WaitedFor) {
--- a/Source/RankAgent/PlannerLease.h
+++ b/Source/RankAgent/PlannerLease.h
@@ -41,6 +41,13 @@
             std::uint64_t SeenTerm, base::Millis Now);
 
 private:
+  /// Looks at the log once after the start: a group that nobody has claimed is
+  /// claimed at once, and so is one whose planner was this node's process
+  /// before, which has gone.
+  void begin();
+  /// \returns the group's latest claim, or null.
+  [[nodiscard]] const feed::KeyedRecord *
+  latest(const feed::NewestPage &Page) const;
   void claim(std::uint64_t SeenTerm);
   void append(std::uint64_t At);
 
@@ -50,6 +57,7 @@
   const Won m_OnWon;
   const base::Clock m_Clock = base::steadyClock();
   std::string m_Group;
+  bool m_Begun = false;
   bool m_Busy = false;
   std::uint64_t m_Claims = 0;
   std::uint64_t m_WaitedFor = 0;
--- a/Source/RankAgent/RankAgentNode.cpp
+++ b/Source/RankAgent/RankAgentNode.cpp
@@ -27,7 +27,7 @@
               [this](std::uint64_t Term) { wonLease(Term); }),
       m_Fleet(
           Context, m_Settings.m_Fleet, Events,
-          {{},
+          {[this](wire::FleetBeat &Beat) { fillBeat(Beat); },
            {},
            [this](const wire::RankReport &Report) { takeReport(Report); },
            [this](const wire::RankCommand &Command) { takeCommand(Command); },
@@ -108,8 +108,9 @@
   const auto &Before = m_Driver.engine();
   const bool OtherMap = !Before || Before->m_Epoch != State->m_Epoch ||
                         Before->m_MapVersion != State->m_MapVersion;
-  if (!Before || Before->m_Open != State->m_Open ||
-      Before->m_Epoch != State->m_Epoch)
+  const bool OtherGroup = !Before || Before->m_Open != State->m_Open ||
+                          Before->m_Epoch != State->m_Epoch;
+  if (OtherGroup)
     m_Events.record(State->m_Open ? base::EventId::GroupBack
                                   : base::EventId::GroupOut,
                     {{"group", State->m_Group},
@@ -117,6 +118,8 @@
                      {"rank", std::to_string(State->m_Rank)},
                      {"step", std::to_string(State->m_Step)}});
   m_Driver.state(*State);
+  if (OtherGroup)
+    m_Fleet.announce();
   if (OtherMap)
     m_HasLists = false;
   if (!m_HasLists && !m_AskingLists)
@@ -129,6 +132,17 @@
     report({});
 }
 
+void RankAgentNode::fillBeat(wire::FleetBeat &Beat) const {
+  const auto &Engine = m_Driver.engine();
+  if (!Engine || Engine->m_Group.empty())
+    return;
+  wire::GroupNews &News = *Beat.mutable_group();
+  News.set_service(m_Settings.m_Service);
+  News.set_group(Engine->m_Group);
+  News.set_epoch(Engine->m_Epoch);
+  News.set_open(Engine->m_Open);
+}
+
 void RankAgentNode::askCounts() {
   m_AskingCounts = true;
   m_CountsAt = m_Clock.now();
--- a/Source/RankAgent/RankAgentNode.h
+++ b/Source/RankAgent/RankAgentNode.h
@@ -49,6 +49,7 @@
   void tick();
   void look();
   void sawState(const base::Result<rankgroup::RankState> &State);
+  void fillBeat(wire::FleetBeat &Beat) const;
   void askCounts();
   void askLists();
   void giveOrder();
--- a/Source/RankGroup/RankDriver.h
+++ b/Source/RankGroup/RankDriver.h
@@ -11,7 +11,7 @@
 /// Settings of RankDriver.
 struct DriverSettings {
   /// An order without an answer is given again after this time.
-  base::Millis m_OrderTimeout = base::Millis(100);
+  base::Millis m_OrderTimeout = base::Millis(40);
 };
 
 /// Carries out one rank's part: follows the latest planner, gives the engine
