--- a/Source/Direct/PauseGovernor.h
+++ b/Source/Direct/PauseGovernor.h
@@ -12,7 +12,7 @@
 struct GovernorSettings {
   /// Weight of one pause in the averages: some hundred pauses, a second or two
   /// of an entry's streams.
-  double m_Newest = 0.01;
+  double m_Newest = 0.001;
   /// Deviations above the mean that still have to be on time: a stream is late
   /// by one late pause of many.
   double m_Deviations = 2;
--- a/Utilities/CMake/CorneldeckTargets.cmake
+++ b/Utilities/CMake/CorneldeckTargets.cmake
@@ -36,17 +36,26 @@
   target_link_libraries(${Name} PRIVATE corneldeck-options ${ARG_DEPENDS})
 endfunction()
 
-# corneldeck_add_test(<Name> SOURCES <file>... [DEPENDS <target>...])
+# The programs that CTest's label "daemons" runs; the thread sanitizer's build is
+# of these alone.
+add_custom_target(daemon-tests)
+
+# corneldeck_add_test(<Name> [DAEMONS] SOURCES <file>... [DEPENDS <target>...])
 #
-# Adds one GoogleTest program and registers it with CTest under the same name.
+# Adds one GoogleTest program and registers it with CTest under the same name,
+# with the label "daemons" if it has threads or sockets of the daemons.
 function(corneldeck_add_test Name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "DAEMONS" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${Name} ${ARG_SOURCES})
   target_include_directories(${Name} PRIVATE
     "${CMAKE_SOURCE_DIR}/Source" "${CMAKE_SOURCE_DIR}/Tests")
   target_link_libraries(${Name} PRIVATE
     corneldeck-options ${ARG_DEPENDS} GTest::gmock GTest::gtest_main)
   add_test(NAME ${Name} COMMAND ${Name})
+  if(ARG_DAEMONS)
+    set_tests_properties(${Name} PROPERTIES LABELS daemons)
+    add_dependencies(daemon-tests ${Name})
+  endif()
 endfunction()
 
 # corneldeck_add_matrix(<promise> [SLOW] [PLANTS <mistake>...])
--- a/Utilities/quickstart.sh
+++ b/Utilities/quickstart.sh
@@ -38,7 +38,8 @@
 if [ -z "$Bin" ]; then
   bash Utilities/install-packages.sh
   cmake --preset release > /dev/null
-  cmake --build --preset release
+  cmake --build --preset release --target \
+    corneldeck-agent corneldeck-entry corneldeck-standin corneldeckctl
   Bin=build/bin
 fi
 Bin=$(cd "$Bin" && pwd)
