--- a/Source/RankAgent/PlannerLease.cpp
+++ b/Source/RankAgent/PlannerLease.cpp
@@ -32,13 +32,15 @@
         if (!Page)
           return;
         m_Begun = true;
-        m_NotBefore = {};
         const feed::KeyedRecord *Latest = latest(*Page);
         m_WaitedFor = Latest ? Latest->m_Offset + 1 : 0;
         const bool OwnClaim = Latest && Latest->m_Value &&
                               Latest->m_Value->starts_with(m_Node + " ");
-        if (Latest && !OwnClaim)
+        // The planner has not met this node yet.
+        if (Latest && !OwnClaim) {
+          m_NotBefore = m_Clock.now() + m_Terms.m_SilentAfter;
           return;
+        }
         m_Busy = true;
         append(Page->m_EndOffset);
       });
--- a/Tests/RankAgent/PlannerLeaseTest.cpp
+++ b/Tests/RankAgent/PlannerLeaseTest.cpp
@@ -99,6 +99,22 @@
   EXPECT_EQ(Term, 2U);
 }
 
+TEST(PlannerLease, ANodeThatStartsLaterLeavesThePlannerTimeToBeHeard) {
+  Topic Log;
+  const feed::LogPort Port = Log.port();
+  int Won = 0;
+  PlannerLease First(Port, terms(), "n1", [&](std::uint64_t) { ++Won; });
+  PlannerLease Second(Port, terms(), "n2", [&](std::uint64_t) { ++Won; });
+  const base::Millis Now = base::steadyClock().now();
+  // Both run for long already when their engines name the group.
+  const base::Millis Started = Now - base::seconds(60);
+  First.tick("g", 0, Started, 0, Now);
+  Second.tick("g", 1, Started, 0, Now);
+  Second.tick("g", 1, Started, 0, Now + base::Millis(30));
+  EXPECT_EQ(Won, 1);
+  EXPECT_EQ(Log.m_Records.size(), 1U);
+}
+
 TEST(PlannerLease, ANameThatBeginsAlikeIsAnotherNode) {
   Topic Log;
   Log.m_Records.push_back({0, "g", "n12 1"});
