Direct: a stopping entry takes no late stream that it would cut off

A caller sent a stream to edge-besiktas-1 4.994 s after its SIGTERM, on an address it had been given before; the stream ran at its server until the entry ended 7.466 s after the signal.

Change: StopWindow. What comes in the first 2.5 s of a stop is served to the end; later requests are taken only if they are due before the process ends, and are told at once to ask another entry otherwise.

--- a/Source/Direct/ForwardFront.cpp
+++ b/Source/Direct/ForwardFront.cpp
@@ -14,6 +14,8 @@
 /// For a caller that asked an entry without a configuration; another one has
 /// it, or this one within a moment.
 constexpr base::Millis RetryWhenNotReady{300};
+/// For a caller whose entry stops; it asks another one at once.
+constexpr base::Millis RetryElsewhere{100};
 /// A service whose other servers sent nothing for longer stands still as a
 /// whole, and moving a request would not help it.
 constexpr base::Millis ProgressWindow{400};
@@ -114,6 +116,13 @@
   Facts.m_Due = Now + Found->m_Timeout;
   if (Request.m_Patience > base::Millis(0))
     Facts.m_Due = std::min(Facts.m_Due, Now + Request.m_Patience);
+  if (!m_Stop.takes(Now, Facts.m_Due)) {
+    refuse(*Exchange,
+           {base::ResultCode::NotReady, "this entry stops; ask another one",
+            RetryElsewhere},
+           Request.m_Id);
+    return;
+  }
   m_Parts.m_Retries.request(Facts.m_Service, Now);
 
   const auto Call = std::make_shared<ForwardCall>(*this, Exchange, Facts);
--- a/Source/Direct/ForwardFront.h
+++ b/Source/Direct/ForwardFront.h
@@ -8,6 +8,7 @@
 #include "Direct/PauseGovernor.h"
 #include "Direct/RetryAllowance.h"
 #include "Direct/RouteTable.h"
+#include "Direct/StopWindow.h"
 #include "Metrics/Registry.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpExchange.h"
@@ -110,6 +111,10 @@
   /// other entries came.
   void advanceWaiting();
 
+  /// The entry was told to stop.
+  /// \param End when the process ends at the latest.
+  void beginStop(base::Millis End) { m_Stop.begin(m_Clock.now(), End); }
+
   [[nodiscard]] std::size_t inFlight() const { return m_Calls.size(); }
 
 private:
@@ -135,6 +140,7 @@
   std::shared_ptr<const RouteTable> m_Routes;
   std::unordered_map<std::uint64_t, std::shared_ptr<ForwardCall>> m_Calls;
   std::uint64_t m_NextToken = 1;
+  StopWindow m_Stop;
   boost::asio::steady_timer m_GateTimer;
   bool m_GateTimerArmed = false;
   std::unordered_map<std::string, std::unordered_map<std::string, base::Millis>>
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -288,6 +288,7 @@
     return;
   m_Stopping = true;
   m_StopBegun = m_Clock.now();
+  m_Front.beginStop(m_StopBegun + m_Settings.m_StopTimeout);
   m_Stopped = std::move(Done);
   m_Events.record(base::EventId::ProcessStopping,
                   {{"in_flight", std::to_string(m_Front.inFlight())},
