--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -63,7 +63,7 @@
                            std::uint64_t Term, PlannerSettings Settings,
                            base::Timeline &Events)
     : m_Group(std::move(Group)), m_Self(std::move(Self)), m_Term(Term),
-      m_Settings(Settings), m_Events(Events),
+      m_Settings(std::move(Settings)), m_Events(Events),
       m_LastVersion(Term * VersionsPerTerm) {}
 
 void GroupPlanner::take(const wire::RankReport &Report, base::Millis Now) {
