RankAgent: report a rank's state also when its counts can't be read

Cause, found in reading: since counts are awaited before a report, an engine that answers /report but not /picked left the planner without that rank's state, and no line said so. Now the state is sent without counts, and each failure has a line with its reason.

--- a/Source/RankAgent/RankAgentNode.cpp
+++ b/Source/RankAgent/RankAgentNode.cpp
@@ -148,19 +148,30 @@
   m_CountsAt = m_Clock.now();
   m_Engine.m_Counts([this](base::Result<rankgroup::RankCounts> Counts) {
     m_AskingCounts = false;
-    if (!Counts)
+    // The planner needs the rank's state also without counts.
+    if (!Counts) {
+      engineFailed("counts", Counts.error());
+      report({});
       return;
+    }
     m_Counts = std::move(*Counts);
     report(m_Meter.take(m_Counts));
   });
 }
 
+void RankAgentNode::engineFailed(const char *Asked, const base::Error &Why) {
+  m_Events.record(base::EventId::DependencyLost,
+                  {{"on", "engine"}, {"asked", Asked}, {"why", Why.m_Message}});
+}
+
 void RankAgentNode::askLists() {
   m_AskingLists = true;
   m_Engine.m_Lists([this](base::Result<rankgroup::RankLists> Lists) {
     m_AskingLists = false;
-    if (!Lists)
+    if (!Lists) {
+      engineFailed("lists", Lists.error());
       return;
+    }
     m_Lists = std::move(*Lists);
     m_HasLists = true;
   });
--- a/Source/RankAgent/RankAgentNode.h
+++ b/Source/RankAgent/RankAgentNode.h
@@ -51,6 +51,7 @@
   void sawState(const base::Result<rankgroup::RankState> &State);
   void fillBeat(wire::FleetBeat &Beat) const;
   void askCounts();
+  void engineFailed(const char *Asked, const base::Error &Why);
   void askLists();
   void giveOrder();
   void report(const std::vector<std::uint64_t> &Chosen);
