--- a/Source/Direct/GroupWatch.cpp
+++ b/Source/Direct/GroupWatch.cpp
@@ -6,12 +6,12 @@
 
 bool GroupWatch::take(const std::string &Agent, News Told, base::Millis Now) {
   const std::string Service = Told.m_Service;
+  const bool WasOut = outFor(Service, Now).has_value();
   m_Reports[Agent] = {std::move(Told), Now};
   std::erase_if(m_Reports, [&](const auto &Each) {
     return Now - Each.second.m_At > m_Settings.m_FreshFor;
   });
   const bool Out = isOut(Service, Now);
-  const bool WasOut = m_OutSince.contains(Service);
   if (Out && !WasOut)
     m_OutSince[Service] = Now;
   else if (!Out)
--- a/Source/RankAgent/PlannerLease.cpp
+++ b/Source/RankAgent/PlannerLease.cpp
@@ -1,5 +1,7 @@
 #include "RankAgent/PlannerLease.h"
 
+#include <utility>
+
 namespace corneldeck::rankagent {
 
 PlannerLease::PlannerLease(const feed::LogPort &Log, LeaseTerms Terms,
@@ -11,72 +13,45 @@
                         base::Millis Heard, std::uint64_t SeenTerm,
                         base::Millis Now) {
   m_Group = Group;
-  if (!m_Begun && !m_Busy && Now >= m_NotBefore) {
-    m_Busy = true;
-    begin();
-    return;
-  }
   const base::Millis Due =
       Heard + m_Terms.m_SilentAfter + m_Terms.m_Stagger * Rank;
-  if (m_Busy || Now < Due || Now < m_NotBefore)
+  if (m_Busy || Now < m_NotBefore || (m_Begun && Now < Due))
     return;
   m_Busy = true;
   claim(SeenTerm);
 }
 
-void PlannerLease::begin() {
-  m_Log.m_Newest(
-      m_Terms.m_Topic, {}, [this](const base::Result<feed::NewestPage> &Page) {
-        m_NotBefore = m_Clock.now() + m_Terms.m_RetryPause;
-        m_Busy = false;
-        if (!Page)
-          return;
-        m_Begun = true;
-        const feed::KeyedRecord *Latest = latest(*Page);
-        m_WaitedFor = Latest ? Latest->m_Offset + 1 : 0;
-        const bool OwnClaim = Latest && Latest->m_Value &&
-                              Latest->m_Value->starts_with(m_Node + " ");
-        // The planner has not met this node yet.
-        if (Latest && !OwnClaim) {
-          m_NotBefore = m_Clock.now() + m_Terms.m_SilentAfter;
-          return;
-        }
-        m_Busy = true;
-        append(Page->m_EndOffset);
-      });
-}
-
-const feed::KeyedRecord *
-PlannerLease::latest(const feed::NewestPage &Page) const {
-  const feed::KeyedRecord *Latest = nullptr;
-  for (const feed::KeyedRecord &Each : Page.m_Records)
-    if (Each.m_Key == m_Group)
-      Latest = &Each;
-  return Latest;
-}
-
 void PlannerLease::claim(std::uint64_t SeenTerm) {
   m_Log.m_Newest(m_Terms.m_Topic, {},
                  [this, SeenTerm](const base::Result<feed::NewestPage> &Page) {
                    m_NotBefore = m_Clock.now() + m_Terms.m_RetryPause;
-                   if (!Page) {
-                     m_Busy = false;
-                     return;
-                   }
-                   const feed::KeyedRecord *Last = latest(*Page);
-                   const std::uint64_t Latest = Last ? Last->m_Offset + 1 : 0;
-                   // Another node has just claimed; it gets the time to be
-                   // heard.
-                   if (Latest > SeenTerm && Latest != m_WaitedFor) {
-                     m_WaitedFor = Latest;
-                     m_NotBefore = m_Clock.now() + m_Terms.m_SilentAfter;
+                   if (Page && mayClaim(*Page, SeenTerm))
+                     append(Page->m_EndOffset);
+                   else
                      m_Busy = false;
-                     return;
-                   }
-                   append(Page->m_EndOffset);
                  });
 }
 
+bool PlannerLease::mayClaim(const feed::NewestPage &Page,
+                            std::uint64_t SeenTerm) {
+  const feed::KeyedRecord *Latest = nullptr;
+  for (const feed::KeyedRecord &Each : Page.m_Records)
+    if (Each.m_Key == m_Group)
+      Latest = &Each;
+  const std::uint64_t Term = Latest ? Latest->m_Offset + 1 : 0;
+  bool Waits = Term > SeenTerm && Term != m_WaitedFor;
+  if (!std::exchange(m_Begun, true)) {
+    const bool OwnClaim =
+        Latest && Latest->m_Value && Latest->m_Value->starts_with(m_Node + " ");
+    Waits = Latest && !OwnClaim;
+  }
+  if (Waits) {
+    m_WaitedFor = Term;
+    m_NotBefore = m_Clock.now() + m_Terms.m_SilentAfter;
+  }
+  return !Waits;
+}
+
 void PlannerLease::append(std::uint64_t At) {
   feed::KeyedRecord Record;
   Record.m_Key = m_Group;
--- a/Source/RankAgent/PlannerLease.h
+++ b/Source/RankAgent/PlannerLease.h
@@ -41,13 +41,11 @@
             std::uint64_t SeenTerm, base::Millis Now);
 
 private:
-  /// Looks at the log once after the start: a group that nobody has claimed is
-  /// claimed at once, and so is one whose planner was this node's process
-  /// before, which has gone.
-  void begin();
-  /// \returns the group's latest claim, or null.
-  [[nodiscard]] const feed::KeyedRecord *
-  latest(const feed::NewestPage &Page) const;
+  /// Decides on what the log says. Right after the start a group that nobody
+  /// has claimed may be claimed, and so may one whose planner was this node's
+  /// process before; any other planner that this node does not know gets the
+  /// time to be heard.
+  bool mayClaim(const feed::NewestPage &Page, std::uint64_t SeenTerm);
   void claim(std::uint64_t SeenTerm);
   void append(std::uint64_t At);
 
@@ -57,6 +55,7 @@
   const Won m_OnWon;
   const base::Clock m_Clock = base::steadyClock();
   std::string m_Group;
+  /// The log was read since the start.
   bool m_Begun = false;
   bool m_Busy = false;
   std::uint64_t m_Claims = 0;
--- a/Source/RankAgent/RankAgentNode.cpp
+++ b/Source/RankAgent/RankAgentNode.cpp
@@ -126,7 +126,7 @@
     askLists();
   giveOrder();
   if (m_Clock.now() - m_CountsAt >= m_Settings.m_CountsPeriod &&
-      !m_AskingCounts && State->m_Step != m_Counts.m_Step)
+      !m_AskingCounts && State->m_Step != m_Meter.last().m_Step)
     askCounts();
   else
     report({});
@@ -154,8 +154,7 @@
       report({});
       return;
     }
-    m_Counts = std::move(*Counts);
-    report(m_Meter.take(m_Counts));
+    report(m_Meter.take(std::move(*Counts)));
   });
 }
 
@@ -181,8 +180,9 @@
   if (m_Ordering)
     return;
   const std::size_t Sets = m_Lists.m_Held.size();
-  if (Sets > 0 && !m_Counts.m_Counts.empty())
-    m_Experts = m_Counts.m_Counts.size() / Sets;
+  if (const std::size_t Counted = m_Meter.last().m_Counts.size();
+      Sets > 0 && Counted > 0)
+    m_Experts = Counted / Sets;
   const auto Order = m_Driver.nextOrder(m_Clock.now(), m_Experts);
   if (!Order)
     return;
--- a/Source/RankAgent/RankAgentNode.h
+++ b/Source/RankAgent/RankAgentNode.h
@@ -80,7 +80,6 @@
   std::size_t m_Experts = 0;
   rankgroup::RankLists m_Lists;
   bool m_HasLists = false;
-  rankgroup::RankCounts m_Counts;
   rankgroup::ChoiceMeter m_Meter;
   bool m_StepPosted = false;
   bool m_Looking = false;
--- a/Source/RankGroup/PopularityWindow.cpp
+++ b/Source/RankGroup/PopularityWindow.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-std::vector<std::uint64_t> ChoiceMeter::take(const RankCounts &Counts) {
+std::vector<std::uint64_t> ChoiceMeter::take(RankCounts Counts) {
   std::vector<std::uint64_t> Since;
   const auto &Last = m_Last.m_Counts;
   const auto &Now = Counts.m_Counts;
@@ -47,7 +47,7 @@
     std::transform(Now.begin(), Now.end(), Last.begin(), Since.begin(),
                    std::minus<>());
   }
-  m_Last = Counts;
+  m_Last = std::move(Counts);
   return Since;
 }
 
--- a/Tests/Direct/GroupWatchTest.cpp
+++ b/Tests/Direct/GroupWatchTest.cpp
@@ -65,4 +65,12 @@
   EXPECT_EQ(Watch.expectedWait("llm", Form, base::seconds(20)).count(), 0);
 }
 
+TEST(GroupWatch, AnOutageAfterSilenceIsANewOne) {
+  GroupWatch Watch;
+  tellAll(Watch, 1, false, base::seconds(10));
+  // All agents were silent for long, so nothing is known of the time between.
+  EXPECT_TRUE(Watch.take(agent(0), {"llm", "g0", 1, false}, base::seconds(30)));
+  EXPECT_EQ(Watch.expectedWait("llm", Form, base::seconds(31)).count(), 1100);
+}
+
 } // namespace corneldeck::direct
--- a/Tests/RankAgent/PlannerLeaseTest.cpp
+++ b/Tests/RankAgent/PlannerLeaseTest.cpp
@@ -62,121 +62,108 @@
 
 const base::Millis Late = base::seconds(1'000'000'000);
 
+/// A node that may become the planner of group "g".
+class PlannerLeaseTest : public testing::Test {
+protected:
+  /// \returns a lease whose wins are counted in m_Won and m_Term.
+  PlannerLease lease(const std::string &Node) {
+    return {m_Port, terms(), Node, [this](std::uint64_t Term) {
+              ++m_Won;
+              m_Term = Term;
+            }};
+  }
+
+  Topic m_Log;
+  const feed::LogPort m_Port = m_Log.port();
+  int m_Won = 0;
+  std::uint64_t m_Term = 0;
+};
+
 } // namespace
 
-TEST(PlannerLease, WaitsUntilThePlannerIsSilent) {
-  Topic Log;
-  Log.m_Records.push_back({0, "g", "n2 1"});
-  const feed::LogPort Port = Log.port();
-  std::uint64_t Term = 0;
-  PlannerLease Lease(Port, terms(), "n1",
-                     [&](std::uint64_t Won) { Term = Won; });
+TEST_F(PlannerLeaseTest, WaitsUntilThePlannerIsSilent) {
+  m_Log.m_Records.push_back({0, "g", "n2 1"});
+  PlannerLease Lease = lease("n1");
   Lease.tick("g", 0, base::seconds(10), 1, base::seconds(10));
   Lease.tick("g", 0, base::seconds(10), 1, base::seconds(11));
-  EXPECT_EQ(Log.m_Records.size(), 1U);
+  EXPECT_EQ(m_Log.m_Records.size(), 1U);
   Lease.tick("g", 0, base::seconds(10), 1, Late);
-  EXPECT_EQ(Term, 2U);
+  EXPECT_EQ(m_Term, 2U);
 }
 
-TEST(PlannerLease, ClaimsAGroupWithoutAPlannerAtOnce) {
-  Topic Log;
-  const feed::LogPort Port = Log.port();
-  std::uint64_t Term = 0;
-  PlannerLease Lease(Port, terms(), "n1",
-                     [&](std::uint64_t Won) { Term = Won; });
+TEST_F(PlannerLeaseTest, ClaimsAGroupWithoutAPlannerAtOnce) {
+  PlannerLease Lease = lease("n1");
   Lease.tick("g", 0, base::seconds(10), 0, base::seconds(10));
-  EXPECT_EQ(Term, 1U);
+  EXPECT_EQ(m_Term, 1U);
 }
 
-TEST(PlannerLease, GoesOnAfterItsOwnProcessEnded) {
-  Topic Log;
-  Log.m_Records.push_back({0, "g", "n1 7"});
-  const feed::LogPort Port = Log.port();
-  std::uint64_t Term = 0;
-  PlannerLease Lease(Port, terms(), "n1",
-                     [&](std::uint64_t Won) { Term = Won; });
+TEST_F(PlannerLeaseTest, GoesOnAfterItsOwnProcessEnded) {
+  m_Log.m_Records.push_back({0, "g", "n1 7"});
+  PlannerLease Lease = lease("n1");
   Lease.tick("g", 3, base::seconds(10), 0, base::seconds(10));
-  EXPECT_EQ(Term, 2U);
+  EXPECT_EQ(m_Term, 2U);
 }
 
-TEST(PlannerLease, ANodeThatStartsLaterLeavesThePlannerTimeToBeHeard) {
-  Topic Log;
-  const feed::LogPort Port = Log.port();
-  int Won = 0;
-  PlannerLease First(Port, terms(), "n1", [&](std::uint64_t) { ++Won; });
-  PlannerLease Second(Port, terms(), "n2", [&](std::uint64_t) { ++Won; });
+TEST_F(PlannerLeaseTest, ANodeThatStartsLaterLeavesThePlannerTimeToBeHeard) {
+  PlannerLease First = lease("n1");
+  PlannerLease Second = lease("n2");
   const base::Millis Now = base::steadyClock().now();
   // Both run for long already when their engines name the group.
   const base::Millis Started = Now - base::seconds(60);
   First.tick("g", 0, Started, 0, Now);
   Second.tick("g", 1, Started, 0, Now);
   Second.tick("g", 1, Started, 0, Now + base::Millis(30));
-  EXPECT_EQ(Won, 1);
-  EXPECT_EQ(Log.m_Records.size(), 1U);
+  EXPECT_EQ(m_Won, 1);
+  EXPECT_EQ(m_Log.m_Records.size(), 1U);
 }
 
-TEST(PlannerLease, ANameThatBeginsAlikeIsAnotherNode) {
-  Topic Log;
-  Log.m_Records.push_back({0, "g", "n12 1"});
-  const feed::LogPort Port = Log.port();
-  int Won = 0;
-  PlannerLease Lease(Port, terms(), "n1", [&](std::uint64_t) { ++Won; });
+TEST_F(PlannerLeaseTest, ANameThatBeginsAlikeIsAnotherNode) {
+  m_Log.m_Records.push_back({0, "g", "n12 1"});
+  PlannerLease Lease = lease("n1");
   Lease.tick("g", 0, base::seconds(10), 0, base::seconds(10));
-  EXPECT_EQ(Won, 0);
+  EXPECT_EQ(m_Won, 0);
 }
 
-TEST(PlannerLease, OneOfTwoThatReadTheSameWins) {
-  Topic Log;
-  const feed::LogPort Port = Log.port();
-  int Won = 0;
-  PlannerLease First(Port, terms(), "n1", [&](std::uint64_t) { ++Won; });
-  PlannerLease Second(Port, terms(), "n2", [&](std::uint64_t) { ++Won; });
-  Log.m_BeforeAnswer = [&] { Second.tick("g", 0, {}, 0, Late); };
+TEST_F(PlannerLeaseTest, OneOfTwoThatReadTheSameWins) {
+  PlannerLease First = lease("n1");
+  PlannerLease Second = lease("n2");
+  m_Log.m_BeforeAnswer = [&] { Second.tick("g", 0, {}, 0, Late); };
   First.tick("g", 0, {}, 0, Late);
-  EXPECT_EQ(Won, 1);
-  ASSERT_EQ(Log.m_Records.size(), 1U);
-  EXPECT_TRUE(Log.m_Records[0].m_Value->starts_with("n2"));
+  EXPECT_EQ(m_Won, 1);
+  ASSERT_EQ(m_Log.m_Records.size(), 1U);
+  EXPECT_TRUE(m_Log.m_Records[0].m_Value->starts_with("n2"));
 }
 
-TEST(PlannerLease, LeavesTimeToOneThatHasJustClaimed) {
-  Topic Log;
-  const feed::LogPort Port = Log.port();
-  Log.m_Records.push_back({0, "g", "n2 1"});
-  int Won = 0;
-  PlannerLease Lease(Port, terms(), "n1", [&](std::uint64_t) { ++Won; });
+TEST_F(PlannerLeaseTest, LeavesTimeToOneThatHasJustClaimed) {
+  m_Log.m_Records.push_back({0, "g", "n2 1"});
+  PlannerLease Lease = lease("n1");
   Lease.tick("g", 0, {}, 0, Late);
-  Log.m_Records.push_back({1, "g", "n3 1"});
+  m_Log.m_Records.push_back({1, "g", "n3 1"});
   Lease.tick("g", 0, {}, 0, Late);
-  EXPECT_EQ(Won, 0);
-  EXPECT_EQ(Log.m_Records.size(), 2U);
+  EXPECT_EQ(m_Won, 0);
+  EXPECT_EQ(m_Log.m_Records.size(), 2U);
   // It was never heard, so the next look takes over.
   Lease.tick("g", 0, {}, 0, Late);
-  EXPECT_EQ(Won, 1);
+  EXPECT_EQ(m_Won, 1);
 }
 
-TEST(PlannerLease, ALostAnswerIsNoClaim) {
-  Topic Log;
-  const feed::LogPort Port = Log.port();
-  Log.m_LoseAnswer = true;
-  int Won = 0;
-  PlannerLease Lease(Port, terms(), "n1", [&](std::uint64_t) { ++Won; });
+TEST_F(PlannerLeaseTest, ALostAnswerIsNoClaim) {
+  m_Log.m_LoseAnswer = true;
+  PlannerLease Lease = lease("n1");
   Lease.tick("g", 0, {}, 0, Late);
-  EXPECT_EQ(Won, 0);
-  EXPECT_EQ(Log.m_Records.size(), 1U);
+  EXPECT_EQ(m_Won, 0);
+  EXPECT_EQ(m_Log.m_Records.size(), 1U);
 }
 
-TEST(PlannerLease, NobodyTakesOverWhileTheLogIsAway) {
-  Topic Log;
-  const feed::LogPort Port = Log.port();
-  Log.m_Down = true;
-  int Won = 0;
-  PlannerLease Lease(Port, terms(), "n1", [&](std::uint64_t) { ++Won; });
+TEST_F(PlannerLeaseTest, NobodyTakesOverWhileTheLogIsAway) {
+  m_Log.m_Down = true;
+  PlannerLease Lease = lease("n1");
   for (int Count = 0; Count < 5; ++Count)
     Lease.tick("g", 0, {}, 0, Late);
-  EXPECT_EQ(Won, 0);
-  Log.m_Down = false;
+  EXPECT_EQ(m_Won, 0);
+  m_Log.m_Down = false;
   Lease.tick("g", 0, {}, 0, Late);
-  EXPECT_EQ(Won, 1);
+  EXPECT_EQ(m_Won, 1);
 }
 
 } // namespace corneldeck::rankagent
--- a/Utilities/check-lint.sh
+++ b/Utilities/check-lint.sh
@@ -2,8 +2,9 @@
 # Runs clang-tidy over every source file. Takes the build folder that holds
 # compile_commands.json. Files of a folder that compile as one translation unit
 # are checked as one, since most of the time goes into the system's headers; if
-# that finds anything, each of them is checked by itself. A file whose content and headers
-# were found clean before is passed over, by a hash of its preprocessed text.
+# that finds anything, each of them is checked by itself. A file whose content
+# and headers were found clean before is passed over, by a hash of its
+# preprocessed text.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -88,6 +89,11 @@
         { echo "lint: $File"; Status=1; }
     done
   fi
+  # This check looks only at the file that is named, not at those included.
+  for File in $(grep -lE '^ *namespace +[A-Za-z_]+ *=' "$@"); do
+    clang-tidy --quiet --checks='-*,misc-unused-alias-decls' -p "$Build" \
+      "$File" 2> /dev/null || { echo "lint: $File"; Status=1; }
+  done
   [ $Status -eq 0 ] || return 1
   for File in "$@"; do
     touch "$Cache/$(key_of "$File" "$Arguments")"
