Fleet, RankAgent: count datagrams, and log the state of a planner's reports

Counts datagrams, bytes and send errors by type, and returns errors of DatagramSocket::send, which were ignored. rebalance-planned, map-aborted and planner-changed carry the number of ranks that have reported and prepared and the age of the oldest report; the time of each activation of the planner is a histogram. No decision changes.

--- a/Source/Fleet/FleetNode.cpp
+++ b/Source/Fleet/FleetNode.cpp
@@ -21,14 +21,35 @@
 } // namespace
 
 FleetNode::FleetNode(boost::asio::io_context &Context, FleetSettings Settings,
-                     base::Timeline &Events, Hooks Callbacks)
+                     base::Timeline &Events, metrics::Registry &Metrics,
+                     Hooks Callbacks)
     : m_Settings(std::move(Settings)), m_Events(Events),
       m_Hooks(std::move(Callbacks)),
       m_Socket(Context,
                [this](std::string_view Bytes, const std::string &From) {
                  onDatagram(Bytes, From);
                }),
-      m_Timer(Context), m_Entries(m_Settings.m_Liveness) {}
+      m_Timer(Context), m_Entries(m_Settings.m_Liveness) {
+  const google::protobuf::OneofDescriptor &Types =
+      *wire::Datagram::descriptor()->FindOneofByName("body");
+  for (int Index = 0; Index < Types.field_count(); ++Index) {
+    const google::protobuf::FieldDescriptor &Type = *Types.field(Index);
+    const metrics::Labels Labels = {{"type", Type.name()}};
+    m_Counters[Type.number()] = {
+        &Metrics.counter("corneldeck_datagrams_sent_total",
+                         "Datagrams sent to other processes.", Labels),
+        &Metrics.counter("corneldeck_datagram_sent_bytes_total",
+                         "Bytes of datagrams sent to other processes.", Labels),
+        &Metrics.counter("corneldeck_datagram_send_errors_total",
+                         "Datagrams that the operating system did not accept.",
+                         Labels),
+        &Metrics.counter("corneldeck_datagrams_received_total",
+                         "Datagrams received from other processes.", Labels),
+        &Metrics.counter("corneldeck_datagram_received_bytes_total",
+                         "Bytes of datagrams received from other processes.",
+                         Labels)};
+  }
+}
 
 base::Result<void> FleetNode::start() {
   if (auto Opened = m_Socket.open(m_Settings.m_PeerAddress); !Opened)
@@ -71,7 +92,27 @@
 
 void FleetNode::send(const std::string &Address,
                      const wire::Datagram &Message) {
-  m_Socket.send(Address, Message.SerializeAsString());
+  const std::string Bytes = Message.SerializeAsString();
+  const TypeCounters &Count = counters(Message);
+  Count.m_Sent->add();
+  Count.m_SentBytes->add(Bytes.size());
+  const auto Sent = m_Socket.send(Address, Bytes);
+  if (!Sent)
+    Count.m_SendErrors->add();
+  if (Sent.has_value() == m_CanSend)
+    return;
+  m_CanSend = Sent.has_value();
+  m_Events.record(m_CanSend ? base::EventId::DependencyBack
+                            : base::EventId::DependencyLost,
+                  {{"on", "datagrams"},
+                   {"to", Address},
+                   {"bytes", std::to_string(Bytes.size())},
+                   {"why", Sent ? std::string() : Sent.error().m_Message}});
+}
+
+const FleetNode::TypeCounters &
+FleetNode::counters(const wire::Datagram &Message) const {
+  return m_Counters.at(Message.body_case());
 }
 
 wire::NodeNews FleetNode::self() const {
@@ -181,6 +222,11 @@
                     {{"from", From}, {"bytes", std::to_string(Bytes.size())}});
     return;
   }
+  if (Message.body_case() == wire::Datagram::BODY_NOT_SET)
+    return;
+  const TypeCounters &Count = counters(Message);
+  Count.m_Received->add();
+  Count.m_ReceivedBytes->add(Bytes.size());
   if (Message.has_beat())
     onHeartbeat(Message.beat(), From);
   else if (Message.has_report() && m_Hooks.m_OnRankReport)
--- a/Source/Fleet/FleetNode.h
+++ b/Source/Fleet/FleetNode.h
@@ -4,6 +4,7 @@
 #include "Base/Clock.h"
 #include "Base/Timeline.h"
 #include "Membership/Members.h"
+#include "Metrics/Registry.h"
 #include "Net/DatagramSocket.h"
 #include "Wire/Gossip.pb.h"
 
@@ -54,7 +55,8 @@
   };
 
   FleetNode(boost::asio::io_context &Context, FleetSettings Settings,
-            base::Timeline &Events, Hooks Callbacks);
+            base::Timeline &Events, metrics::Registry &Metrics,
+            Hooks Callbacks);
 
   base::Result<void> start();
 
@@ -90,6 +92,16 @@
   bool sendHeartbeats();
   void sendHeartbeat(const std::string &Address, bool WithMemberList,
                      bool RequestMemberList);
+  /// Counters of the datagrams of one type.
+  struct TypeCounters {
+    metrics::Counter *m_Sent = nullptr;
+    metrics::Counter *m_SentBytes = nullptr;
+    metrics::Counter *m_SendErrors = nullptr;
+    metrics::Counter *m_Received = nullptr;
+    metrics::Counter *m_ReceivedBytes = nullptr;
+  };
+  [[nodiscard]] const TypeCounters &
+  counters(const wire::Datagram &Message) const;
   void onDatagram(std::string_view Bytes, const std::string &From);
   void onHeartbeat(const wire::FleetBeat &Beat, const std::string &From);
   /// Records this node as alive in m_Entries, if it is an entry.
@@ -99,6 +111,10 @@
   base::Timeline &m_Events;
   const Hooks m_Hooks;
   const base::Clock m_Clock = base::steadyClock();
+  /// Counters by the number of the field of wire::Datagram that is set.
+  std::map<int, TypeCounters> m_Counters;
+  /// Whether the last datagram was sent without an error.
+  bool m_CanSend = true;
   net::DatagramSocket m_Socket;
   boost::asio::steady_timer m_Timer;
   membership::Members m_Entries;
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -99,7 +99,7 @@
             return !Old || !New || !(*Old == *New);
           },
           [this] { serversChanged(); }),
-      m_Fleet(Context, m_Settings.m_Fleet, Events,
+      m_Fleet(Context, m_Settings.m_Fleet, Events, Metrics,
               {[this](wire::FleetBeat &Beat) { fillHeartbeat(Beat); },
                [this](const wire::FleetBeat &Beat) { handleHeartbeat(Beat); },
                {},
--- a/Source/Net/DatagramSocket.cpp
+++ b/Source/Net/DatagramSocket.cpp
@@ -28,13 +28,24 @@
   return {};
 }
 
-void DatagramSocket::send(const std::string &Address, std::string_view Bytes) {
+base::Result<void> DatagramSocket::send(const std::string &Address,
+                                        std::string_view Bytes) {
   const auto Endpoint = parseEndpoint(Address);
-  if (!Endpoint || Bytes.size() > MaxBytes)
-    return;
+  if (!Endpoint)
+    return tl::make_unexpected(Endpoint.error());
+  if (Bytes.size() > MaxBytes)
+    return base::failure(base::ResultCode::BadMessage,
+                         "a datagram of " + std::to_string(Bytes.size()) +
+                             " bytes exceeds the maximum of " +
+                             std::to_string(MaxBytes));
   const asio::ip::udp::endpoint To(Endpoint->address(), Endpoint->port());
-  boost::system::error_code Ignored;
-  m_Socket.send_to(asio::buffer(Bytes.data(), Bytes.size()), To, 0, Ignored);
+  boost::system::error_code Error;
+  m_Socket.send_to(asio::buffer(Bytes.data(), Bytes.size()), To, 0, Error);
+  if (Error)
+    return base::failure(base::ResultCode::ConnectionFailed,
+                         "cannot send a datagram to " + Address + ": " +
+                             Error.message());
+  return {};
 }
 
 void DatagramSocket::close() {
--- a/Source/Net/DatagramSocket.h
+++ b/Source/Net/DatagramSocket.h
@@ -12,9 +12,7 @@
 
 namespace corneldeck::net {
 
-/// Sends and receives UDP datagrams on one address. Delivery is not guaranteed:
-/// a datagram that does not fit into the send buffer is dropped without an
-/// error.
+/// Sends and receives UDP datagrams on one address. Delivery is not guaranteed.
 class DatagramSocket {
 public:
   /// Maximum size of a datagram.
@@ -31,9 +29,13 @@
   /// \returns nothing, or BadSettings or ConnectionFailed.
   base::Result<void> open(const std::string &Address);
 
-  /// Sends one datagram to \p Address, "ip:port". Drops it if the address is
-  /// invalid, or if it is larger than MaxBytes.
-  void send(const std::string &Address, std::string_view Bytes);
+  /// Sends one datagram to \p Address, "ip:port". A network may still drop it
+  /// after a successful call.
+  /// \returns nothing, BadSettings if the address is invalid, BadMessage if
+  /// \p Bytes is larger than MaxBytes, or ConnectionFailed if the operating
+  /// system does not accept the datagram, for example because its send buffer
+  /// is full.
+  base::Result<void> send(const std::string &Address, std::string_view Bytes);
 
   void close();
 
--- a/Source/RankAgent/RankAgentNode.cpp
+++ b/Source/RankAgent/RankAgentNode.cpp
@@ -26,7 +26,7 @@
       m_Metrics(Metrics),
       m_Election(Log, m_Settings.m_Election, m_Settings.m_Fleet.m_Node,
                  [this](std::uint64_t Term) { onElected(Term); }),
-      m_Fleet(Context, m_Settings.m_Fleet, Events,
+      m_Fleet(Context, m_Settings.m_Fleet, Events, Metrics,
               {[this](wire::FleetBeat &Beat) { fillBeat(Beat); },
                {},
                [this](const wire::RankReport &Report) { onRankReport(Report); },
@@ -39,7 +39,12 @@
                               {{"Content-Type", "text/plain; version=0.0.4"}},
                               m_Metrics.expose());
           }),
-      m_Timer(Context), m_StartedAt(m_Clock.now()) {}
+      m_Timer(Context),
+      m_PlanningTime(Metrics.histogram(
+          "corneldeck_planner_ms",
+          "Time that one activation of the planner occupies the process.",
+          metrics::latencyBounds())),
+      m_StartedAt(m_Clock.now()) {}
 
 base::Result<void> RankAgentNode::start() {
   if (auto Listening = m_MetricsServer.listen(m_Settings.m_Fleet.m_PeerAddress);
@@ -252,7 +257,7 @@
                      {"planner", Command.planner()},
                      {"term", std::to_string(Command.planner_term())}});
   if (m_Planner && m_Planner->term() < Command.planner_term())
-    m_Planner.reset();
+    dropPlanner();
   sendNextOrder();
   if (IsNewPlanner && !m_StateInFlight)
     pollState();
@@ -321,11 +326,9 @@
   if (Repeat)
     m_CommandsRepeatedAt = Now;
   const auto Commands = m_Planner->tick(Now, Repeat);
+  m_PlanningTime.record(static_cast<double>((m_Clock.now() - Now).count()));
   if (m_Planner->isSuperseded()) {
-    m_Events.record(base::EventId::PlannerChanged,
-                    {{"term", std::to_string(m_Planner->term())},
-                     {"why", "superseded by a newer planner"}});
-    m_Planner.reset();
+    dropPlanner();
     return;
   }
   sendCommands(Commands);
@@ -334,6 +337,15 @@
     announcePlanner();
 }
 
+void RankAgentNode::dropPlanner() {
+  m_Events.record(base::EventId::PlannerChanged,
+                  {{"term", std::to_string(m_Planner->term())},
+                   {"why", "superseded by a newer planner"},
+                   {"phase", std::string(name(m_Planner->phase()))},
+                   {"reports", m_Planner->describeReports(m_Clock.now())}});
+  m_Planner.reset();
+}
+
 void RankAgentNode::sendCommands(
     const std::vector<wire::RankCommand> &Commands) {
   for (const wire::RankCommand &Command : Commands) {
--- a/Source/RankAgent/RankAgentNode.h
+++ b/Source/RankAgent/RankAgentNode.h
@@ -67,6 +67,8 @@
   void startPlanner(std::uint64_t Term,
                     const base::Result<direct::Configuration> &Published);
   void tickPlanner();
+  /// Stops planning because another agent has a later term.
+  void dropPlanner();
   void sendCommands(const std::vector<wire::RankCommand> &Commands);
   void announcePlanner();
   [[nodiscard]] bool isSwitchOpen() const;
@@ -83,6 +85,7 @@
   fleet::FleetNode m_Fleet;
   net::HttpServer m_MetricsServer;
   boost::asio::steady_timer m_Timer;
+  metrics::Histogram &m_PlanningTime;
   std::size_t m_ExpertsPerSet = 0;
   rankgroup::RankExperts m_RankExperts;
   bool m_HasRankExperts = false;
--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -111,6 +111,28 @@
   });
 }
 
+std::string GroupPlanner::describeReports(base::Millis Now) const {
+  std::size_t Following = 0;
+  std::size_t Prepared = 0;
+  base::Millis OldestAge{};
+  std::uint32_t OldestRank = 0;
+  for (const auto &[Index, Each] : m_Ranks) {
+    Following += Each.m_Report.planner_term() == m_Term ? 1 : 0;
+    Prepared += m_SwitchVersion != 0 &&
+                        Each.m_Report.prepared_version() == m_SwitchVersion
+                    ? 1
+                    : 0;
+    if (Now - Each.m_ReceivedAt >= OldestAge) {
+      OldestAge = Now - Each.m_ReceivedAt;
+      OldestRank = Index;
+    }
+  }
+  return "size=" + number(m_Size) + " reported=" + number(m_Ranks.size()) +
+         " following=" + number(Following) + " prepared=" + number(Prepared) +
+         " oldest_ms=" + std::to_string(OldestAge.count()) +
+         " oldest_rank=" + number(OldestRank);
+}
+
 std::uint64_t GroupPlanner::newestStep() const {
   std::uint64_t Newest = 0;
   for (const auto &[Index, Each] : m_Ranks)
@@ -307,7 +329,8 @@
                    {"slowest_pace",
                     formatDecimal(*std::max_element(Limits.m_Slowdowns.begin(),
                                                     Limits.m_Slowdowns.end()))},
-                   {"step", number(newestStep())}});
+                   {"step", number(newestStep())},
+                   {"reports", describeReports(Now)}});
   enterPhase(SwitchPhase::Prepare, Now);
   setCommandForAll(SwitchOrderKind::Prepare);
 }
@@ -364,7 +387,8 @@
                     {{"group", m_Group},
                      {"version", number(m_SwitchVersion)},
                      {"why", Rejected ? "a rank rejected the order to prepare"
-                                      : "preparation timed out"}});
+                                      : "preparation timed out"},
+                     {"reports", describeReports(Now)}});
     enterPhase(SwitchPhase::Gather, Now);
     return;
   }
--- a/Source/RankGroup/GroupPlanner.h
+++ b/Source/RankGroup/GroupPlanner.h
@@ -96,6 +96,10 @@
   [[nodiscard]] std::uint64_t term() const { return m_Term; }
   /// \returns the peer address of the agent of \p Rank; empty if unknown.
   [[nodiscard]] std::string agentAddress(std::uint32_t Rank) const;
+  /// \returns a summary of the ranks' reports for the log: how many ranks have
+  /// reported, how many of them follow this planner and have prepared the next
+  /// maps, and the age and rank of the oldest report.
+  [[nodiscard]] std::string describeReports(base::Millis Now) const;
   /// \returns the mean skew at the last planning attempt.
   [[nodiscard]] double skew() const { return m_Skew; }
 
