RankAgent, RankGroup: coordinate large rank groups over relays

Cause: the traffic and the processor time of a planner grew with ranks times experts. It sent the complete maps to every rank in one loop, which exceeded the queue of its link of 8 Mbit/s, repeated all of them every 400 ms, encoded the maps once for each rank, and read the counts of every rank every 100 ms.

Reports are requested in rounds, whose interval follows from the bandwidth (new setting link_mbps); relays sum up the counts of the ranks behind them, so the size of a report does not depend on the number of ranks. Commands carry ascending numbers, so that one that arrives late has no effect, and are repeated only to ranks that have not confirmed them. The step of a switch is chosen by the measured duration of passes and of earlier switches instead of three passes ahead. A round ends as soon as all ranks have replied, and the interval in which popularity shifted is replaced by the next one. GroupAgent holds these decisions without sockets and timers.

GroupPlannerSimulation still finds no mixed maps and detects all planted faults.

Ruled out: lost reports. They were 53 to 132 ms old when planners were replaced.

--- a/Source/Fleet/FleetNode.cpp
+++ b/Source/Fleet/FleetNode.cpp
@@ -229,8 +229,8 @@
   Count.m_ReceivedBytes->add(Bytes.size());
   if (Message.has_beat())
     onHeartbeat(Message.beat(), From);
-  else if (Message.has_report() && m_Hooks.m_OnRankReport)
-    m_Hooks.m_OnRankReport(Message.report());
+  else if (Message.has_report() && m_Hooks.m_OnGroupReport)
+    m_Hooks.m_OnGroupReport(Message.report());
   else if (Message.has_command() && m_Hooks.m_OnRankCommand)
     m_Hooks.m_OnRankCommand(Message.command());
 }
--- a/Source/Fleet/FleetNode.h
+++ b/Source/Fleet/FleetNode.h
@@ -48,7 +48,7 @@
     /// Adds this node's data to an outgoing heartbeat.
     std::function<void(wire::FleetBeat &)> m_FillHeartbeat;
     std::function<void(const wire::FleetBeat &)> m_OnHeartbeat;
-    std::function<void(const wire::RankReport &)> m_OnRankReport;
+    std::function<void(const wire::GroupReport &)> m_OnGroupReport;
     std::function<void(const wire::RankCommand &)> m_OnRankCommand;
     /// Called when an entry is lost or leaves.
     std::function<void(const std::string &Node)> m_OnEntryLost;
--- a/Source/RankGroup/ExpertMap.cpp
+++ b/Source/RankGroup/ExpertMap.cpp
@@ -35,6 +35,15 @@
     Copies.erase(Position);
 }
 
+std::vector<std::vector<ExpertMap::Expert>> ExpertMap::expertsByRank() const {
+  std::vector<std::vector<Expert>> Held(m_Ranks);
+  for (Expert ExpertId = 0; ExpertId < experts(); ++ExpertId)
+    for (const Rank RankId : m_Replicas[ExpertId])
+      if (RankId < m_Ranks)
+        Held[RankId].push_back(ExpertId);
+  return Held;
+}
+
 std::vector<std::size_t> ExpertMap::slotsUsed() const {
   std::vector<std::size_t> Used(m_Ranks, 0);
   for (const std::vector<Rank> &Copies : m_Replicas)
@@ -57,8 +66,10 @@
 
 std::size_t ExpertMap::copiesToLoad(const ExpertMap &Old) const {
   std::size_t Copies = 0;
-  for (std::size_t RankId = 0; RankId < m_Ranks; ++RankId)
-    Copies += expertsToLoad(Old, static_cast<Rank>(RankId)).size();
+  for (Expert ExpertId = 0; ExpertId < experts(); ++ExpertId)
+    for (const Rank RankId : m_Replicas[ExpertId])
+      if (ExpertId >= Old.experts() || !Old.holds(RankId, ExpertId))
+        ++Copies;
   return Copies;
 }
 
--- a/Source/RankGroup/ExpertMap.h
+++ b/Source/RankGroup/ExpertMap.h
@@ -44,6 +44,9 @@
   /// Removes a copy. Does nothing if the rank does not hold the expert.
   void remove(Expert ExpertId, Rank RankId);
 
+  /// \returns the experts of each rank, in ascending order.
+  [[nodiscard]] std::vector<std::vector<Expert>> expertsByRank() const;
+
   /// \returns the number of memory slots that each rank uses.
   [[nodiscard]] std::vector<std::size_t> slotsUsed() const;
 
--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -10,6 +10,14 @@
 /// Upper bound on the versions of one term, so that all versions of a later
 /// term are higher.
 constexpr std::uint64_t VersionsPerTerm = 1'000'000;
+/// Smoothing factors of the moving averages of the durations.
+constexpr double PassSmoothing = 0.3;
+constexpr double ArmSmoothing = 0.3;
+/// A rank whose last report is older than this many rounds is not a relay.
+constexpr std::int64_t MaxMissedRounds = 3;
+/// Bytes of a report without choices, and of an encoded count.
+constexpr std::size_t ReportBaseBytes = 512;
+constexpr double BytesPerCount = 1.5;
 
 std::string number(std::uint64_t Value) { return std::to_string(Value); }
 
@@ -66,34 +74,61 @@
                            base::Timeline &Events)
     : m_Group(std::move(Group)), m_Address(std::move(Address)), m_Term(Term),
       m_Settings(std::move(Settings)), m_Events(Events),
-      m_LastVersion(Term * VersionsPerTerm) {}
+      m_LastVersion(Term * VersionsPerTerm),
+      m_ArmMillis(static_cast<double>(m_Settings.m_InitialArmTime.count())) {}
+
+void GroupPlanner::onReport(const wire::GroupReport &Message,
+                            base::Millis Now) {
+  for (const wire::RankReport &Report : Message.ranks()) {
+    if (Report.planner_term() > m_Term) {
+      m_IsSuperseded = true;
+      return;
+    }
+    m_Size = Report.size();
+    if (Report.epoch() > m_Epoch) {
+      // A new epoch starts on the initial maps, with nothing prepared or held.
+      m_Epoch = Report.epoch();
+      m_Ranks.clear();
+      m_MeasuredStep = 0;
+      enterPhase(SwitchPhase::Gather, Now);
+    }
+    if (Report.epoch() < m_Epoch || Report.rank() >= m_Size)
+      continue;
+    RankRecord &Record = m_Ranks[Report.rank()];
+    Record.m_Report = Report;
+    Record.m_ReceivedAt = Now;
+    if (Report.held_size() > 0) {
+      Record.m_Held.assign(Report.held().begin(), Report.held().end());
+      Record.m_HeldVersion = Report.map_version();
+      Record.m_Report.clear_held();
+    }
+  }
+  measurePass(Now);
+  if (Message.chosen_size() > 0)
+    m_Window.addReport(Message.sender(),
+                       {Message.chosen().begin(), Message.chosen().end()});
+}
 
-void GroupPlanner::onReport(const wire::RankReport &Report, base::Millis Now) {
-  if (Report.planner_term() > m_Term) {
-    m_IsSuperseded = true;
+void GroupPlanner::measurePass(base::Millis Now) {
+  const std::uint64_t Step = newestStep();
+  if (Step <= m_MeasuredStep)
     return;
+  if (m_MeasuredStep != 0) {
+    const double Millis = static_cast<double>((Now - m_MeasuredAt).count()) /
+                          static_cast<double>(Step - m_MeasuredStep);
+    m_PassMillis = m_PassMillis <= 0
+                       ? Millis
+                       : m_PassMillis + PassSmoothing * (Millis - m_PassMillis);
   }
-  m_Size = Report.size();
-  if (Report.epoch() > m_Epoch) {
-    // A new epoch starts on the initial maps, with nothing prepared or held.
-    m_Epoch = Report.epoch();
-    m_Ranks.clear();
-    enterPhase(SwitchPhase::Gather, Now);
-  }
-  if (Report.epoch() < m_Epoch || Report.rank() >= m_Size)
-    return;
-  RankRecord &Record = m_Ranks[Report.rank()];
-  Record.m_Report = Report;
-  Record.m_ReceivedAt = Now;
-  if (Report.chosen_size() > 0)
-    m_Window.addReport(Report.rank(),
-                       {Report.chosen().begin(), Report.chosen().end()});
+  m_MeasuredStep = Step;
+  m_MeasuredAt = Now;
 }
 
-std::string GroupPlanner::agentAddress(std::uint32_t Rank) const {
-  const auto Found = m_Ranks.find(Rank);
-  return Found == m_Ranks.end() ? std::string()
-                                : Found->second.m_Report.agent();
+bool GroupPlanner::knows(const std::string &Address) const {
+  return std::any_of(m_Ranks.begin(), m_Ranks.end(), [&](const auto &Each) {
+    return Each.second.m_Report.agent() == Address &&
+           Each.second.m_Report.planner_term() == m_Term;
+  });
 }
 
 bool GroupPlanner::allFresh(base::Millis Now) const {
@@ -151,19 +186,38 @@
   m_Phase = Phase;
   m_PhaseSince = Now;
   m_PendingCommands.clear();
+  m_OldestValidCommand = m_NextCommand;
 }
 
-std::vector<wire::RankCommand> GroupPlanner::tick(base::Millis Now,
-                                                  bool Repeat) {
+std::vector<AddressedCommand> GroupPlanner::tick(base::Millis Now) {
   if (m_IsSuperseded || m_Size == 0)
     return {};
+  closeRound(Now);
   if (m_Phase == SwitchPhase::Gather) {
     if (allFresh(Now) && allOpen())
       resumeSwitch(Now);
   } else {
     advancePhase(Now);
   }
-  return commandsToSend(Repeat);
+  std::vector<AddressedCommand> Commands;
+  addPending(Commands, Now);
+  addRound(Commands, Now);
+  return Commands;
+}
+
+void GroupPlanner::closeRound(base::Millis Now) {
+  if (!m_RoundOpen)
+    return;
+  const bool AllReplied =
+      m_Ranks.size() == m_Size &&
+      std::all_of(m_Ranks.begin(), m_Ranks.end(), [this](const auto &Each) {
+        return Each.second.m_Report.round() == m_Round;
+      });
+  if (!AllReplied && Now - m_RoundStartedAt < roundInterval())
+    return;
+  m_RoundOpen = false;
+  m_Shifted = m_Window.endInterval(m_Settings.m_LayerSets);
+  m_PlanDue = true;
 }
 
 void GroupPlanner::resumeSwitch(base::Millis Now) {
@@ -214,18 +268,18 @@
   const std::uint64_t Version = m_Ranks.begin()->second.m_Report.map_version();
   for (const auto &[Index, Each] : m_Ranks) {
     const wire::RankReport &Report = Each.m_Report;
-    if (Report.map_version() != Version)
+    const std::vector<std::uint32_t> &Held = Each.m_Held;
+    if (Report.map_version() != Version || Each.m_HeldVersion != Version)
       return false;
-    int Position = 0;
+    std::size_t Position = 0;
     for (ExpertMap &Map : Maps) {
-      if (Position >= Report.held_size())
-        return false;
-      const int End = Position + 1 + static_cast<int>(Report.held(Position));
-      if (End > Report.held_size())
+      if (Position >= Held.size() ||
+          Held[Position] > Held.size() - Position - 1)
         return false;
+      const std::size_t End = Position + 1 + Held[Position];
       for (++Position; Position < End; ++Position)
-        if (Report.held(Position) < m_Settings.m_Experts)
-          Map.add(Report.held(Position), static_cast<ExpertMap::Rank>(Index));
+        if (Held[Position] < m_Settings.m_Experts)
+          Map.add(Held[Position], static_cast<ExpertMap::Rank>(Index));
     }
   }
   for (const ExpertMap &Map : Maps)
@@ -276,8 +330,7 @@
       setCommand(Index, SwitchOrderKind::Release, Step);
     else if (const auto Found = m_PendingCommands.find(Index);
              Found != m_PendingCommands.end() &&
-             Found->second.kind() ==
-                 static_cast<std::uint32_t>(SwitchOrderKind::Release))
+             Found->second.m_Kind == SwitchOrderKind::Release)
       m_PendingCommands.erase(Found);
 }
 
@@ -290,12 +343,11 @@
     enterPhase(SwitchPhase::Gather, Now);
     return;
   }
-  if (Now - m_PlannedAt < m_Settings.m_PlanInterval)
+  if (!m_PlanDue)
     return;
-  m_PlannedAt = Now;
-  const bool Shifted = m_Window.endInterval(m_Settings.m_LayerSets);
+  m_PlanDue = false;
   // The interval in which popularity shifts mixes old and new choices.
-  if (Shifted || !m_Window.hasData() || m_CurrentMaps.empty())
+  if (m_Shifted || !m_Window.hasData() || m_CurrentMaps.empty())
     return;
   PlacementLimits Limits = m_Settings.m_Placement;
   Limits.m_Slowdowns = slowdowns();
@@ -331,6 +383,7 @@
                                                     Limits.m_Slowdowns.end()))},
                    {"step", number(newestStep())},
                    {"reports", describeReports(Now)}});
+  m_EncodedMaps = encodeMaps(m_NextMaps);
   enterPhase(SwitchPhase::Prepare, Now);
   setCommandForAll(SwitchOrderKind::Prepare);
 }
@@ -351,21 +404,22 @@
 
 void GroupPlanner::setCommand(std::uint32_t Rank, SwitchOrderKind Kind,
                               std::uint64_t Step) {
-  wire::RankCommand &Command = m_PendingCommands[Rank];
-  const bool Unchanged = Command.command() != 0 &&
-                         Command.kind() == static_cast<std::uint32_t>(Kind) &&
-                         Command.step() == Step &&
-                         Command.version() == m_SwitchVersion;
-  if (Unchanged)
+  const auto HasSameContent = [&](const PendingCommand &Other) {
+    return Other.m_Number != 0 && Other.m_Kind == Kind &&
+           Other.m_Step == Step && Other.m_Version == m_SwitchVersion;
+  };
+  PendingCommand &Command = m_PendingCommands[Rank];
+  if (HasSameContent(Command))
     return;
-  Command.set_command(m_NextCommand++);
-  Command.set_kind(static_cast<std::uint32_t>(Kind));
-  Command.set_version(m_SwitchVersion);
-  Command.set_step(Step);
-  Command.clear_map();
-  if (Kind == SwitchOrderKind::Prepare)
-    for (const std::uint32_t Each : encodeMaps(m_NextMaps))
-      Command.add_map(Each);
+  Command = {m_NextCommand, Kind, m_SwitchVersion, Step};
+  // Ranks with the same command share its number, so that one message serves
+  // all of them. Agents ignore a number that is not higher than their last one.
+  for (const auto &[Other, Each] : m_PendingCommands)
+    if (Other != Rank && HasSameContent(Each) &&
+        Each.m_Number > m_Ranks[Rank].m_SentCommand)
+      Command.m_Number = Each.m_Number;
+  if (Command.m_Number == m_NextCommand)
+    ++m_NextCommand;
 }
 
 void GroupPlanner::checkPrepared(base::Millis Now) {
@@ -375,10 +429,13 @@
     const wire::RankReport &Report = Each.m_Report;
     const bool HasPrepared = Report.prepared_version() == m_SwitchVersion;
     All = All && HasPrepared;
+    // An order to release a stale hold replaces the order to prepare.
+    if (!HasPrepared && !m_PendingCommands.contains(Index))
+      setCommand(Index, SwitchOrderKind::Prepare, m_SwitchStep);
     const auto Found = m_PendingCommands.find(Index);
     Rejected =
         Rejected || (!HasPrepared && Found != m_PendingCommands.end() &&
-                     Report.command() == Found->second.command() &&
+                     Report.command() == Found->second.m_Number &&
                      Report.command_result() ==
                          1 + static_cast<std::uint32_t>(OrderResult::Rejected));
   }
@@ -394,7 +451,8 @@
   }
   if (!All || !allFresh(Now))
     return;
-  m_SwitchStep = newestStep() + m_Settings.m_SwitchLeadSteps;
+  m_SwitchStep = chooseSwitchStep();
+  m_HoldStartedAt = Now;
   m_HoldRank = m_Ranks.begin()->first;
   for (const auto &[Index, Each] : m_Ranks)
     if (Each.m_Report.agent() == m_Address)
@@ -417,7 +475,7 @@
     return;
   }
   if (newestStep() >= m_SwitchStep)
-    m_SwitchStep = newestStep() + m_Settings.m_SwitchLeadSteps;
+    m_SwitchStep = chooseSwitchStep();
   setCommand(m_HoldRank, SwitchOrderKind::Hold, m_SwitchStep);
 }
 
@@ -433,6 +491,10 @@
   }
   if (!All)
     return;
+  if (m_HoldStartedAt > base::Millis(0))
+    m_ArmMillis +=
+        ArmSmoothing *
+        (static_cast<double>((Now - m_HoldStartedAt).count()) - m_ArmMillis);
   m_Events.record(base::EventId::GroupReleased,
                   {{"group", m_Group},
                    {"version", number(m_SwitchVersion)},
@@ -467,25 +529,141 @@
   enterPhase(SwitchPhase::Gather, Now);
 }
 
-std::vector<wire::RankCommand> GroupPlanner::commandsToSend(bool Repeat) {
-  std::vector<wire::RankCommand> All;
-  for (auto &[Index, Each] : m_Ranks) {
-    const auto Found = m_PendingCommands.find(Index);
-    const std::uint64_t CommandNumber =
-        Found == m_PendingCommands.end() ? 0 : Found->second.command();
-    if (!Repeat && CommandNumber == Each.m_LastSentCommand)
+std::uint64_t GroupPlanner::chooseSwitchStep() const {
+  const double Passes =
+      m_PassMillis > 0 ? std::ceil(m_ArmMillis / m_PassMillis) : 1;
+  return newestStep() + 1 + static_cast<std::uint64_t>(std::max(Passes, 1.0));
+}
+
+bool GroupPlanner::isResponsive(const RankRecord &Rank,
+                                base::Millis Now) const {
+  return Now - Rank.m_ReceivedAt <= roundInterval() * MaxMissedRounds;
+}
+
+std::size_t GroupPlanner::reportBytes() const {
+  return ReportBaseBytes +
+         static_cast<std::size_t>(BytesPerCount *
+                                  static_cast<double>(m_Settings.m_LayerSets *
+                                                      m_Settings.m_Experts));
+}
+
+base::Millis GroupPlanner::roundInterval() const {
+  const std::size_t Bytes = reportBytes();
+  const std::size_t Messages =
+      std::min<std::size_t>(m_Size, m_Settings.m_Traffic.fanout(Bytes));
+  return std::max(m_Settings.m_MinRoundInterval,
+                  m_Settings.m_Traffic.reportInterval(Messages, Bytes));
+}
+
+base::Millis
+GroupPlanner::repeatInterval(const wire::RankCommand &Command) const {
+  return m_Settings.m_ReplyTimeout +
+         m_Settings.m_Traffic.distributionTime(m_Size, Command.ByteSizeLong());
+}
+
+std::size_t GroupPlanner::fanout(const wire::RankCommand &Command) const {
+  // A request is answered with the choices of all experts.
+  return m_Settings.m_Traffic.fanout(
+      Command.round() != 0 ? reportBytes() : Command.ByteSizeLong());
+}
+
+std::vector<RelayBranch> GroupPlanner::route(const AddressedCommand &Command,
+                                             base::Millis Now) const {
+  std::vector<RelayBranch> Branches;
+  std::vector<wire::RankAddress> Responsive;
+  std::vector<wire::RankAddress> Silent;
+  // Ranks of a zone are neighbours, so that most messages of a relay stay in
+  // its zone.
+  std::vector<std::pair<std::string, std::uint32_t>> ByZone;
+  for (const std::uint32_t Rank : Command.m_Ranks)
+    if (const auto Found = m_Ranks.find(Rank); Found != m_Ranks.end())
+      ByZone.emplace_back(Found->second.m_Report.zone(), Rank);
+  std::sort(ByZone.begin(), ByZone.end());
+  for (const auto &[Zone, Rank] : ByZone) {
+    const RankRecord &Record = m_Ranks.at(Rank);
+    wire::RankAddress Address;
+    Address.set_rank(Rank);
+    Address.set_agent(Record.m_Report.agent());
+    // The planner's link already carries the messages to all relays.
+    if (Address.agent() == m_Address)
+      Branches.push_back({Address, {}});
+    else
+      (isResponsive(Record, Now) ? Responsive : Silent).push_back(Address);
+  }
+  const std::size_t Fanout = fanout(Command.m_Command);
+  for (std::vector<wire::RankAddress> *Targets : {&Responsive, &Silent}) {
+    if (!Targets->empty())
+      std::rotate(Targets->begin(),
+                  Targets->begin() +
+                      static_cast<std::ptrdiff_t>(Command.m_Repetitions %
+                                                  Targets->size()),
+                  Targets->end());
+    for (RelayBranch &Each : divideIntoBranches(*Targets, Fanout))
+      Branches.push_back(std::move(Each));
+  }
+  return Branches;
+}
+
+wire::RankCommand
+GroupPlanner::makeCommand(const PendingCommand &Pending) const {
+  wire::RankCommand Command;
+  Command.set_group(m_Group);
+  Command.set_epoch(m_Epoch);
+  Command.set_planner_term(m_Term);
+  Command.set_planner(m_Address);
+  Command.set_oldest_valid(m_OldestValidCommand);
+  Command.set_command(Pending.m_Number);
+  Command.set_kind(static_cast<std::uint32_t>(Pending.m_Kind));
+  Command.set_version(Pending.m_Version);
+  Command.set_step(Pending.m_Step);
+  if (Pending.m_Kind == SwitchOrderKind::Prepare)
+    Command.mutable_map()->Add(m_EncodedMaps.begin(), m_EncodedMaps.end());
+  return Command;
+}
+
+void GroupPlanner::addPending(std::vector<AddressedCommand> &Commands,
+                              base::Millis Now) {
+  std::map<std::uint64_t, AddressedCommand> ByNumber;
+  for (const auto &[Rank, Pending] : m_PendingCommands) {
+    AddressedCommand &Command = ByNumber[Pending.m_Number];
+    if (Command.m_Command.command() == 0)
+      Command.m_Command = makeCommand(Pending);
+    RankRecord &Record = m_Ranks[Rank];
+    const bool IsNew = Record.m_SentCommand != Pending.m_Number;
+    const bool Confirmed = Record.m_Report.command() == Pending.m_Number;
+    if (!IsNew && (Confirmed ||
+                   Now - Record.m_SentAt < repeatInterval(Command.m_Command)))
       continue;
-    Each.m_LastSentCommand = CommandNumber;
-    wire::RankCommand &Command = All.emplace_back();
-    if (Found != m_PendingCommands.end())
-      Command = Found->second;
-    Command.set_group(m_Group);
-    Command.set_epoch(m_Epoch);
-    Command.set_rank(Index);
-    Command.set_planner_term(m_Term);
-    Command.set_planner(m_Address);
+    Record.m_TimesSent = IsNew ? 1 : Record.m_TimesSent + 1;
+    Record.m_SentCommand = Pending.m_Number;
+    Record.m_SentAt = Now;
+    Command.m_Ranks.push_back(Rank);
+    Command.m_Repetitions =
+        std::max(Command.m_Repetitions, Record.m_TimesSent - 1);
   }
-  return All;
+  for (auto &[Number, Each] : ByNumber)
+    if (!Each.m_Ranks.empty())
+      Commands.push_back(std::move(Each));
+}
+
+void GroupPlanner::addRound(std::vector<AddressedCommand> &Commands,
+                            base::Millis Now) {
+  // After a shift of popularity the next round starts at once: its choices are
+  // the first ones without the old popularity.
+  const bool IsDue =
+      Now - m_RoundStartedAt >= roundInterval() || (m_Shifted && !m_RoundOpen);
+  if (!IsDue || m_Ranks.empty())
+    return;
+  m_RoundStartedAt = Now;
+  m_RoundOpen = true;
+  m_Shifted = false;
+  ++m_Round;
+  AddressedCommand &Request = Commands.emplace_back();
+  Request.m_Command = makeCommand({});
+  Request.m_Command.set_round(m_Round);
+  Request.m_Command.set_with_experts(m_Phase == SwitchPhase::Gather);
+  for (const auto &[Rank, Each] : m_Ranks)
+    Request.m_Ranks.push_back(Rank);
 }
 
 } // namespace corneldeck::rankgroup
--- a/Source/RankGroup/GroupPlanner.h
+++ b/Source/RankGroup/GroupPlanner.h
@@ -3,6 +3,7 @@
 
 #include "Base/Timeline.h"
 #include "RankGroup/EnginePort.h"
+#include "RankGroup/GroupTraffic.h"
 #include "RankGroup/PopularityWindow.h"
 #include "Wire/Gossip.pb.h"
 
@@ -23,12 +24,19 @@
   PlacementLimits m_Placement;
   /// A report that is older is too stale to act on.
   base::Millis m_MaxReportAge = base::Millis(1000);
-  /// Time between two planning attempts, each of which ends an interval of the
-  /// popularity window.
-  base::Millis m_PlanInterval = base::Millis(100);
-  /// Passes from the newest one reported to the one at which the ranks switch,
-  /// so that the orders arrive in time and no pass has to wait.
-  std::uint64_t m_SwitchLeadSteps = 3;
+  /// Limits from which the interval of report requests and the number of relays
+  /// are derived.
+  TrafficLimits m_Traffic;
+  /// Minimum time between two requests for reports. Each of them ends an
+  /// interval of the popularity window and may be followed by a new plan.
+  base::Millis m_MinRoundInterval = base::Millis(100);
+  /// Time for the reply to a command, in addition to its distribution, after
+  /// which it is repeated.
+  base::Millis m_ReplyTimeout = base::Millis(150);
+  /// Expected time from the order to hold a step until all ranks are armed;
+  /// replaced by the measured time after the first switch. The step is chosen
+  /// so that no pass has to wait.
+  base::Millis m_InitialArmTime = base::Millis(150);
   /// Load skew from which the next maps are limited to a few copies, so that
   /// they take effect sooner.
   double m_UrgentSkewThreshold = 1.5;
@@ -47,6 +55,15 @@
   base::Millis m_PrepareTimeout = base::seconds(9);
 };
 
+/// A command and the ranks that have to receive it.
+struct AddressedCommand {
+  wire::RankCommand m_Command;
+  std::vector<std::uint32_t> m_Ranks;
+  /// Number of times that the command was sent before, so that other relays are
+  /// used if it was not confirmed.
+  unsigned m_Repetitions = 0;
+};
+
 /// Phases of a switch to new expert maps.
 enum class SwitchPhase {
   Gather,  ///< Wait until all ranks report and follow this planner.
@@ -69,6 +86,8 @@
 ///   every rank has reported that it is armed for it. If an order to arm is
 ///   executed later, its step has already started or the rank is already armed.
 /// - Each version number is used by one planner for one set of maps only.
+/// - Commands are numbered in ascending order. An agent ignores a command that
+///   is older than another one of the same planner.
 /// - A planner acts only while all ranks follow its term; the agent of a rank
 ///   rejects older terms. If a new planner finds a held step whose maps are
 ///   prepared on all ranks, it completes the switch, because orders to arm may
@@ -82,20 +101,30 @@
   GroupPlanner(std::string Group, std::string Address, std::uint64_t Term,
                PlannerSettings Settings, base::Timeline &Events);
 
-  /// Processes the report of a rank.
-  void onReport(const wire::RankReport &Report, base::Millis Now);
+  /// Processes the reports of one or more ranks.
+  void onReport(const wire::GroupReport &Message, base::Millis Now);
 
   /// Advances the switch according to the newest reports.
-  /// \param Repeat whether commands that were sent before are sent again.
-  /// \returns the commands to send now, each to the agent of its rank.
-  std::vector<wire::RankCommand> tick(base::Millis Now, bool Repeat);
+  /// \returns the commands and requests for reports to send now.
+  std::vector<AddressedCommand> tick(base::Millis Now);
+
+  /// Divides the receivers of \p Command between relays. Ranks that have not
+  /// reported recently are not used as relays.
+  /// \returns the messages to send, each with the ranks that its receiver has
+  /// to forward it to.
+  [[nodiscard]] std::vector<RelayBranch> route(const AddressedCommand &Command,
+                                               base::Millis Now) const;
+
+  /// \returns the fanout for relays of \p Command.
+  [[nodiscard]] std::size_t fanout(const wire::RankCommand &Command) const;
 
   /// \returns whether a report contained the term of a newer planner.
   [[nodiscard]] bool isSuperseded() const { return m_IsSuperseded; }
   [[nodiscard]] SwitchPhase phase() const { return m_Phase; }
   [[nodiscard]] std::uint64_t term() const { return m_Term; }
-  /// \returns the peer address of the agent of \p Rank; empty if unknown.
-  [[nodiscard]] std::string agentAddress(std::uint32_t Rank) const;
+  /// \returns whether the agent at \p Address has reported and follows this
+  /// planner.
+  [[nodiscard]] bool knows(const std::string &Address) const;
   /// \returns a summary of the ranks' reports for the log: how many ranks have
   /// reported, how many of them follow this planner and have prepared the next
   /// maps, and the age and rank of the oldest report.
@@ -107,8 +136,21 @@
   struct RankRecord {
     wire::RankReport m_Report;
     base::Millis m_ReceivedAt{};
-    /// Number of the command that was sent last.
-    std::uint64_t m_LastSentCommand = 0;
+    /// Experts of the rank under the maps of version m_HeldVersion.
+    std::vector<std::uint32_t> m_Held;
+    std::uint64_t m_HeldVersion = 0;
+    /// Number of the command that was sent last, when, and how often.
+    std::uint64_t m_SentCommand = 0;
+    base::Millis m_SentAt{};
+    unsigned m_TimesSent = 0;
+  };
+
+  /// Command that a rank has to execute in the current phase.
+  struct PendingCommand {
+    std::uint64_t m_Number = 0;
+    SwitchOrderKind m_Kind = SwitchOrderKind::None;
+    std::uint64_t m_Version = 0;
+    std::uint64_t m_Step = 0;
   };
 
   [[nodiscard]] bool allFresh(base::Millis Now) const;
@@ -122,6 +164,9 @@
   void advancePhase(base::Millis Now);
   /// Releases steps that are held although no switch holds them.
   void releaseStaleHolds();
+  /// Ends the current round if all ranks have replied or the next one is due,
+  /// and adds the choices of the round to the popularity window.
+  void closeRound(base::Millis Now);
   void plan(base::Millis Now);
   [[nodiscard]] RankSlowdowns slowdowns() const;
   /// Reads the maps in use from the reports of all ranks.
@@ -134,7 +179,21 @@
   void checkHeld(base::Millis Now);
   void checkArmed(base::Millis Now);
   void checkSettled(base::Millis Now);
-  std::vector<wire::RankCommand> commandsToSend(bool Repeat);
+  /// Updates the duration of a pass after new reports.
+  void measurePass(base::Millis Now);
+  /// \returns the step at which the ranks switch if it is held now.
+  [[nodiscard]] std::uint64_t chooseSwitchStep() const;
+  [[nodiscard]] bool isResponsive(const RankRecord &Rank,
+                                  base::Millis Now) const;
+  [[nodiscard]] std::size_t reportBytes() const;
+  [[nodiscard]] base::Millis roundInterval() const;
+  [[nodiscard]] base::Millis
+  repeatInterval(const wire::RankCommand &Command) const;
+  void addRound(std::vector<AddressedCommand> &Commands, base::Millis Now);
+  void addPending(std::vector<AddressedCommand> &Commands, base::Millis Now);
+  /// \returns a command of \p Pending with the fields common to all messages.
+  [[nodiscard]] wire::RankCommand
+  makeCommand(const PendingCommand &Pending) const;
 
   const std::string m_Group;
   const std::string m_Address;
@@ -143,12 +202,19 @@
   base::Timeline &m_Events;
   std::map<std::uint32_t, RankRecord> m_Ranks;
   /// Command to each rank in the current phase; none if it needs no order.
-  std::map<std::uint32_t, wire::RankCommand> m_PendingCommands;
+  std::map<std::uint32_t, PendingCommand> m_PendingCommands;
   std::uint32_t m_Size = 0;
   std::uint64_t m_Epoch = 0;
   SwitchPhase m_Phase = SwitchPhase::Gather;
   base::Millis m_PhaseSince{};
-  base::Millis m_PlannedAt{};
+  /// Current request for reports.
+  std::uint64_t m_Round = 0;
+  base::Millis m_RoundStartedAt{};
+  bool m_RoundOpen = false;
+  /// Whether a round has ended since the last planning attempt.
+  bool m_PlanDue = false;
+  /// Whether the popularity shifted in the last round.
+  bool m_Shifted = false;
   PopularityWindow m_Window;
   LayerMaps m_CurrentMaps;
   std::uint64_t m_CurrentVersion = 0;
@@ -161,6 +227,18 @@
   std::uint64_t m_SwitchStep = 0;
   std::uint32_t m_HoldRank = 0;
   std::uint64_t m_NextCommand = 1;
+  /// Number of the first command of the current phase.
+  std::uint64_t m_OldestValidCommand = 1;
+  /// Encoding of m_NextMaps for the commands to prepare them.
+  std::vector<std::uint32_t> m_EncodedMaps;
+  /// Moving average of the duration of a pass in milliseconds; 0 if unknown.
+  double m_PassMillis = 0;
+  std::uint64_t m_MeasuredStep = 0;
+  base::Millis m_MeasuredAt{};
+  /// Moving average of the time in milliseconds to hold a step and arm all
+  /// ranks.
+  double m_ArmMillis;
+  base::Millis m_HoldStartedAt{};
   double m_Skew = 1;
   bool m_IsSuperseded = false;
 };
--- a/Source/RankGroup/LayerMaps.cpp
+++ b/Source/RankGroup/LayerMaps.cpp
@@ -380,13 +380,9 @@
   std::vector<std::uint32_t> Numbers = {static_cast<std::uint32_t>(Maps.size()),
                                         static_cast<std::uint32_t>(Ranks)};
   for (const ExpertMap &Map : Maps)
-    for (std::size_t RankId = 0; RankId < Ranks; ++RankId) {
-      const std::size_t Length = Numbers.size();
-      Numbers.push_back(0);
-      for (Expert ExpertId = 0; ExpertId < Map.experts(); ++ExpertId)
-        if (Map.holds(static_cast<Rank>(RankId), ExpertId))
-          Numbers.push_back(ExpertId);
-      Numbers[Length] = static_cast<std::uint32_t>(Numbers.size() - Length - 1);
+    for (const std::vector<Expert> &Held : Map.expertsByRank()) {
+      Numbers.push_back(static_cast<std::uint32_t>(Held.size()));
+      Numbers.insert(Numbers.end(), Held.begin(), Held.end());
     }
   return Numbers;
 }
--- a/Source/RankGroup/PopularityWindow.cpp
+++ b/Source/RankGroup/PopularityWindow.cpp
@@ -55,9 +55,9 @@
 PopularityWindow::PopularityWindow(WindowSettings Settings)
     : m_Settings(Settings) {}
 
-void PopularityWindow::addReport(std::uint32_t Rank,
+void PopularityWindow::addReport(std::uint32_t Sender,
                                  const std::vector<std::uint64_t> &Chosen) {
-  addTo(m_CurrentInterval[Rank], {Chosen.begin(), Chosen.end()});
+  addTo(m_CurrentInterval[Sender], {Chosen.begin(), Chosen.end()});
 }
 
 bool PopularityWindow::endInterval(std::size_t SetCount) {
@@ -79,10 +79,14 @@
     };
     SetWindow &Window = m_Sets[Set];
     const Choices SetSum = SetPart(Sum);
-    if (totalVariationDistance(Window.m_Sum, SetSum) >
-        m_Settings.m_ShiftThreshold) {
+    if (Window.m_IsMixed) {
+      Window = {};
+    } else if (totalVariationDistance(Window.m_Sum, SetSum) >
+               m_Settings.m_ShiftThreshold) {
       Shifted = true;
+      const bool IsFirst = Window.m_Sum.empty();
       Window = {};
+      Window.m_IsMixed = !IsFirst;
     }
     std::vector<Choices> RankSamples;
     for (const auto &[Rank, Each] : m_CurrentInterval)
--- a/Source/RankGroup/PopularityWindow.h
+++ b/Source/RankGroup/PopularityWindow.h
@@ -47,15 +47,18 @@
 ///
 /// The window of a layer set is reset as soon as the choices of one interval
 /// differ from it by more than noise explains, so that the estimate follows a
-/// shift of popularity quickly. The choices of one rank in one interval are a
-/// sample of which experts its few requests use at the same time.
+/// shift of popularity quickly. That interval mixes old and new choices, so the
+/// next one replaces it. The choices of one report in one interval are a sample
+/// of which experts a few requests use at the same time.
 class PopularityWindow {
 public:
   explicit PopularityWindow(WindowSettings Settings = {});
 
-  /// Adds the choices of a rank's requests since its last report, grouped by
-  /// layer set. A lost report only reduces the size of the sample.
-  void addReport(std::uint32_t Rank, const std::vector<std::uint64_t> &Chosen);
+  /// Adds choices since the last report of \p Sender, grouped by layer set: of
+  /// one rank, or the sum over several ranks that report together. A lost
+  /// report only reduces the size of the sample.
+  void addReport(std::uint32_t Sender,
+                 const std::vector<std::uint64_t> &Chosen);
 
   /// Ends an interval and adds its choices to the window. If there are too few,
   /// they are kept for the next interval instead.
@@ -66,11 +69,10 @@
   /// \returns whether there are enough choices for planning.
   [[nodiscard]] bool hasData() const { return !m_Sets.empty(); }
 
-  /// \returns for each layer set the mean choices of a rank in an interval.
+  /// \returns for each layer set the mean choices of a sample.
   [[nodiscard]] LayerSamples means() const;
 
-  /// \returns for each layer set the mean choices and the samples of single
-  /// ranks.
+  /// \returns for each layer set the mean choices and the single samples.
   [[nodiscard]] LayerSamples samples() const;
 
 private:
@@ -81,6 +83,9 @@
     /// Sum of all choices, and the number of samples in it.
     Choices m_Sum;
     std::size_t m_SampleCount = 0;
+    /// Whether the window consists of the interval in which the popularity
+    /// shifted.
+    bool m_IsMixed = false;
     /// Samples of the latest intervals.
     std::deque<std::vector<Choices>> m_Intervals;
   };
--- a/Source/RankGroup/RankDriver.cpp
+++ b/Source/RankGroup/RankDriver.cpp
@@ -1,5 +1,7 @@
 #include "RankGroup/RankDriver.h"
 
+#include <algorithm>
+
 namespace corneldeck::rankgroup {
 
 bool RankDriver::acceptCommand(const wire::RankCommand &Command,
@@ -11,15 +13,16 @@
     m_CommandOpen = false;
     m_CompletedCommand = 0;
     m_CompletedResult = 0;
+    m_OldestValidCommand = 0;
   }
   m_Term = Command.planner_term();
   m_Planner = Command.planner();
   m_LastPlannerContact = Now;
-  if (Command.command() == 0) {
+  m_OldestValidCommand = std::max(m_OldestValidCommand, Command.oldest_valid());
+  if (m_Command.command() < m_OldestValidCommand)
     m_CommandOpen = false;
-    return true;
-  }
-  if (Command.command() == m_Command.command())
+  if (Command.command() <= m_Command.command() ||
+      Command.command() < m_OldestValidCommand)
     return true;
   m_Command = Command;
   m_CommandOpen = true;
@@ -50,6 +53,14 @@
   return true;
 }
 
+bool RankDriver::isPreparing() const {
+  return m_State && m_Command.epoch() == m_State->m_Epoch &&
+         m_Command.command() >= m_OldestValidCommand &&
+         static_cast<SwitchOrderKind>(m_Command.kind()) ==
+             SwitchOrderKind::Prepare &&
+         !isCommandDone();
+}
+
 std::optional<SwitchOrder> RankDriver::nextOrder(base::Millis Now,
                                                  std::size_t Experts) {
   if (!m_CommandOpen || !m_State || m_Command.epoch() != m_State->m_Epoch)
@@ -105,7 +116,6 @@
   Report.set_command_result(m_CompletedResult);
   if (!m_State)
     return;
-  Report.set_group(m_State->m_Group);
   Report.set_epoch(m_State->m_Epoch);
   Report.set_rank(m_State->m_Rank);
   Report.set_size(m_State->m_Size);
--- a/Source/RankGroup/RankDriver.h
+++ b/Source/RankGroup/RankDriver.h
@@ -25,7 +25,9 @@
   explicit RankDriver(DriverSettings Settings = {}) : m_Settings(Settings) {}
 
   /// Accepts a command, unless it comes from a planner with an older term.
-  /// \returns whether the command was accepted.
+  /// Relays may deliver commands of one planner out of order: those that are
+  /// older than the current one, or void, have no effect.
+  /// \returns whether the planner is accepted.
   bool acceptCommand(const wire::RankCommand &Command, base::Millis Now);
 
   /// Updates the state of the engine.
@@ -46,6 +48,9 @@
   [[nodiscard]] const std::optional<RankState> &engineState() const {
     return m_State;
   }
+  /// \returns whether the engine still has to prepare the maps of the current
+  /// command.
+  [[nodiscard]] bool isPreparing() const;
   [[nodiscard]] std::uint64_t term() const { return m_Term; }
   /// \returns the peer address of the current planner.
   [[nodiscard]] const std::string &planner() const { return m_Planner; }
@@ -63,6 +68,8 @@
   std::uint64_t m_Term = 0;
   std::string m_Planner;
   base::Millis m_LastPlannerContact{};
+  /// Number of the oldest command of the planner that is not void.
+  std::uint64_t m_OldestValidCommand = 0;
   bool m_CommandOpen = false;
   bool m_AwaitingResult = false;
   base::Millis m_OrderedAt{};
--- a/Tests/RankAgent/LargeGroupTest.cpp
+++ b/Tests/RankAgent/LargeGroupTest.cpp
@@ -1,18 +1,18 @@
 #include "SimulatedEngines.h"
 #include "SimulatedNetwork.h"
 
-#include "RankGroup/GroupPlanner.h"
-#include "RankGroup/RankDriver.h"
+#include "RankAgent/GroupAgent.h"
 
+#include <deque>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace corneldeck::tests {
 
 namespace {
 
 constexpr GroupShape LargeShape{63, 8, 252, 5, 2};
-constexpr base::Millis ReportInterval{100};
-constexpr base::Millis CommandRepeatInterval{400};
+constexpr double BytesPerMs = 1000;
 
 /// The agents of a rank group on links of 8 Mbit/s. The agent of rank 0 is the
 /// planner.
@@ -20,24 +20,29 @@
 public:
   explicit SimulatedAgents(GroupShape Shape)
       : m_Engines(Shape, 1),
-        m_Network(Shape.m_Ranks, {},
+        m_Network(Shape.m_Ranks, {.m_BytesPerMs = BytesPerMs},
                   [this](std::size_t Vm, const std::string &Bytes) {
                     onDatagram(Vm, Bytes);
-                  }),
-        m_Drivers(Shape.m_Ranks), m_Trackers(Shape.m_Ranks) {
+                  }) {
+    for (std::uint32_t Rank = 0; Rank < Shape.m_Ranks; ++Rank)
+      m_Agents.push_back(std::make_unique<rankagent::GroupAgent>(
+          rankagent::GroupAgentSettings{.m_Address = std::to_string(Rank),
+                                        .m_Zone = "zone",
+                                        .m_Collector = {}},
+          enginePort(Rank), base::Clock([this] { return m_Now; }), m_Events,
+          hooks(Rank)));
+    run(base::Millis(200));
     rankgroup::PlannerSettings Settings;
     Settings.m_LayerSets = Shape.m_Sets;
     Settings.m_Experts = Shape.m_Experts;
     Settings.m_Placement.m_SlotsPerRank = Shape.m_SlotsPerRank;
     Settings.m_Placement.m_MaxNewPerRank = Shape.m_MaxNewPerRank;
-    m_Planner = std::make_unique<rankgroup::GroupPlanner>("group", "0", 1,
-                                                          Settings, m_Events);
-    wire::RankCommand Announcement;
-    Announcement.set_group("group");
-    Announcement.set_planner("0");
-    Announcement.set_planner_term(1);
-    for (rankgroup::RankDriver &Each : m_Drivers)
-      Each.acceptCommand(Announcement, m_Now);
+    Settings.m_Traffic.m_LinkBytesPerMs = BytesPerMs;
+    m_Agents[0]->startPlanner(1, Settings);
+    wire::Datagram Message;
+    *Message.mutable_command() = m_Agents[0]->announcement();
+    for (std::uint32_t Rank = 1; Rank < Shape.m_Ranks; ++Rank)
+      m_Network.send(0, Rank, Message.SerializeAsString(), m_Now);
   }
 
   void run(base::Millis Duration) {
@@ -45,65 +50,80 @@
       m_Now += base::Millis(1);
       m_Engines.advance(m_Now);
       m_Network.advance(m_Now);
-      for (std::uint32_t Rank = 0; Rank < m_Drivers.size(); ++Rank)
-        tickAgent(Rank);
-      tickPlanner();
+      for (std::uint32_t Rank = 0; Rank < m_Agents.size(); ++Rank)
+        if (!m_Stopped.contains(Rank))
+          m_Agents[Rank]->tick();
+      runPosted();
     }
   }
 
+  /// From now on the agent of \p Rank neither receives nor sends.
+  void stopAgent(std::uint32_t Rank) { m_Stopped.insert(Rank); }
+  void restartAgent(std::uint32_t Rank) { m_Stopped.erase(Rank); }
+
   SimulatedEngines &engines() { return m_Engines; }
+  SimulatedNetwork &network() { return m_Network; }
 
 private:
+  void runPosted() {
+    while (!m_Posted.empty()) {
+      const std::function<void()> Next = std::move(m_Posted.front());
+      m_Posted.pop_front();
+      Next();
+    }
+  }
+
+  rankgroup::EnginePort enginePort(std::uint32_t Rank) {
+    rankgroup::EnginePort Port;
+    Port.m_GetState = [this, Rank](auto Done) {
+      Done(m_Engines.state(Rank, m_Now));
+    };
+    Port.m_GetExperts = [this, Rank](auto Done) {
+      Done(m_Engines.experts(Rank));
+    };
+    Port.m_GetCounts = [this, Rank](auto Done) {
+      Done(m_Engines.counts(Rank));
+    };
+    Port.m_SendOrder = [this, Rank](const rankgroup::SwitchOrder &Order,
+                                    auto Done) {
+      Done(m_Engines.order(Rank, Order, m_Now));
+    };
+    return Port;
+  }
+
+  rankagent::GroupAgent::Hooks hooks(std::uint32_t Rank) {
+    rankagent::GroupAgent::Hooks Hooks;
+    Hooks.m_Send = [this, Rank](const std::string &Address,
+                                const wire::Datagram &Message) {
+      m_Network.send(Rank, std::stoul(Address), Message.SerializeAsString(),
+                     m_Now);
+    };
+    Hooks.m_Post = [this](std::function<void()> Function) {
+      m_Posted.push_back(std::move(Function));
+    };
+    Hooks.m_WakeAt = [](base::Millis) {};
+    Hooks.m_OnGroupChanged = [] {};
+    return Hooks;
+  }
+
   void onDatagram(std::size_t Vm, const std::string &Bytes) {
+    if (m_Stopped.contains(static_cast<std::uint32_t>(Vm)))
+      return;
     wire::Datagram Message;
     ASSERT_TRUE(Message.ParseFromString(Bytes));
     if (Message.has_command())
-      m_Drivers[Vm].acceptCommand(Message.command(), m_Now);
+      m_Agents[Vm]->onCommand(Message.command());
     if (Message.has_report())
-      m_Planner->onReport(Message.report(), m_Now);
-  }
-
-  void tickAgent(std::uint32_t Rank) {
-    rankgroup::RankDriver &Driver = m_Drivers[Rank];
-    Driver.updateState(m_Engines.state(Rank, m_Now));
-    if (const auto Order =
-            Driver.nextOrder(m_Now, m_Engines.shape().m_Experts)) {
-      Driver.onOrderResult(m_Engines.order(Rank, *Order, m_Now), m_Now);
-      Driver.updateState(m_Engines.state(Rank, m_Now));
-    }
-    if ((m_Now.count() + Rank) % ReportInterval.count() != 0)
-      return;
-    wire::Datagram Message;
-    wire::RankReport &Report = *Message.mutable_report();
-    Driver.fillReport(Report);
-    Report.set_agent(std::to_string(Rank));
-    for (const auto &Set : m_Engines.experts(Rank).m_ExpertsBySet) {
-      Report.add_held(static_cast<std::uint32_t>(Set.size()));
-      for (const std::uint32_t Each : Set)
-        Report.add_held(Each);
-    }
-    for (const std::uint64_t Each :
-         m_Trackers[Rank].update(m_Engines.counts(Rank)))
-      Report.add_chosen(Each);
-    m_Network.send(Rank, 0, Message.SerializeAsString(), m_Now);
-  }
-
-  void tickPlanner() {
-    const bool Repeat = m_Now.count() % CommandRepeatInterval.count() == 0;
-    for (const wire::RankCommand &Each : m_Planner->tick(m_Now, Repeat)) {
-      wire::Datagram Message;
-      *Message.mutable_command() = Each;
-      m_Network.send(0, Each.rank(), Message.SerializeAsString(), m_Now);
-    }
+      m_Agents[Vm]->onReport(Message.report());
   }
 
   base::Millis m_Now{1000};
   base::Timeline m_Events{"test", 100};
   SimulatedEngines m_Engines;
   SimulatedNetwork m_Network;
-  std::vector<rankgroup::RankDriver> m_Drivers;
-  std::vector<rankgroup::ExpertCountTracker> m_Trackers;
-  std::unique_ptr<rankgroup::GroupPlanner> m_Planner;
+  std::vector<std::unique_ptr<rankagent::GroupAgent>> m_Agents;
+  std::set<std::uint32_t> m_Stopped;
+  std::deque<std::function<void()>> m_Posted;
 };
 
 } // namespace
@@ -116,6 +136,54 @@
   EXPECT_EQ(Agents.engines().preparedRanks(), LargeShape.m_Ranks);
   EXPECT_GE(Agents.engines().switches(), 1U);
   EXPECT_FALSE(Agents.engines().hasMixedMaps());
+  EXPECT_EQ(Agents.network().dropped(), 0U);
+}
+
+// Guards against maps that follow a shift of popularity too late in a large
+// group.
+TEST(LargeGroup, MapsFollowShiftOfPopularityWithinOneSecond) {
+  SimulatedAgents Agents(LargeShape);
+  Agents.run(base::seconds(4));
+  for (int Shift = 0; Shift < 5; ++Shift) {
+    Agents.engines().shiftPopularity();
+    const double Before = Agents.engines().skew();
+    Agents.run(base::seconds(1));
+    EXPECT_LT(Agents.engines().skew() - 1, 0.4 * (Before - 1));
+    Agents.run(base::seconds(1));
+  }
+  EXPECT_FALSE(Agents.engines().hasMixedMaps());
+}
+
+// Guards against traffic of a VM that grows with the product of ranks and
+// experts.
+TEST(LargeGroup, TrafficPerVmDoesNotGrowWithRanks) {
+  const auto MostBytes = [](std::uint32_t Ranks) {
+    SimulatedAgents Agents({Ranks, 8, 252, 5, 2});
+    Agents.run(base::seconds(3));
+    const double Before = Agents.network().mostBytes();
+    Agents.run(base::seconds(3));
+    EXPECT_GE(Agents.engines().switches(), 1U) << Ranks << " ranks";
+    return Agents.network().mostBytes() - Before;
+  };
+  // The remaining difference is the state of the ranks, some 70 bytes each.
+  EXPECT_LT(MostBytes(252), 2 * MostBytes(63));
+}
+
+// Guards against a group that cannot switch its maps while the agent of a
+// relay does not respond.
+TEST(LargeGroup, SwitchesAfterRelayWasLost) {
+  SimulatedAgents Agents(LargeShape);
+  Agents.run(base::seconds(2));
+  for (const std::uint32_t Rank : {1U, 9U, 17U})
+    Agents.stopAgent(Rank);
+  Agents.run(base::seconds(2));
+  for (const std::uint32_t Rank : {1U, 9U, 17U})
+    Agents.restartAgent(Rank);
+  Agents.engines().shiftPopularity();
+  const unsigned Before = Agents.engines().switches();
+  Agents.run(base::seconds(2));
+  EXPECT_GT(Agents.engines().switches(), Before);
+  EXPECT_FALSE(Agents.engines().hasMixedMaps());
 }
 
 } // namespace corneldeck::tests
--- a/Tests/RankGroup/LayerMapsTest.cpp
+++ b/Tests/RankGroup/LayerMapsTest.cpp
@@ -157,6 +157,23 @@
   EXPECT_EQ(Samples[1].size(), 2U);
 }
 
+// Guards against maps that are planned on choices from before a shift.
+TEST(PopularityWindow, ReplacesIntervalInWhichPopularityShifted) {
+  PopularityWindow Window;
+  std::vector<std::uint64_t> Chosen(Experts, 2000);
+  Window.addReport(0, Chosen);
+  Window.endInterval(1);
+  std::vector<std::uint64_t> Mixed = Chosen;
+  Mixed[0] = 20000;
+  Window.addReport(0, Mixed);
+  EXPECT_TRUE(Window.endInterval(1));
+  std::vector<std::uint64_t> New(Experts, 10);
+  New[0] = 40000;
+  Window.addReport(0, New);
+  EXPECT_FALSE(Window.endInterval(1));
+  EXPECT_EQ(Window.means()[0][0].m_Choices[1], 10.0F);
+}
+
 TEST(PopularityWindow, DoesNotTakeNoiseForShift) {
   // Twelve ranks, each of which reads four prompts in an interval, each on
   // one of nine topics. This corresponds to 100 ms of traffic.
--- a/Tests/RankGroup/SimulatedGroup.cpp
+++ b/Tests/RankGroup/SimulatedGroup.cpp
@@ -199,14 +199,17 @@
     }
     Driver.updateState(reportedState(Rank));
   }
-  wire::RankReport Report;
+  wire::GroupReport Message;
+  Message.set_group("group");
+  Message.set_sender(Rank);
+  wire::RankReport &Report = *Message.add_ranks();
   Driver.fillReport(Report);
   Report.set_agent("agent-" + std::to_string(Rank));
   for (const std::uint32_t Each : m_Engines[Rank].m_ExpertLists)
     Report.add_held(Each);
   for (const std::uint64_t Each : m_Agents[Rank].m_CountTracker.update(
            {m_Epoch, m_Step, m_Engines[Rank].m_Counts}))
-    Report.add_chosen(Each);
+    Message.add_chosen(Each);
   if (m_PlantedFault == PlantedFault::IgnoreHold)
     Report.set_held_step(
         Report.held_step() > Report.step() + 4 ? Report.held_step() : 0);
@@ -226,29 +229,27 @@
         m_Tick >= Each.m_PausedUntil) {
       if (m_PlantedFault == PlantedFault::FollowSupersededPlanner)
         Report.set_planner_term(Each.m_Planner->term());
-      Each.m_Planner->onReport(Report, now());
+      Each.m_Planner->onReport(Message, now());
     }
 }
 
 void SimulatedGroup::tickPlanner(Planner &Target) {
   if (m_Tick < Target.m_PausedUntil)
     return;
-  auto Commands = Target.m_Planner->tick(now(), true);
+  auto Commands = Target.m_Planner->tick(now());
   if (Target.m_Planner->phase() == SwitchPhase::Gather) {
-    wire::RankCommand Follow;
-    Follow.set_planner_term(Target.m_Planner->term());
-    Follow.set_epoch(m_Epoch);
-    Commands.assign(Ranks, Follow);
-    for (std::uint32_t Rank = 0; Rank < Ranks; ++Rank)
-      Commands[Rank].set_rank(Rank);
-  }
-  for (wire::RankCommand &Command : Commands) {
-    if (m_Random.chance(m_Rates.m_MessageLost))
-      continue;
-    if (m_PlantedFault == PlantedFault::FollowSupersededPlanner)
-      Command.set_planner_term(m_Term);
-    m_Agents[Command.rank()].m_Driver->acceptCommand(Command, now());
+    AddressedCommand &Announcement = Commands.emplace_back();
+    Announcement.m_Command.set_planner_term(Target.m_Planner->term());
+    Announcement.m_Ranks = {0, 1, 2};
   }
+  for (AddressedCommand &Command : Commands)
+    for (const std::uint32_t Rank : Command.m_Ranks) {
+      if (m_Random.chance(m_Rates.m_MessageLost))
+        continue;
+      if (m_PlantedFault == PlantedFault::FollowSupersededPlanner)
+        Command.m_Command.set_planner_term(m_Term);
+      m_Agents[Rank].m_Driver->acceptCommand(Command.m_Command, now());
+    }
 }
 
 void SimulatedGroup::run(int Ticks) {
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -110,7 +110,8 @@
        << "\ndirectory_address: " << Added.m_DirectoryAddress
        << "\nseeds: []\nlog: " << m_StoreAddress
        << "\nretries: {ratio: 0.2, window_s: 10, extra: 90}\n"
-          "address_lifetime_s: 5\ngrace_period_s: 3\nmax_open_files: 1000\n";
+          "address_lifetime_s: 5\ngrace_period_s: 3\nmax_open_files: 1000\n"
+          "link_mbps: 1000\n";
   File.close();
   Added.m_Process = std::make_unique<ChildProcess>(
       std::vector<std::string>{m_Settings.m_EntryProgram, "--config",
