RankGroup: send the number of experts with new maps

Cause: an agent derived the number of experts, which it needs to decode maps, from its engine's counts. Counts are now read only on request, so a restarted agent could receive maps before its first counts; decoding failed, and the command was dropped without an answer. Such an agent existed before, but read its counts every 100 ms.

Change: the command carries the number. Maps that cannot be decoded are reported as rejected, so that the planner plans again at once.

--- a/Source/RankAgent/GroupAgent.cpp
+++ b/Source/RankAgent/GroupAgent.cpp
@@ -141,11 +141,7 @@
 void GroupAgent::sendNextOrder() {
   if (m_OrderInFlight)
     return;
-  const std::size_t Sets = m_RankExperts.m_ExpertsBySet.size();
-  if (const std::size_t CountSize = m_CountTracker.last().m_Counts.size();
-      Sets > 0 && CountSize > 0)
-    m_ExpertsPerSet = CountSize / Sets;
-  const auto Order = m_Driver.nextOrder(m_Clock.now(), m_ExpertsPerSet);
+  const auto Order = m_Driver.nextOrder(m_Clock.now());
   if (!Order)
     return;
   m_OrderInFlight = true;
@@ -313,7 +309,6 @@
   const auto &Engine = m_Driver.engineState();
   if (!Engine || Term < m_Driver.term())
     return;
-  m_ExpertsPerSet = Settings.m_Experts;
   m_Planner = std::make_unique<rankgroup::GroupPlanner>(
       Engine->m_Group, m_Settings.m_Address, Term, Settings, m_Events);
   onCommand(announcement());
--- a/Source/RankAgent/GroupAgent.h
+++ b/Source/RankAgent/GroupAgent.h
@@ -102,7 +102,6 @@
   rankgroup::RankExperts m_RankExperts;
   bool m_HasRankExperts = false;
   rankgroup::ExpertCountTracker m_CountTracker;
-  std::size_t m_ExpertsPerSet = 0;
   /// Address to which reports are sent.
   std::string m_ReplyTo;
   /// Number of the latest request for reports in the current term.
--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -616,8 +616,10 @@
   Command.set_kind(static_cast<std::uint32_t>(Pending.m_Kind));
   Command.set_version(Pending.m_Version);
   Command.set_step(Pending.m_Step);
-  if (Pending.m_Kind == SwitchOrderKind::Prepare)
+  if (Pending.m_Kind == SwitchOrderKind::Prepare) {
+    Command.set_experts(static_cast<std::uint32_t>(m_Settings.m_Experts));
     Command.mutable_map()->Add(m_EncodedMaps.begin(), m_EncodedMaps.end());
+  }
   return Command;
 }
 
--- a/Source/RankGroup/RankDriver.cpp
+++ b/Source/RankGroup/RankDriver.cpp
@@ -30,7 +30,7 @@
 }
 
 void RankDriver::updateState(const RankState &State) {
-  if (m_State && m_State->m_Epoch != State.m_Epoch)
+  if (m_Command.epoch() != State.m_Epoch)
     m_CommandOpen = false;
   m_State = State;
 }
@@ -61,8 +61,7 @@
          !isCommandDone();
 }
 
-std::optional<SwitchOrder> RankDriver::nextOrder(base::Millis Now,
-                                                 std::size_t Experts) {
+std::optional<SwitchOrder> RankDriver::nextOrder(base::Millis Now) {
   if (!m_CommandOpen || !m_State || m_Command.epoch() != m_State->m_Epoch)
     return std::nullopt;
   if (m_AwaitingResult && Now - m_OrderedAt < m_Settings.m_OrderTimeout)
@@ -81,10 +80,12 @@
   Order.m_Version = m_Command.version();
   Order.m_Step = m_Command.step();
   if (Order.m_Kind == SwitchOrderKind::Prepare) {
-    auto Maps =
-        decodeMaps({m_Command.map().begin(), m_Command.map().end()}, Experts);
+    auto Maps = decodeMaps({m_Command.map().begin(), m_Command.map().end()},
+                           m_Command.experts());
     if (!Maps) {
       m_CommandOpen = false;
+      m_CompletedCommand = m_Command.command();
+      m_CompletedResult = 1 + static_cast<std::uint32_t>(OrderResult::Rejected);
       return std::nullopt;
     }
     Order.m_Maps = std::move(*Maps);
--- a/Source/RankGroup/RankDriver.h
+++ b/Source/RankGroup/RankDriver.h
@@ -33,9 +33,9 @@
   /// Updates the state of the engine.
   void updateState(const RankState &State);
 
-  /// \param Experts the number of experts of a layer set, to decode maps.
-  /// \returns the order to send to the engine now, if any.
-  std::optional<SwitchOrder> nextOrder(base::Millis Now, std::size_t Experts);
+  /// \returns the order to send to the engine now, if any. A command whose maps
+  /// cannot be decoded is reported as rejected.
+  std::optional<SwitchOrder> nextOrder(base::Millis Now);
 
   /// Processes the result of the last order.
   void onOrderResult(const base::Result<OrderResult> &Outcome,
--- a/Tests/RankAgent/LargeGroupTest.cpp
+++ b/Tests/RankAgent/LargeGroupTest.cpp
@@ -25,12 +25,7 @@
                     onDatagram(Vm, Bytes);
                   }) {
     for (std::uint32_t Rank = 0; Rank < Shape.m_Ranks; ++Rank)
-      m_Agents.push_back(std::make_unique<rankagent::GroupAgent>(
-          rankagent::GroupAgentSettings{.m_Address = std::to_string(Rank),
-                                        .m_Zone = "zone",
-                                        .m_Collector = {}},
-          enginePort(Rank), base::Clock([this] { return m_Now; }), m_Events,
-          hooks(Rank)));
+      m_Agents.push_back(makeAgent(Rank));
     run(base::Millis(200));
     rankgroup::PlannerSettings Settings;
     Settings.m_LayerSets = Shape.m_Sets;
@@ -59,12 +54,25 @@
 
   /// From now on the agent of \p Rank neither receives nor sends.
   void stopAgent(std::uint32_t Rank) { m_Stopped.insert(Rank); }
-  void restartAgent(std::uint32_t Rank) { m_Stopped.erase(Rank); }
+  /// Starts a new process of the agent of \p Rank.
+  void restartAgent(std::uint32_t Rank) {
+    m_Agents[Rank] = makeAgent(Rank);
+    m_Stopped.erase(Rank);
+  }
 
   SimulatedEngines &engines() { return m_Engines; }
   SimulatedNetwork &network() { return m_Network; }
 
 private:
+  std::unique_ptr<rankagent::GroupAgent> makeAgent(std::uint32_t Rank) {
+    return std::make_unique<rankagent::GroupAgent>(
+        rankagent::GroupAgentSettings{.m_Address = std::to_string(Rank),
+                                      .m_Zone = "zone",
+                                      .m_Collector = {}},
+        enginePort(Rank), base::Clock([this] { return m_Now; }), m_Events,
+        hooks(Rank));
+  }
+
   void runPosted() {
     while (!m_Posted.empty()) {
       const std::function<void()> Next = std::move(m_Posted.front());
--- a/Tests/RankGroup/SimulatedGroup.cpp
+++ b/Tests/RankGroup/SimulatedGroup.cpp
@@ -181,7 +181,7 @@
     m_Agents[Rank] = {std::make_unique<RankDriver>(), {}};
   RankDriver &Driver = *m_Agents[Rank].m_Driver;
   Driver.updateState(reportedState(Rank));
-  if (const auto Order = Driver.nextOrder(now(), Experts)) {
+  if (const auto Order = Driver.nextOrder(now())) {
     if (m_Random.chance(m_Rates.m_OrderDelayed)) {
       const int Due = m_Tick + MinOrderDelayTicks +
                       static_cast<int>(m_Random.below(MaxOrderDelayTicks -
