RankGroup: switch at the first step that can be held

Expert maps took effect up to two passes later than necessary: the step of a switch was at least two after the newest one, however long passes were. Chooses the first step that starts after the measured time to hold and arm, counted from the expected start of the next pass.

--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -451,7 +451,7 @@
   }
   if (!All || !allFresh(Now))
     return;
-  m_SwitchStep = chooseSwitchStep();
+  m_SwitchStep = chooseSwitchStep(Now);
   m_HoldStartedAt = Now;
   m_HoldRank = m_Ranks.begin()->first;
   for (const auto &[Index, Each] : m_Ranks)
@@ -475,7 +475,7 @@
     return;
   }
   if (newestStep() >= m_SwitchStep)
-    m_SwitchStep = chooseSwitchStep();
+    m_SwitchStep = chooseSwitchStep(Now);
   setCommand(m_HoldRank, SwitchOrderKind::Hold, m_SwitchStep);
 }
 
@@ -529,10 +529,14 @@
   enterPhase(SwitchPhase::Gather, Now);
 }
 
-std::uint64_t GroupPlanner::chooseSwitchStep() const {
-  const double Passes =
-      m_PassMillis > 0 ? std::ceil(m_ArmMillis / m_PassMillis) : 1;
-  return newestStep() + 1 + static_cast<std::uint64_t>(std::max(Passes, 1.0));
+std::uint64_t GroupPlanner::chooseSwitchStep(base::Millis Now) const {
+  const std::uint64_t Next = newestStep() + 1;
+  if (m_PassMillis <= 0)
+    return Next + 1;
+  const double NextStartsIn =
+      m_PassMillis - static_cast<double>((Now - m_MeasuredAt).count());
+  const double Passes = std::ceil((m_ArmMillis - NextStartsIn) / m_PassMillis);
+  return Next + static_cast<std::uint64_t>(std::max(Passes, 0.0));
 }
 
 bool GroupPlanner::isResponsive(const RankRecord &Rank,
--- a/Source/RankGroup/GroupPlanner.h
+++ b/Source/RankGroup/GroupPlanner.h
@@ -181,8 +181,9 @@
   void checkSettled(base::Millis Now);
   /// Updates the duration of a pass after new reports.
   void measurePass(base::Millis Now);
-  /// \returns the step at which the ranks switch if it is held now.
-  [[nodiscard]] std::uint64_t chooseSwitchStep() const;
+  /// \returns the first step that is expected to start after a hold that is
+  /// ordered now, and all orders to arm, have been executed.
+  [[nodiscard]] std::uint64_t chooseSwitchStep(base::Millis Now) const;
   [[nodiscard]] bool isResponsive(const RankRecord &Rank,
                                   base::Millis Now) const;
   [[nodiscard]] std::size_t reportBytes() const;
