RankGroup: limit copies by their gain and duration, not by constants for 12 ranks

Expert maps of large groups stayed uneven (skew 1.38) because two limits fit 12 ranks only. The minimum gain of a copy was relative to the squared loads of all ranks, so the same relief of the busiest rank counted five times less in a group of 63. And an urgent map could add two experts to a rank, whether a copy takes 98 ms or 14 ms.

Change: the gain is relative to the mean load of one rank, with the same value for 12 ranks. The number of copies of urgent maps follows from the duration of a copy, which the published engine profile contains; it remains 2 on the deployments with 12 ranks and is 14 on those with 63.

--- a/Source/Direct/Configuration.h
+++ b/Source/Direct/Configuration.h
@@ -72,6 +72,17 @@
   double m_CopyMegabitsPerSecond = 0;
   /// Time that a rank group takes to form once all of its ranks are present.
   base::Millis m_FormationTime{};
+
+  /// \returns the time that a rank needs to copy one expert; zero if unknown.
+  [[nodiscard]] base::Millis copyTime() const {
+    constexpr double BitsPerByte = 8;
+    constexpr double MillisPerSecond = 1000;
+    if (m_CopyMegabitsPerSecond <= 0)
+      return base::Millis(0);
+    return base::Millis(
+        static_cast<std::int64_t>(MillisPerSecond * BitsPerByte *
+                                  m_ExpertMegabytes / m_CopyMegabitsPerSecond));
+  }
 };
 
 /// A service and the properties that all of its backend servers share.
--- a/Source/RankAgent/RankAgentNode.cpp
+++ b/Source/RankAgent/RankAgentNode.cpp
@@ -164,6 +164,7 @@
   Settings.m_Experts = Profile.m_Experts;
   Settings.m_Placement.m_SlotsPerRank = Profile.m_SlotsPerSet;
   Settings.m_Placement.m_MaxNewPerRank = Profile.m_MaxNewExperts;
+  Settings.m_CopyTime = Profile.copyTime();
   Settings.m_Traffic = m_Settings.m_Traffic;
   m_Agent.startPlanner(Term, Settings);
 }
--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -356,7 +356,10 @@
                       m_Settings.m_UrgentSkewThreshold;
   const LayerSamples Samples = Urgent ? Means : m_Window.samples();
   if (Urgent)
-    Limits.m_MaxNewPerRankInAllSets = m_Settings.m_MaxNewPerRankIfUrgent;
+    Limits.m_MaxNewPerRankInAllSets =
+        static_cast<std::size_t>(std::max<std::int64_t>(
+            1, m_Settings.m_MaxUrgentCopyTime.count() /
+                   std::max<std::int64_t>(1, m_Settings.m_CopyTime.count())));
   m_Skew = expectedSkew(m_CurrentMaps, Samples, Limits.m_Slowdowns);
   LayerMaps Improved = improveMaps(m_CurrentMaps, Samples, Limits);
   std::size_t Copies = 0;
--- a/Source/RankGroup/GroupPlanner.h
+++ b/Source/RankGroup/GroupPlanner.h
@@ -40,8 +40,11 @@
   /// Load skew from which the next maps are limited to a few copies, so that
   /// they take effect sooner.
   double m_UrgentSkewThreshold = 1.5;
-  /// Experts that one rank may copy for such urgent maps.
-  std::size_t m_MaxNewPerRankIfUrgent = 2;
+  /// Time in which a rank must be able to copy the experts for such urgent
+  /// maps.
+  base::Millis m_MaxUrgentCopyTime = base::Millis(200);
+  /// Time that a rank needs to copy one expert.
+  base::Millis m_CopyTime = base::Millis(100);
   /// New maps must lower the mean skew by at least m_MinGain, and by at least
   /// m_MinGainPerCopy for each copy.
   double m_MinGain = 0.05;
--- a/Source/RankGroup/LayerMaps.cpp
+++ b/Source/RankGroup/LayerMaps.cpp
@@ -105,21 +105,20 @@
       const double MeanLoad =
           std::accumulate(Each.m_Choices.begin(), Each.m_Choices.end(), 0.0) /
           static_cast<double>(Present.ranks());
-      m_EvenSquareSum += Each.m_Weight * MeanLoad * MeanLoad *
-                         static_cast<double>(Present.ranks());
+      m_MeanSquare += Each.m_Weight * MeanLoad * MeanLoad;
     }
   }
 
   /// Finds the change with the largest gain for each copy. Reuses the result of
   /// the previous call while it is still within the limits.
-  /// \returns the gain for each copy as a share of the load; 0 if no change is
-  /// worthwhile.
+  /// \returns the gain for each copy, relative to the square of the mean load;
+  /// 0 if no change is worthwhile.
   double findBestChange() {
     if (!m_BestChange || !fits(*m_BestChange))
       m_BestChange = searchChanges();
     const double Gain =
         m_BestChange->m_Gain /
-        (m_EvenSquareSum * static_cast<double>(m_BestChange->m_Copies));
+        (m_MeanSquare * static_cast<double>(m_BestChange->m_Copies));
     return Gain > m_Limits.m_MinGainPerCopy ? Gain : 0;
   }
 
@@ -360,8 +359,8 @@
   std::vector<std::size_t> m_NewByRank;
   /// Choices of all samples, grouped by expert.
   std::vector<float> m_Choices;
-  /// Weighted sum of squared loads if all ranks had the same load.
-  double m_EvenSquareSum = 0;
+  /// Weighted sum of the squared mean loads of the samples.
+  double m_MeanSquare = 0;
   std::optional<MapChange> m_BestChange;
 };
 
--- a/Source/RankGroup/LayerMaps.h
+++ b/Source/RankGroup/LayerMaps.h
@@ -63,9 +63,10 @@
   std::size_t m_MaxNewPerRankInAllSets =
       std::numeric_limits<std::size_t>::max();
   /// Minimum gain of a change for each copy that it needs. The gain is the
-  /// decrease of the mean square of the ranks' loads, relative to the square of
-  /// the mean load.
-  double m_MinGainPerCopy = 0.004;
+  /// decrease of the sum of the squared loads of all ranks, relative to the
+  /// square of the mean load. It does not depend on the number of ranks that a
+  /// change does not affect.
+  double m_MinGainPerCopy = 0.05;
   /// Number of ranks, from the least loaded on, that are considered as
   /// receivers of an expert.
   std::size_t m_MaxReceivers = 12;
--- a/Tests/RankAgent/LargeGroupTest.cpp
+++ b/Tests/RankAgent/LargeGroupTest.cpp
@@ -32,6 +32,7 @@
     Settings.m_Experts = Shape.m_Experts;
     Settings.m_Placement.m_SlotsPerRank = Shape.m_SlotsPerRank;
     Settings.m_Placement.m_MaxNewPerRank = Shape.m_MaxNewPerRank;
+    Settings.m_CopyTime = base::Millis(14);
     Settings.m_Traffic.m_LinkBytesPerMs = BytesPerMs;
     m_Agents[0]->startPlanner(1, Settings);
     wire::Datagram Message;
--- a/Tests/RankGroup/ReportCollectorTest.cpp
+++ b/Tests/RankGroup/ReportCollectorTest.cpp
@@ -1,5 +1,5 @@
-#include "RankGroup/GroupTraffic.h"
 #include "RankGroup/ReportCollector.h"
+#include "RankGroup/GroupTraffic.h"
 
 #include <gtest/gtest.h>
 #include <set>
