Fleet: bound the size of member lists

Agents logged three entries lost and returned every two seconds, because they learn of entries only from requested lists.

Change: a heartbeat of an entry lists two nodes, in turn; a requested list is divided into datagrams of 16 nodes; the first heartbeat of a node is answered without a list unless it requests one.

--- a/Source/Fleet/FleetNode.cpp
+++ b/Source/Fleet/FleetNode.cpp
@@ -87,7 +87,7 @@
   // After a power failure all nodes rediscover each other. A heartbeat now
   // avoids waiting for the next interval.
   if (isEntry(News))
-    sendHeartbeat(News.peer_address(), false, false);
+    sendHeartbeat(News.peer_address(), {}, false);
 }
 
 void FleetNode::send(const std::string &Address,
@@ -181,26 +181,34 @@
 }
 
 bool FleetNode::sendHeartbeats() {
-  const bool WithMemberList =
-      m_HeartbeatRounds++ % m_Settings.m_HeartbeatsPerMemberList == 0;
+  const bool RequestDue =
+      m_HeartbeatRounds++ % m_Settings.m_HeartbeatsPerListRequest == 0;
+  std::vector<wire::NodeNews> Listed;
+  if (isEntry(self())) {
+    const std::vector<wire::NodeNews> Heard = directlyHeardNodes();
+    for (std::size_t Count = 0;
+         Count < std::min(m_Settings.m_NodesPerHeartbeat, Heard.size());
+         ++Count)
+      Listed.push_back(Heard[m_ListedNodes++ % Heard.size()]);
+  }
   bool AnyEntry = false;
   for (const auto &[Node, Each] : m_Known) {
     if (!isEntry(Each.m_News))
       continue;
     AnyEntry = AnyEntry || Each.m_DirectlyHeard;
-    sendHeartbeat(Each.m_News.peer_address(), WithMemberList && isEntry(self()),
-                  false);
+    sendHeartbeat(Each.m_News.peer_address(), Listed, false);
   }
   // Seeds may start late or be replaced, so a node without a responding entry
   // keeps sending to them.
-  if (!AnyEntry || WithMemberList)
+  if (!AnyEntry || RequestDue)
     for (const std::string &Seed : m_Settings.m_Seeds)
       if (Seed != m_Settings.m_PeerAddress)
-        sendHeartbeat(Seed, false, true);
+        sendHeartbeat(Seed, {}, true);
   return AnyEntry;
 }
 
-void FleetNode::sendHeartbeat(const std::string &Address, bool WithMemberList,
+void FleetNode::sendHeartbeat(const std::string &Address,
+                              const std::vector<wire::NodeNews> &Listed,
                               bool RequestMemberList) {
   wire::Datagram Message;
   wire::FleetBeat &Beat = *Message.mutable_beat();
@@ -208,13 +216,32 @@
   Beat.set_wants_known(RequestMemberList);
   if (m_Hooks.m_FillHeartbeat)
     m_Hooks.m_FillHeartbeat(Beat);
-  if (WithMemberList)
-    for (const auto &[Node, Each] : m_Known)
-      if (Each.m_DirectlyHeard)
-        *Beat.add_known() = Each.m_News;
+  Beat.mutable_known()->Add(Listed.begin(), Listed.end());
   send(Address, Message);
 }
 
+void FleetNode::sendMemberList(const std::string &Address) {
+  const std::vector<wire::NodeNews> Heard = directlyHeardNodes();
+  std::size_t Begin = 0;
+  do {
+    const std::size_t End =
+        std::min(Heard.size(), Begin + m_Settings.m_NodesPerListDatagram);
+    sendHeartbeat(Address,
+                  {Heard.begin() + static_cast<std::ptrdiff_t>(Begin),
+                   Heard.begin() + static_cast<std::ptrdiff_t>(End)},
+                  false);
+    Begin = End;
+  } while (Begin < Heard.size());
+}
+
+std::vector<wire::NodeNews> FleetNode::directlyHeardNodes() const {
+  std::vector<wire::NodeNews> Heard;
+  for (const auto &[Node, Each] : m_Known)
+    if (Each.m_DirectlyHeard)
+      Heard.push_back(Each.m_News);
+  return Heard;
+}
+
 void FleetNode::onDatagram(std::string_view Bytes, const std::string &From) {
   wire::Datagram Message;
   if (!Message.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size()))) {
@@ -255,8 +282,10 @@
     addNode(Each);
   if (m_Hooks.m_OnHeartbeat)
     m_Hooks.m_OnHeartbeat(Beat);
-  if (Beat.wants_known() || IsNew)
-    sendHeartbeat(From, true, false);
+  if (Beat.wants_known())
+    sendMemberList(From);
+  else if (IsNew)
+    sendHeartbeat(From, {}, false);
 }
 
 } // namespace corneldeck::fleet
--- a/Source/Fleet/FleetNode.h
+++ b/Source/Fleet/FleetNode.h
@@ -30,8 +30,15 @@
   /// Interval between two heartbeats to each entry. A failed entry remains in
   /// the responses to callers for several intervals.
   base::Millis m_HeartbeatInterval = base::Millis(200);
-  /// Every this many heartbeats, an entry includes the list of all known nodes.
-  unsigned m_HeartbeatsPerMemberList = 15;
+  /// Every this many heartbeats, the node requests the list of all known nodes
+  /// from the seeds.
+  unsigned m_HeartbeatsPerListRequest = 15;
+  /// Number of known nodes that a heartbeat of an entry contains. They rotate,
+  /// so that neither the size of a datagram nor the bytes sent at once grow
+  /// with the number of nodes.
+  std::size_t m_NodesPerHeartbeat = 2;
+  /// Maximum number of known nodes in one datagram of a requested list.
+  std::size_t m_NodesPerListDatagram = 16;
   membership::MemberSettings m_Liveness = {base::Millis(1000),
                                            base::seconds(15)};
 };
@@ -90,8 +97,15 @@
   /// responded yet or the member list is due.
   /// \returns whether a heartbeat from any entry has been received.
   bool sendHeartbeats();
-  void sendHeartbeat(const std::string &Address, bool WithMemberList,
+  /// \param Listed the known nodes to include.
+  void sendHeartbeat(const std::string &Address,
+                     const std::vector<wire::NodeNews> &Listed,
                      bool RequestMemberList);
+  /// Sends all nodes that this node has received heartbeats from, in several
+  /// datagrams.
+  void sendMemberList(const std::string &Address);
+  /// \returns the nodes that this node has received heartbeats from.
+  [[nodiscard]] std::vector<wire::NodeNews> directlyHeardNodes() const;
   /// Counters of the datagrams of one type.
   struct TypeCounters {
     metrics::Counter *m_Sent = nullptr;
@@ -129,6 +143,8 @@
   bool m_Ready = false;
   bool m_Leaving = false;
   unsigned m_HeartbeatRounds = 0;
+  /// Number of nodes that heartbeats have listed so far.
+  std::size_t m_ListedNodes = 0;
 };
 
 } // namespace corneldeck::fleet
