--- a/Source/RankAgent/GroupAgent.h
+++ b/Source/RankAgent/GroupAgent.h
@@ -26,7 +26,7 @@
   rankgroup::CollectorSettings m_Collector;
 };
 
-/// The part of an agent that takes part in its rank group.
+/// Connects one engine to its rank group.
 ///
 /// It executes the commands of the planner on its engine, forwards them to the
 /// agents that the planner names, and combines their reports with its own.
--- a/Tests/RankAgent/LargeGroupTest.cpp
+++ b/Tests/RankAgent/LargeGroupTest.cpp
@@ -178,8 +178,8 @@
   EXPECT_LT(MostBytes(252), 2 * MostBytes(63));
 }
 
-// Guards against a group that cannot switch its maps while the agent of a
-// relay does not respond.
+// Guards against a group that no longer switches its maps after agents, among
+// them relays, were stopped for two seconds and restarted.
 TEST(LargeGroup, SwitchesAfterRelayWasLost) {
   SimulatedAgents Agents(LargeShape);
   Agents.run(base::seconds(2));
