Base: share the formatting of decimal numbers

Reader and YamlFields had the same function; the log lines of rate limits need it as well. No change of behavior; SettingsTest and CatalogueTest pass.

--- a/Source/Catalogue/YamlFields.cpp
+++ b/Source/Catalogue/YamlFields.cpp
@@ -1,5 +1,7 @@
 #include "Catalogue/YamlFields.h"
 
+#include "Base/Format.h"
+
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
@@ -33,14 +35,6 @@
   return Value;
 }
 
-std::string formatNumber(double Value) {
-  std::string Text = std::to_string(Value);
-  Text.erase(Text.find_last_not_of('0') + 1);
-  if (Text.ends_with('.'))
-    Text.pop_back();
-  return Text;
-}
-
 } // namespace
 
 std::string Problem::text() const {
@@ -130,8 +124,8 @@
 
 double YamlFields::number(const std::string &Key, double Default, double Min,
                           double Max) {
-  const std::string Expected =
-      "a number from " + formatNumber(Min) + " to " + formatNumber(Max);
+  const std::string Expected = "a number from " + base::formatDecimal(Min) +
+                               " to " + base::formatDecimal(Max);
   const std::string Value = scalar(Key, Expected);
   if (Value.empty())
     return Default;
--- a/Source/Settings/Reader.cpp
+++ b/Source/Settings/Reader.cpp
@@ -1,5 +1,6 @@
 #include "Settings/Reader.h"
 
+#include "Base/Format.h"
 #include "Settings/Document.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -35,14 +36,6 @@
   return Port.has_value() && !Code;
 }
 
-std::string formatReal(double Value) {
-  std::string Text = std::to_string(Value);
-  Text.erase(Text.find_last_not_of('0') + 1);
-  if (Text.ends_with('.'))
-    Text.pop_back();
-  return Text;
-}
-
 std::string listNames(std::span<const std::string_view> Names) {
   std::string List;
   for (const std::string_view Name : Names) {
@@ -148,8 +141,9 @@
 
 double Reader::number(std::string_view Key, RealRange Allowed,
                       std::optional<double> Default) {
-  const std::string Expected = "a number from " + formatReal(Allowed.m_Min) +
-                               " to " + formatReal(Allowed.m_Max);
+  const std::string Expected = "a number from " +
+                               base::formatDecimal(Allowed.m_Min) + " to " +
+                               base::formatDecimal(Allowed.m_Max);
   const double Fallback = Default.value_or(Allowed.m_Min);
   const auto Value = scalar(Key, Default.has_value(), Expected);
   if (!Value)
