Direct, platform: decode and log the rate limits of backend servers

The limit is decoded in platform/ and its changes are logged; nothing acts on it yet.

A value that is not a plain decimal number is reported as invalid and neither ends the limit nor replaces it; of several values the lowest counts. A response without a limit ends the limit only if its request was sent after the limit was last named, since an earlier one says nothing about now. A server that restarts under its id or leaves takes its limit with it.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -96,6 +96,9 @@
               "The list of backend servers changed."},
     EventInfo{EventId::RecordUnreadable, "record-unreadable",
               "A malformed record was ignored."},
+    EventInfo{EventId::ServerRateLimit, "server-rate-limit",
+              "The rate limit of a backend server was named, changed or ended, "
+              "or a response named an invalid one."},
     EventInfo{EventId::DependencyLost, "dependency-lost",
               "A dependency of the process does not respond."},
     EventInfo{EventId::DependencyBack, "dependency-back",
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -59,6 +59,7 @@
   ConfigurationInForce = 1420,
   ServersChanged = 1421,
   RecordUnreadable = 1422,
+  ServerRateLimit = 1423,
   DependencyLost = 1430,
   DependencyBack = 1431,
   // Leases: 1500.
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -136,6 +136,10 @@
   m_Head = Head;
   m_ResponseInfo = m_Forwarder.m_Codec.m_DecodeResponse(Head);
   m_LastByteAt = now();
+  if (!m_ResponseInfo.m_WrongServer)
+    m_Forwarder.m_Dependencies.m_Pool.rateLimits().recordResponse(
+        m_Server, m_ResponseInfo.m_RateLimit,
+        m_ResponseInfo.m_Signed && !m_ResponseInfo.m_NotRun, m_SentAt, now());
 }
 
 void ForwardedRequest::onResponseData(std::string_view Data) {
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -7,6 +7,7 @@
 #include "Direct/ConcurrencyLimiter.h"
 #include "Direct/GroupAvailability.h"
 #include "Direct/RouteTable.h"
+#include "Direct/ServerRateLimits.h"
 #include "Direct/SharedRetryBudget.h"
 #include "Direct/ShutdownPolicy.h"
 #include "Metrics/Registry.h"
@@ -54,6 +55,8 @@
   /// The response carries the server's signature; a success without it is
   /// invalid.
   bool m_Signed = false;
+  /// The rate limit that the server names in the response.
+  RateLimitField m_RateLimit;
 };
 
 /// Protocol hooks that decode and encode the messages of callers and backend
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -36,6 +36,10 @@
       Added.m_Health.m_WarmUpUntil = Now + Each.m_WarmUpRemaining;
   }
   m_States = std::move(Next);
+  std::map<std::string, ServerRateLimits::Instance> Instances;
+  for (const BackendServer &Each : Servers)
+    Instances[Each.m_Id] = {Each.m_Address, Each.m_StartTime};
+  m_RateLimits.replaceServers(Instances, Now);
 }
 
 const BackendServer *
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -3,6 +3,7 @@
 
 #include "Base/Random.h"
 #include "Direct/Configuration.h"
+#include "Direct/ServerRateLimits.h"
 
 #include <cstdint>
 #include <functional>
@@ -128,6 +129,12 @@
   /// Removes the load that another entry reported.
   void removePeer(const std::string &Peer);
 
+  /// Returns the rate limits that the servers name.
+  [[nodiscard]] ServerRateLimits &rateLimits() { return m_RateLimits; }
+  [[nodiscard]] const ServerRateLimits &rateLimits() const {
+    return m_RateLimits;
+  }
+
   /// Returns the load from this entry, for reporting to the other entries.
   [[nodiscard]] const ServerLoads &localLoads() const { return m_LocalLoads; }
 
@@ -176,6 +183,7 @@
   std::map<std::string, ServerState, std::less<>> m_States;
   ServerLoads m_LocalLoads;
   std::map<std::string, PeerReport> m_Peers;
+  ServerRateLimits m_RateLimits;
 };
 
 } // namespace corneldeck::direct
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/GatewayNode.h"
 
+#include "Base/Format.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -116,6 +118,10 @@
       m_Timer(Context) {
   net::HttpServerOptions Options;
   Options.m_MaxConnections = m_Settings.m_MaxConnections;
+  m_Pool.rateLimits().onChange(
+      [this](const direct::ServerRateLimits::Change &Change) {
+        recordRateLimit(Change);
+      });
   m_CallerServer = std::make_unique<net::HttpServer>(
       Context, Options,
       [this](const std::shared_ptr<net::HttpExchange> &Exchange) {
@@ -218,6 +224,15 @@
   m_Pool.replaceServers(Servers, m_Clock.now());
 }
 
+void GatewayNode::recordRateLimit(
+    const direct::ServerRateLimits::Change &Change) {
+  m_Events.record(base::EventId::ServerRateLimit,
+                  {{"server", Change.m_Server},
+                   {"change", std::string(name(Change.m_Type))},
+                   {"per_second", base::formatDecimal(Change.m_PerSecond)},
+                   {"text", Change.m_Text}});
+}
+
 void GatewayNode::fillHeartbeat(wire::FleetBeat &Beat) const {
   m_Configuration.writePosition(*Beat.mutable_configuration());
   m_Servers.writePosition(*Beat.mutable_servers());
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -73,6 +73,7 @@
   void onTimer();
   void configurationChanged();
   void serversChanged();
+  void recordRateLimit(const direct::ServerRateLimits::Change &Change);
   void handlePeerRequest(const std::shared_ptr<net::HttpExchange> &Exchange);
   void fillHeartbeat(wire::FleetBeat &Beat) const;
   void handleHeartbeat(const wire::FleetBeat &Beat);
