--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -77,6 +77,8 @@
     const bool IsOtherServer = !Expected.empty() && Expected != m_Server.m_Id;
     const Behavior Mode =
         IsOtherServer ? Behavior::WrongServer : m_Server.m_Behavior;
+    m_Request.m_ReceivedAt = std::chrono::steady_clock::now();
+    m_Request.m_NamedLimit = m_Server.m_NamedLimit;
     m_Request.m_Ran = Mode != Behavior::NotRun && Mode != Behavior::WrongServer;
     m_Server.m_Received.push_back(m_Request);
     respond(Mode);
@@ -85,6 +87,8 @@
   [[nodiscard]] std::string head(int Status, const std::string &Extra) const {
     std::string Head = "HTTP/1.1 " + std::to_string(Status) + " X\r\n";
     Head += "Attempt-Id: " + m_Request.m_Id + "\r\n";
+    if (!m_Request.m_NamedLimit.empty())
+      Head += "Server-Limit: " + m_Request.m_NamedLimit + "\r\n";
     return Head + Extra;
   }
 
@@ -308,10 +312,20 @@
       Open->reset();
 }
 
+void StandinServer::restart(std::uint64_t StartTime) {
+  for (const auto &Each : m_Open)
+    if (const auto Open = Each.lock())
+      Open->reset();
+  m_Open.clear();
+  m_StartTime = StartTime;
+  m_NamedLimit.clear();
+}
+
 std::string StandinServer::record(const std::string &State) const {
   return nlohmann::json{
       {"backend", m_Service}, {"address", m_Address},     {"zone", "a"},
-      {"capacity", 8},        {"lifecycle-state", State}, {"sequence", 1}}
+      {"capacity", 8},        {"lifecycle-state", State}, {"sequence", 1},
+      {"born", m_StartTime}}
       .dump();
 }
 
--- a/Tests/Platform/StandinServer.h
+++ b/Tests/Platform/StandinServer.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -34,6 +35,9 @@
   std::map<std::string, std::string> m_Headers;
   std::string m_Body;
   bool m_Ran = false;
+  std::chrono::steady_clock::time_point m_ReceivedAt;
+  /// Value of the rate limit in the response; empty if the response named none.
+  std::string m_NamedLimit;
 };
 
 /// Stands in for a backend server: sends a signed response to each request on
@@ -45,6 +49,9 @@
 
   std::string listen();
   void stop();
+  /// Forgets all state and starts again under the same id.
+  /// \param StartTime wall-clock time of the start in milliseconds.
+  void restart(std::uint64_t StartTime);
 
   [[nodiscard]] const std::string &id() const { return m_Id; }
   [[nodiscard]] const std::string &address() const { return m_Address; }
@@ -56,6 +63,8 @@
   /// Number of events of a stream, and the milliseconds between two events.
   int m_Events = 5;
   int m_EventPause = 5;
+  /// Rate limit that all responses name; empty for none.
+  std::string m_NamedLimit;
   std::vector<ReceivedRequest> m_Received;
   /// Number of connections that the caller closed while its request was
   /// running.
@@ -71,6 +80,7 @@
   const std::string m_Id;
   const std::string m_Service;
   std::string m_Address;
+  std::uint64_t m_StartTime = 1;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::vector<std::weak_ptr<Connection>> m_Open;
 };
