Direct, Gateway: keep to the rate limits of backend servers

A backend server in need that named a rate limit got its ordinary share of requests, and more than it could take: nothing acted on the limit.

Cause: what a backend server says of itself concerned only the entry that heard it, or nobody. A limit for all entries together needs two things that did not exist: all entries have to know it, and it has to be divided.

Entries now exchange the limits in their heartbeats, with the age of the server's statement instead of a time, so that clocks are not compared. For each server one entry, selected by rendezvous hashing among the live ones, grants tokens at the rate of the limit; a request to a server with a limit needs one. Tokens go to the entries that ask for them, in the order of asking, and come back if they are not used, so a small limit is used fully with any number of entries. All ways to a server pass ServerPool::chooseServer, so retries, resumed streams and the choice among servers in backoff need a token as well.

An entry that loses sight of others grants only the live part of the limit, a new granter starts without tokens, and late grants are dropped. A limit ends with a response without it, a restart or the leaving of the server, or after 30 s without a response that confirms it. A server with a limit adds no capacity but that of this entry's token; if all servers of a service are limited, refused callers get a retry-after time that is no shorter than the interval of the limit.

Weighed and not taken: fixed parts of 1/N (an entry would get a token every N seconds), and a fixed subset of entries that may send (callers of the others are always refused if all servers of a service are limited).

--- a/Source/Direct/AdmissionQueue.cpp
+++ b/Source/Direct/AdmissionQueue.cpp
@@ -17,7 +17,8 @@
     : m_Settings(Settings) {}
 
 bool AdmissionQueue::hasCapacity(const ServerPool::ServiceUsage &Usage) const {
-  return Usage.m_InFlight < Usage.m_Capacity * m_Settings.m_MaxUtilization;
+  return Usage.m_InFlight < Usage.m_Capacity * m_Settings.m_MaxUtilization +
+                                Usage.m_LimitedCapacity;
 }
 
 AdmissionQueue::Decision
@@ -89,12 +90,18 @@
 }
 
 base::Millis AdmissionQueue::retryAfter(const std::string &Service,
+                                        const ServerPool::ServiceUsage &Usage,
                                         base::Random &Rng) const {
   double Wait = static_cast<double>(m_Settings.m_MinRetryAfter.count());
   if (const auto Found = m_Queues.find(Service);
       Found != m_Queues.end() && Found->second.m_Rate > 0)
     Wait += static_cast<double>(Found->second.m_Waiting.size()) /
             Found->second.m_Rate * MillisPerSecond;
+  if (Usage.isRateLimited())
+    Wait = std::max(
+        Wait, Usage.m_LimitPerSecond > 0
+                  ? MillisPerSecond / Usage.m_LimitPerSecond
+                  : static_cast<double>(m_Settings.m_MaxRetryAfter.count()));
   // Randomize over one to two times the wait, so that callers refused together
   // do not return together.
   Wait *= 1 + Rng.uniform();
--- a/Source/Direct/AdmissionQueue.h
+++ b/Source/Direct/AdmissionQueue.h
@@ -81,8 +81,11 @@
   std::vector<std::uint64_t> clear(const std::string &Service);
 
   /// Returns a randomized time after which a refused request may be retried. It
-  /// grows with the time needed to empty the queue.
-  base::Millis retryAfter(const std::string &Service, base::Random &Rng) const;
+  /// grows with the time needed to empty the queue, and with the interval
+  /// between two requests if all servers of the service have a rate limit.
+  base::Millis retryAfter(const std::string &Service,
+                          const ServerPool::ServiceUsage &Usage,
+                          base::Random &Rng) const;
 
   /// Returns the number of queued requests of \p Service.
   [[nodiscard]] std::size_t waitingCount(const std::string &Service) const;
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -1,5 +1,7 @@
 #include "Direct/ForwardedRequest.h"
 
+#include "Base/Format.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -61,7 +63,10 @@
 
 void ForwardedRequest::refuseOverloaded() {
   m_Queued = false;
-  sendError(base::ResultCode::Overloaded, "all backend servers are at capacity",
+  sendError(base::ResultCode::Overloaded,
+            m_Forwarder.usage(m_Parameters.m_Service).isRateLimited()
+                ? "all backend servers are at their rate limit"
+                : "all backend servers are at capacity",
             m_Forwarder.retryAfter(m_Parameters.m_Service));
 }
 
@@ -88,7 +93,7 @@
   m_TriedServers.push_back(m_Server);
   m_Tracker.attemptSent();
   m_UnprocessedPromptTokens = m_Parameters.m_Request.m_PromptTokens;
-  Pool.attemptStarted(m_Server, m_UnprocessedPromptTokens);
+  Pool.attemptStarted(m_Server, m_UnprocessedPromptTokens, Now);
   m_AttemptActive = true;
   m_HasHead = false;
   m_ResponseInfo = {};
@@ -433,6 +438,8 @@
   m_Forwarder.m_RequestDuration.record(
       static_cast<double>((Now - m_Parameters.m_ArrivalTime).count()));
   const auto Usage = m_Forwarder.usage(m_Parameters.m_Service);
+  const auto Limit =
+      m_Forwarder.m_Dependencies.m_Pool.rateLimits().limit(m_Server);
   m_Forwarder.m_Dependencies.m_Events.record(
       Event,
       {{"request", m_Parameters.m_Request.m_Id},
@@ -447,7 +454,9 @@
        {"waited_ms", formatNumber(Waited.count())},
        {"ms", formatNumber((Now - m_Parameters.m_ArrivalTime).count())},
        {"in_flight", formatNumber(Usage.m_InFlight)},
-       {"places", formatNumber(Usage.m_Capacity)},
+       {"places", formatNumber(Usage.totalCapacity())},
+       {"limited_servers", formatNumber(Usage.m_LimitedServers)},
+       {"server_limit", Limit ? base::formatDecimal(*Limit) : std::string()},
        {"why", m_LastFailure}});
   const auto Self = shared_from_this();
   m_Forwarder.requestEnded(m_Parameters.m_Token, m_Parameters.m_Service);
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -148,9 +148,12 @@
       Found->m_TargetLatency, usage(Parameters.m_Service), Now);
   if (Decision == AdmissionQueue::Decision::Admit)
     Forwarded->start();
-  else if (Decision == AdmissionQueue::Decision::Refuse)
-    Forwarded->refuseOverloaded();
   else
+    m_Dependencies.m_Pool.requestToken(Parameters.m_Service, Now,
+                                       m_Dependencies.m_Rng);
+  if (Decision == AdmissionQueue::Decision::Refuse)
+    Forwarded->refuseOverloaded();
+  else if (Decision == AdmissionQueue::Decision::Wait)
     armQueueTimer();
 }
 
@@ -194,6 +197,8 @@
       if (const auto Found = m_ActiveRequests.find(Token);
           Found != m_ActiveRequests.end())
         std::shared_ptr<ForwardedRequest>(Found->second)->refuseOverloaded();
+    if (m_Dependencies.m_AdmissionQueue.waitingCount(Service) > 0)
+      m_Dependencies.m_Pool.requestToken(Service, Now, m_Dependencies.m_Rng);
   }
   if (!m_Dependencies.m_AdmissionQueue.waitingServices().empty())
     armQueueTimer();
@@ -206,7 +211,7 @@
                                          : base::Millis(0);
   return m_Dependencies.m_GroupAvailability.expectedRecoveryTime(
              Service, FormationTime, m_Clock.now()) +
-         m_Dependencies.m_AdmissionQueue.retryAfter(Service,
+         m_Dependencies.m_AdmissionQueue.retryAfter(Service, usage(Service),
                                                     m_Dependencies.m_Rng);
 }
 
@@ -235,10 +240,12 @@
   m_EventIntervals.record(static_cast<double>(Interval.count()));
   const direct::Service *Found = m_Routes->configuration().findService(Service);
   const auto Usage = m_Dependencies.m_Pool.usage(Service, m_Clock.now());
-  if (Found && Found->m_Engine && Usage.m_Servers > 0)
+  // Servers with a rate limit take part in every pass of their group.
+  const unsigned Servers = Usage.m_Servers + Usage.m_LimitedServers;
+  if (Found && Found->m_Engine && Servers > 0)
     m_Dependencies.m_Limiter.recordInterval(
         Service, *Found->m_Engine, Interval,
-        static_cast<double>(Usage.m_InFlight) / Usage.m_Servers);
+        static_cast<double>(Usage.m_InFlight) / Servers);
 }
 
 void RequestForwarder::armQueueTimer() {
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -19,8 +19,10 @@
 
 } // namespace
 
-ServerPool::ServerPool(std::string Zone, ServerPoolSettings Settings)
-    : m_Zone(std::move(Zone)), m_Settings(Settings) {}
+ServerPool::ServerPool(std::string Zone, ServerPoolSettings Settings,
+                       std::uint64_t FirstTokenNumber)
+    : m_Zone(std::move(Zone)), m_Settings(Settings),
+      m_RateTokens(m_RateLimits, Settings.m_RateTokens, FirstTokenNumber) {}
 
 void ServerPool::replaceServers(const std::vector<BackendServer> &Servers,
                                 base::Millis Now) {
@@ -49,30 +51,56 @@
   const double MeanLatency = meanLatency(Service);
   const ServerState *Best = nullptr;
   const ServerState *FirstAvailable = nullptr;
+  const ServerState *BestLimited = nullptr;
   double BestScore = 0;
+  double BestLimitedScore = 0;
   for (const auto &[Id, Candidate] : m_States) {
     const BackendServer &Server = Candidate.m_Server;
     if (Server.m_Service != Service || Server.m_Draining ||
         contains(Excluded, Id))
       continue;
+    const bool IsPermitted = m_RateTokens.permits(Id);
     if (Candidate.m_Health.m_BackoffUntil > Now) {
-      if (!FirstAvailable || Candidate.m_Health.m_BackoffUntil <
-                                 FirstAvailable->m_Health.m_BackoffUntil)
+      if (IsPermitted &&
+          (!FirstAvailable || Candidate.m_Health.m_BackoffUntil <
+                                  FirstAvailable->m_Health.m_BackoffUntil))
         FirstAvailable = &Candidate;
       continue;
     }
     const double Score =
         score(Candidate, MeanLatency, Now) + MaxTieBreak * Rng.uniform();
-    if (!Best || Score < BestScore) {
-      Best = &Candidate;
-      BestScore = Score;
+    const ServerState *&Lowest = IsPermitted ? Best : BestLimited;
+    double &LowestScore = IsPermitted ? BestScore : BestLimitedScore;
+    if (!Lowest || Score < LowestScore) {
+      Lowest = &Candidate;
+      LowestScore = Score;
     }
   }
+  if (BestLimited && (!Best || BestLimitedScore < BestScore))
+    m_RateTokens.request(BestLimited->m_Server.m_Id, Now);
   if (!Best)
     Best = FirstAvailable;
   return Best ? &Best->m_Server : nullptr;
 }
 
+void ServerPool::requestToken(std::string_view Service, base::Millis Now,
+                              base::Random &Rng) {
+  std::vector<const std::string *> Candidates;
+  for (const auto &[Id, Each] : m_States)
+    if (Each.m_Server.m_Service == Service && !Each.m_Server.m_Draining &&
+        Each.m_Health.m_BackoffUntil <= Now && !m_RateTokens.permits(Id))
+      Candidates.push_back(&Id);
+  if (Candidates.empty())
+    return;
+  // Starts at a random server, so that the entries do not all ask for tokens of
+  // the same one.
+  const std::size_t First = Rng.below(Candidates.size());
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
+    if (m_RateTokens.request(*Candidates[(First + Index) % Candidates.size()],
+                             Now))
+      return;
+}
+
 double ServerPool::score(const ServerState &Candidate, double MeanLatency,
                          base::Millis Now) const {
   const BackendServer &Server = Candidate.m_Server;
@@ -94,7 +122,9 @@
   return Score;
 }
 
-void ServerPool::attemptStarted(const std::string &Id, double PromptTokens) {
+void ServerPool::attemptStarted(const std::string &Id, double PromptTokens,
+                                base::Millis Now) {
+  m_RateTokens.use(Id, Now);
   ServerLoad &Load = m_LocalLoads[Id];
   ++Load.m_Requests;
   Load.m_PromptTokens += PromptTokens;
@@ -163,11 +193,21 @@
     const BackendServer &Server = Each.m_Server;
     if (Server.m_Service != Service)
       continue;
-    Usage.m_InFlight += load(Id, Now).m_Requests;
+    const unsigned InFlight = load(Id, Now).m_Requests;
+    Usage.m_InFlight += InFlight;
     if (Server.m_Draining || Each.m_Health.m_BackoffUntil > Now)
       continue;
-    ++Usage.m_Servers;
-    Usage.m_Capacity += Server.m_Capacity;
+    const auto Limit = m_RateLimits.limit(Id);
+    if (!Limit) {
+      ++Usage.m_Servers;
+      Usage.m_Capacity += Server.m_Capacity;
+      continue;
+    }
+    ++Usage.m_LimitedServers;
+    Usage.m_LimitPerSecond += *Limit;
+    const bool HasPlace = InFlight < Server.m_Capacity;
+    Usage.m_LimitedCapacity +=
+        InFlight + (HasPlace && m_RateTokens.permits(Id) ? 1 : 0);
   }
   return Usage;
 }
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -3,6 +3,7 @@
 
 #include "Base/Random.h"
 #include "Direct/Configuration.h"
+#include "Direct/RateTokens.h"
 #include "Direct/ServerRateLimits.h"
 
 #include <cstdint>
@@ -81,6 +82,7 @@
   /// maximum.
   base::Millis m_InitialBackoff = base::Millis(500);
   base::Millis m_MaxBackoff = base::seconds(4);
+  RateTokenSettings m_RateTokens;
 };
 
 /// Chooses the backend server for each attempt.
@@ -90,11 +92,15 @@
 /// relative to its service, with its failure rate, and during its warm-up.
 /// Unreachable and silent servers are not chosen during an exponential backoff.
 /// If all servers of a service are in backoff, the one whose backoff ends first
-/// is chosen, so that a service is never left without a server.
+/// is chosen, so that a service is never left without a server. A server with a
+/// rate limit is chosen, in backoff or not, only while this entry has a token
+/// for it.
 class ServerPool {
 public:
   /// \param Zone the availability zone of this VM.
-  explicit ServerPool(std::string Zone, ServerPoolSettings Settings = {});
+  /// \param FirstTokenNumber see RateTokenGranter.
+  explicit ServerPool(std::string Zone, ServerPoolSettings Settings = {},
+                      std::uint64_t FirstTokenNumber = 1);
 
   /// Replaces the list of servers. The health state of servers whose id and
   /// address are unchanged is kept.
@@ -108,8 +114,14 @@
                                     const std::vector<std::string> &Excluded,
                                     base::Millis Now, base::Random &Rng);
 
-  /// Counts an attempt in flight at the server \p Id.
-  void attemptStarted(const std::string &Id, double PromptTokens);
+  /// Requests a token of one of the servers of \p Service that have a rate
+  /// limit and no token here, for a request that waits.
+  void requestToken(std::string_view Service, base::Millis Now,
+                    base::Random &Rng);
+
+  /// Counts an attempt in flight at the server \p Id, and uses its token.
+  void attemptStarted(const std::string &Id, double PromptTokens,
+                      base::Millis Now);
   /// Removes the prompt tokens of an attempt from the load, after its first
   /// event.
   void promptProcessed(const std::string &Id, double PromptTokens);
@@ -134,16 +146,35 @@
   [[nodiscard]] const ServerRateLimits &rateLimits() const {
     return m_RateLimits;
   }
+  /// Returns the tokens of the servers with a rate limit.
+  [[nodiscard]] RateTokens &rateTokens() { return m_RateTokens; }
+  [[nodiscard]] const RateTokens &rateTokens() const { return m_RateTokens; }
 
   /// Returns the load from this entry, for reporting to the other entries.
   [[nodiscard]] const ServerLoads &localLoads() const { return m_LocalLoads; }
 
   /// Capacity of a service and its requests in flight over all entries. Servers
-  /// that drain or are in backoff add no capacity.
+  /// that drain or are in backoff add no capacity, nor do servers with a rate
+  /// limit.
   struct ServiceUsage {
     unsigned m_Servers = 0;
     unsigned m_Capacity = 0;
     unsigned m_InFlight = 0;
+    /// Servers with a rate limit that neither drain nor are in backoff.
+    unsigned m_LimitedServers = 0;
+    /// Requests in flight at these, and those that this entry's tokens permit.
+    unsigned m_LimitedCapacity = 0;
+    /// Sum of their limits, in requests per second.
+    double m_LimitPerSecond = 0;
+
+    /// Returns the requests that may be in flight.
+    [[nodiscard]] unsigned totalCapacity() const {
+      return m_Capacity + m_LimitedCapacity;
+    }
+    /// Returns whether no server is left without a rate limit.
+    [[nodiscard]] bool isRateLimited() const {
+      return m_Servers == 0 && m_LimitedServers > 0;
+    }
   };
   /// Returns the usage of \p Service.
   [[nodiscard]] ServiceUsage usage(std::string_view Service,
@@ -184,6 +215,7 @@
   ServerLoads m_LocalLoads;
   std::map<std::string, PeerReport> m_Peers;
   ServerRateLimits m_RateLimits;
+  RateTokens m_RateTokens;
 };
 
 } // namespace corneldeck::direct
--- a/Source/Fleet/FleetNode.cpp
+++ b/Source/Fleet/FleetNode.cpp
@@ -110,6 +110,11 @@
                    {"why", Sent ? std::string() : Sent.error().m_Message}});
 }
 
+void FleetNode::sendTo(const std::string &Node, const wire::Datagram &Message) {
+  if (const auto Found = m_Known.find(Node); Found != m_Known.end())
+    send(Found->second.m_News.peer_address(), Message);
+}
+
 const FleetNode::TypeCounters &
 FleetNode::counters(const wire::Datagram &Message) const {
   return m_Counters.at(Message.body_case());
@@ -260,6 +265,8 @@
     m_Hooks.m_OnGroupReport(Message.report());
   else if (Message.has_command() && m_Hooks.m_OnRankCommand)
     m_Hooks.m_OnRankCommand(Message.command());
+  else if (Message.has_rate_token() && m_Hooks.m_OnRateToken)
+    m_Hooks.m_OnRateToken(Message.rate_token());
 }
 
 void FleetNode::onHeartbeat(const wire::FleetBeat &Beat,
--- a/Source/Fleet/FleetNode.h
+++ b/Source/Fleet/FleetNode.h
@@ -57,6 +57,7 @@
     std::function<void(const wire::FleetBeat &)> m_OnHeartbeat;
     std::function<void(const wire::GroupReport &)> m_OnGroupReport;
     std::function<void(const wire::RankCommand &)> m_OnRankCommand;
+    std::function<void(const wire::RateToken &)> m_OnRateToken;
     /// Called when an entry is lost or leaves.
     std::function<void(const std::string &Node)> m_OnEntryLost;
   };
@@ -81,6 +82,8 @@
 
   /// Sends one datagram; it may be lost.
   void send(const std::string &Address, const wire::Datagram &Message);
+  /// Sends one datagram to a node. Ignored if its address is not known.
+  void sendTo(const std::string &Node, const wire::Datagram &Message);
 
   /// \returns the description of this node that its heartbeats carry.
   [[nodiscard]] wire::NodeNews self() const;
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -1,7 +1,5 @@
 #include "Gateway/GatewayNode.h"
 
-#include "Base/Format.h"
-
 #include <algorithm>
 #include <chrono>
 
@@ -53,6 +51,13 @@
   return Options;
 }
 
+/// Returns the first number of the tokens of a process. A later process has
+/// higher numbers, unless an earlier one granted a token every microsecond.
+std::uint64_t firstTokenNumber(std::uint64_t Incarnation) {
+  constexpr unsigned NumberBits = 10;
+  return Incarnation << NumberBits;
+}
+
 net::HttpClientOptions peerClientOptions() {
   net::HttpClientOptions Options;
   Options.m_ConnectTimeout = base::Millis(500);
@@ -71,7 +76,8 @@
             std::hash<std::string>()(m_Settings.m_Fleet.m_Node)),
       m_PeerClient(Context, peerClientOptions()),
       m_ServerClient(Context, serverClientOptions(m_Settings)),
-      m_Pool(m_Settings.m_Fleet.m_Zone),
+      m_Pool(m_Settings.m_Fleet.m_Zone, {},
+             firstTokenNumber(m_Settings.m_Fleet.m_Incarnation)),
       m_RetryBudget(m_Settings.m_RetryBudget),
       m_Forwarder({Context, m_ServerClient, m_Pool, m_AdmissionQueue,
                    m_RetryBudget, m_Limiter, m_GroupAvailability, Events,
@@ -106,10 +112,15 @@
                [this](const wire::FleetBeat &Beat) { handleHeartbeat(Beat); },
                {},
                {},
+               [this](const wire::RateToken &Message) {
+                 m_RateLimits.handleToken(Message);
+               },
                [this](const std::string &Node) {
                  m_Pool.removePeer(Node);
                  m_Limiter.removePeer(Node);
                }}),
+      m_RateLimits(Context, m_Pool, m_Fleet, Events, Metrics,
+                   [this] { m_Forwarder.processQueues(); }),
       m_Advisor({m_Settings.m_AddressLifetime, m_Settings.m_MaxAddresses}),
       m_PeerServer(Context, {},
                    [this](const std::shared_ptr<net::HttpExchange> &Exchange) {
@@ -118,10 +129,6 @@
       m_Timer(Context) {
   net::HttpServerOptions Options;
   Options.m_MaxConnections = m_Settings.m_MaxConnections;
-  m_Pool.rateLimits().onChange(
-      [this](const direct::ServerRateLimits::Change &Change) {
-        recordRateLimit(Change);
-      });
   m_CallerServer = std::make_unique<net::HttpServer>(
       Context, Options,
       [this](const std::shared_ptr<net::HttpExchange> &Exchange) {
@@ -159,6 +166,7 @@
   m_Servers.updateReaderRole(m_Settings.m_Fleet.m_Node, Live);
   m_RetryBudget.setEntryCount(Live.size() + 1);
   m_Fleet.setReady(ready());
+  m_RateLimits.update();
   if (m_Stopping)
     checkStopped();
   m_Timer.expires_after(std::chrono::milliseconds(TimerInterval.count()));
@@ -224,15 +232,6 @@
   m_Pool.replaceServers(Servers, m_Clock.now());
 }
 
-void GatewayNode::recordRateLimit(
-    const direct::ServerRateLimits::Change &Change) {
-  m_Events.record(base::EventId::ServerRateLimit,
-                  {{"server", Change.m_Server},
-                   {"change", std::string(name(Change.m_Type))},
-                   {"per_second", base::formatDecimal(Change.m_PerSecond)},
-                   {"text", Change.m_Text}});
-}
-
 void GatewayNode::fillHeartbeat(wire::FleetBeat &Beat) const {
   m_Configuration.writePosition(*Beat.mutable_configuration());
   m_Servers.writePosition(*Beat.mutable_servers());
@@ -242,6 +241,7 @@
     Work.set_requests(Load.m_Requests);
     Work.set_prompt_tokens(static_cast<std::uint32_t>(Load.m_PromptTokens));
   }
+  m_RateLimits.fillHeartbeat(Beat);
   for (const auto &[Service, Ratio] : m_Limiter.localRatios()) {
     wire::PassStretch &Stretch = *Beat.add_stretches();
     Stretch.set_service(Service);
@@ -257,6 +257,7 @@
   }
   m_Configuration.handlePosition(Beat.sender(), Beat.configuration());
   m_Servers.handlePosition(Beat.sender(), Beat.servers());
+  m_RateLimits.handleHeartbeat(Beat);
   direct::ServerLoads Loads;
   for (const wire::ServerWork &Work : Beat.work())
     Loads[Work.server()] = {Work.requests(),
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -3,6 +3,7 @@
 
 #include "Direct/RequestForwarder.h"
 #include "Fleet/FleetNode.h"
+#include "Gateway/RateLimitExchange.h"
 #include "Gateway/SharedFeed.h"
 #include "Membership/AddressSelector.h"
 #include "Net/HttpServer.h"
@@ -73,7 +74,6 @@
   void onTimer();
   void configurationChanged();
   void serversChanged();
-  void recordRateLimit(const direct::ServerRateLimits::Change &Change);
   void handlePeerRequest(const std::shared_ptr<net::HttpExchange> &Exchange);
   void fillHeartbeat(wire::FleetBeat &Beat) const;
   void handleHeartbeat(const wire::FleetBeat &Beat);
@@ -98,6 +98,7 @@
   SharedFeed m_Configuration;
   SharedFeed m_Servers;
   fleet::FleetNode m_Fleet;
+  RateLimitExchange m_RateLimits;
   membership::AddressSelector m_Advisor;
   std::unique_ptr<net::HttpServer> m_CallerServer;
   net::HttpServer m_PeerServer;
--- a/Source/RankAgent/RankAgentNode.cpp
+++ b/Source/RankAgent/RankAgentNode.cpp
@@ -39,6 +39,7 @@
                [this](const wire::RankCommand &Command) {
                  m_Agent.onCommand(Command);
                },
+               {},
                {}}),
       m_MetricsServer(
           Context, {},
--- a/Tests/Direct/AdmissionTest.cpp
+++ b/Tests/Direct/AdmissionTest.cpp
@@ -79,7 +79,7 @@
   base::Millis Least = base::seconds(100);
   base::Millis Most{};
   for (int Count = 0; Count < 100; ++Count) {
-    const base::Millis Time = Queue.retryAfter("s", Rng);
+    const base::Millis Time = Queue.retryAfter("s", {}, Rng);
     Least = std::min(Least, Time);
     Most = std::max(Most, Time);
   }
--- a/Tests/Direct/ServerPoolTest.cpp
+++ b/Tests/Direct/ServerPoolTest.cpp
@@ -34,6 +34,14 @@
     return Picks;
   }
 
+  /// Lets the only entry learn a rate limit.
+  void limit(const std::string &Id, double PerSecond) {
+    m_Pool.rateTokens().setEntries("e1", {"e1"}, m_Now);
+    m_Pool.rateLimits().recordResponse(
+        Id, {RateLimitField::Kind::Named, PerSecond}, true, m_Now, m_Now);
+    m_Pool.rateTokens().update(m_Now);
+  }
+
   base::Millis m_Now = base::seconds(100);
   base::Random m_Rng{7};
   ServerPool m_Pool{"a"};
@@ -47,7 +55,7 @@
   for (int Index = 0; Index < 12; ++Index) {
     const std::string Id = pick();
     ++Chosen[Id];
-    m_Pool.attemptStarted(Id, 0);
+    m_Pool.attemptStarted(Id, 0, m_Now);
   }
   EXPECT_EQ(Chosen["s1"], 4);
   EXPECT_EQ(Chosen["s2"], 4);
@@ -66,9 +74,9 @@
 
 // Load: prompts of very different sizes.
 TEST_F(ServerPoolTest, PromptTokensCountUntilProcessed) {
-  m_Pool.attemptStarted("s1", 3000);
-  m_Pool.attemptStarted("s2", 100);
-  m_Pool.attemptStarted("s3", 100);
+  m_Pool.attemptStarted("s1", 3000, m_Now);
+  m_Pool.attemptStarted("s2", 100, m_Now);
+  m_Pool.attemptStarted("s3", 100, m_Now);
   EXPECT_EQ(picks(20)["s1"], 0);
   m_Pool.promptProcessed("s1", 3000);
   EXPECT_GT(picks(60)["s1"], 0);
@@ -128,6 +136,39 @@
   EXPECT_GT(picks(90)["s1"], 0);
 }
 
+// Failure: retries, or the choice among servers in backoff, passed by the rate
+// limit of a server.
+TEST_F(ServerPoolTest, AServerWithARateLimitIsChosenOnlyWithAToken) {
+  limit("s1", 1);
+  EXPECT_EQ(picks(50)["s1"], 0);
+  EXPECT_EQ(pick({"s2", "s3"}), "");
+  m_Pool.recordOutcome("s1", ServerOutcome::Unreachable, {}, m_Now);
+  EXPECT_EQ(pick({"s2", "s3"}), "");
+  m_Now += base::seconds(1);
+  m_Pool.rateTokens().update(m_Now);
+  m_Pool.requestToken("s", m_Now, m_Rng);
+  EXPECT_EQ(pick({"s2", "s3"}), "s1");
+  m_Pool.attemptStarted("s1", 0, m_Now);
+  EXPECT_EQ(pick({"s2", "s3"}), "");
+}
+
+// Failure: the slots of a server with a rate limit counted as free capacity.
+TEST_F(ServerPoolTest, AServerWithARateLimitAddsTheCapacityOfItsTokens) {
+  limit("s1", 2);
+  m_Pool.setPeerLoads("e2", {{"s1", {3, 0}}}, m_Now);
+  EXPECT_EQ(m_Pool.usage("s", m_Now).m_Capacity, 8U);
+  EXPECT_EQ(m_Pool.usage("s", m_Now).totalCapacity(), 11U);
+  EXPECT_EQ(m_Pool.usage("s", m_Now).m_InFlight, 3U);
+  m_Now += base::seconds(1);
+  m_Pool.requestToken("s", m_Now, m_Rng);
+  EXPECT_EQ(m_Pool.usage("s", m_Now).totalCapacity(), 12U);
+  EXPECT_FALSE(m_Pool.usage("s", m_Now).isRateLimited());
+  limit("s2", 2);
+  limit("s3", 2);
+  EXPECT_TRUE(m_Pool.usage("s", m_Now).isRateLimited());
+  EXPECT_EQ(m_Pool.usage("s", m_Now).m_LimitPerSecond, 6);
+}
+
 TEST_F(ServerPoolTest, PrefersItsZoneAmongEquals) {
   m_Pool.replaceServers({server("s1", "b"), server("s2", "a")}, m_Now);
   EXPECT_EQ(picks(40)["s2"], 40);
