Direct: use the tokens of limited servers

Cause: a token arrives a few milliseconds after its request, when a request that cannot be queued was refused already, and an unused token was held for a caller that came rarely; among idle servers a limited one was chosen at random.

A request that would be refused now waits up to 20 ms for a token, if its service has a limited server. The next token is requested in advance only by an entry that needs them often, and requests without a grant are repeated at up to 2 s, which bounds the datagrams with many entries.

--- a/Source/Direct/AdmissionQueue.cpp
+++ b/Source/Direct/AdmissionQueue.cpp
@@ -32,15 +32,21 @@
   const auto Ahead = static_cast<std::size_t>(std::count_if(
       Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
       [Priority](const Waiting &Each) { return Each.m_Priority <= Priority; }));
-  const double LongestWait =
+  double LongestWait =
       static_cast<double>(TargetLatency.count()) * m_Settings.m_MaxWaitRatio;
   const bool TooLong =
       Queue.m_Rate > 0
           ? static_cast<double>(Ahead + 1) / Queue.m_Rate * MillisPerSecond >
                 LongestWait
           : Ahead >= MaxWaitingWithoutRate;
-  if (TooLong)
-    return Decision::Refuse;
+  if (TooLong) {
+    const bool MayGetToken =
+        Usage.m_LimitedServers > 0 && Ahead < MaxWaitingWithoutRate;
+    if (!MayGetToken)
+      return Decision::Refuse;
+    LongestWait = std::min(LongestWait,
+                           static_cast<double>(m_Settings.m_TokenWait.count()));
+  }
   const auto Position = std::find_if(
       Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
       [Priority](const Waiting &Each) { return Each.m_Priority > Priority; });
--- a/Source/Direct/AdmissionQueue.h
+++ b/Source/Direct/AdmissionQueue.h
@@ -24,6 +24,9 @@
   /// Smoothing factor of the moving average of the completion rate; one sample
   /// covers at least one second.
   double m_RateSmoothing = 0.4;
+  /// Longest wait for a token of a server with a rate limit, by a request that
+  /// would be refused otherwise.
+  base::Millis m_TokenWait{20};
   /// Bounds of the retry-after time of refused requests.
   base::Millis m_MinRetryAfter{400};
   base::Millis m_MaxRetryAfter{2500};
--- a/Source/Direct/RateTokenGranter.h
+++ b/Source/Direct/RateTokenGranter.h
@@ -19,6 +19,10 @@
   /// A request for a token that is older is dropped; the entry repeats it while
   /// it has requests for the server.
   base::Millis m_RequestLifetime{250};
+  /// Longest interval between two requests of an entry for tokens of one
+  /// server. It starts at the lifetime of a request, and doubles while requests
+  /// stay without a grant.
+  base::Millis m_MaxRequestInterval{2000};
   /// An entry returns a token that it has not used for this long.
   base::Millis m_HoldTime{500};
   /// Longest time for a message to arrive. Later tokens are not used, and those
--- a/Source/Direct/RateTokens.cpp
+++ b/Source/Direct/RateTokens.cpp
@@ -46,7 +46,11 @@
   if (Of.m_Token)
     ++m_Counts.m_Used;
   Of.m_Token.reset();
-  request(Server, Now);
+  const bool IsFrequent =
+      Of.m_UsedAt && Now - *Of.m_UsedAt <= m_Settings.m_HoldTime;
+  Of.m_UsedAt = Now;
+  if (IsFrequent)
+    request(Server, Now);
 }
 
 bool RateTokens::request(const std::string &Server, base::Millis Now) {
@@ -54,10 +58,14 @@
   if (!Limit)
     return false;
   ServerTokens &Of = m_Servers[Server];
-  const bool IsPending = Of.m_RequestedAt &&
-                         Now < *Of.m_RequestedAt + m_Settings.m_RequestLifetime;
-  if (Of.m_Token || IsPending || granter(Server).empty())
+  const bool IsEarly =
+      Of.m_RequestedAt && Now < *Of.m_RequestedAt + Of.m_RequestInterval;
+  if (Of.m_Token || IsEarly || granter(Server).empty())
     return false;
+  Of.m_RequestInterval =
+      Of.m_RequestedAt
+          ? std::min(Of.m_RequestInterval * 2, m_Settings.m_MaxRequestInterval)
+          : m_Settings.m_RequestLifetime;
   Of.m_RequestedAt = Now;
   ++m_Counts.m_Requested;
   send(granter(Server), {RateTokenMessage::Kind::Request, *Limit, 0, Now}, Now);
--- a/Source/Direct/RateTokens.h
+++ b/Source/Direct/RateTokens.h
@@ -64,7 +64,8 @@
   /// this entry has a token.
   [[nodiscard]] bool permits(const std::string &Server) const;
 
-  /// Uses the token of \p Server, if it has a limit, and requests the next one.
+  /// Uses the token of \p Server, if it has a limit. Requests the next one if
+  /// this entry needs them often.
   void use(const std::string &Server, base::Millis Now);
 
   /// Requests a token of \p Server.
@@ -108,6 +109,9 @@
     std::optional<Token> m_Token;
     /// When the last request was sent; none after its grant.
     std::optional<base::Millis> m_RequestedAt;
+    /// Time from the last request to the next one.
+    base::Millis m_RequestInterval{};
+    std::optional<base::Millis> m_UsedAt;
     /// Granter and number of the last grant, to drop duplicates.
     std::string m_Granter;
     std::uint64_t m_LastNumber = 0;
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -14,6 +14,9 @@
 /// Maximum random amount added to a score, so that entries with the same
 /// information do not all choose the same server.
 constexpr double MaxTieBreak = 0.02;
+/// Utilization that is subtracted from the score of a server with a rate limit,
+/// so that its tokens are used, unless it is slower than the others.
+constexpr double TokenPreference = 0.25;
 /// Utilization that is added to the score of a server that is warming up.
 constexpr double WarmUpPenalty = 0.5;
 
@@ -119,6 +122,8 @@
     Score += WarmUpPenalty;
   if (Server.m_Zone != m_Zone)
     Score += m_Settings.m_OtherZonePenalty;
+  if (m_RateLimits.limit(Server.m_Id))
+    Score -= TokenPreference;
   return Score;
 }
 
