Bench: scenario and promise of the rate limits of servers

Where a server lowers its limit while all entries are cut off from each other, each learns of it from its next response; the matrix allows the former limit for that time, derived from each entry's part.

--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -16,6 +16,8 @@
 Scenario leasesScenario();
 Scenario recoveryScenario();
 Scenario limitsScenario();
+Scenario serverLimitsScenario();
+Promise serverLimitsPromise();
 Scenario controlCostScenario();
 Promise limitsPromise();
 Promise retriesPromise();
--- a/Source/Fakes/RateLimitOracle.cpp
+++ b/Source/Fakes/RateLimitOracle.cpp
@@ -37,15 +37,28 @@
   m_InformedAt.try_emplace(Entry, Now);
 }
 
-double RateLimitOracle::allowedRequests(base::Millis Begin,
-                                        base::Millis End) const {
+double RateLimitOracle::allowedRequests(base::Millis Begin, base::Millis End,
+                                        base::Millis LoweringTime) const {
+  const auto Requests = [](const Period &In, base::Millis From,
+                           base::Millis To) {
+    return In.m_PerSecond *
+           static_cast<double>(std::max((To - From).count(), std::int64_t{0})) /
+           MillisPerSecond;
+  };
   double Sum = 0;
-  for (const Period &Each : m_Periods) {
+  for (std::size_t Index = 0; Index < m_Periods.size(); ++Index) {
+    const Period &Each = m_Periods[Index];
     const base::Millis From = std::max(Begin, Each.m_Begin);
     const base::Millis To = std::min(End, Each.m_End);
-    if (From < To)
-      Sum += Each.m_PerSecond * static_cast<double>((To - From).count()) /
-             MillisPerSecond;
+    Sum += Requests(Each, From, To);
+    const bool IsLowered = Index > 0 &&
+                           m_Periods[Index - 1].m_End == Each.m_Begin &&
+                           m_Periods[Index - 1].m_PerSecond > Each.m_PerSecond;
+    if (!IsLowered)
+      continue;
+    const base::Millis LoweredAt = std::min(To, Each.m_Begin + LoweringTime);
+    Sum += Requests(m_Periods[Index - 1], From, LoweredAt) -
+           Requests(Each, From, LoweredAt);
   }
   return Sum;
 }
@@ -85,9 +98,10 @@
       ++First;
     if (!isLimited(Begin, End, Bound.m_SettlingTime))
       continue;
-    const WorstWindow Window{End, static_cast<double>(Last - First + 1),
-                             Bound.m_Factor * allowedRequests(Begin, End) +
-                                 Bound.m_Extra};
+    const WorstWindow Window{
+        End, static_cast<double>(Last - First + 1),
+        Bound.m_Factor * allowedRequests(Begin, End, Bound.m_LoweringTime) +
+            Bound.m_Extra};
     if (Window.ratio() > Worst.ratio())
       Worst = Window;
   }
@@ -99,7 +113,7 @@
       m_Arrivals.begin(), m_Arrivals.end(), [&](const Arrival &Each) {
         return Begin <= Each.m_At && Each.m_At < End;
       });
-  const double Allowed = allowedRequests(Begin, End);
+  const double Allowed = allowedRequests(Begin, End, base::Millis(0));
   return Allowed > 0 ? static_cast<double>(Count) / Allowed : 0;
 }
 
--- a/Source/Fakes/RateLimitOracle.h
+++ b/Source/Fakes/RateLimitOracle.h
@@ -22,6 +22,8 @@
   /// this long before are counted; if false, all arrivals are.
   bool m_InformedEntriesOnly = true;
   base::Millis m_NoticePeriod = base::Millis(500);
+  /// Time for which a limit is still allowed after the server has lowered it.
+  base::Millis m_LoweringTime{};
 };
 
 /// Records what reaches one server that names rate limits, and compares it with
@@ -69,8 +71,10 @@
     base::Millis m_FirstNamedAt{};
   };
 
-  [[nodiscard]] double allowedRequests(base::Millis Begin,
-                                       base::Millis End) const;
+  /// \returns the requests that the limits allow.
+  /// \param LoweringTime see RateLimitBound.
+  [[nodiscard]] double allowedRequests(base::Millis Begin, base::Millis End,
+                                       base::Millis LoweringTime) const;
   /// \returns whether all of the time from \p Begin to \p End has a limit that
   /// was first named at least \p SettlingTime before.
   [[nodiscard]] bool isLimited(base::Millis Begin, base::Millis End,
--- a/Tests/Fakes/RateLimitOracleTest.cpp
+++ b/Tests/Fakes/RateLimitOracleTest.cpp
@@ -54,6 +54,9 @@
   Oracle.limitNamed(seconds(8), 1);
   Oracle.requestArrived(seconds(10), "a");
   EXPECT_EQ(Oracle.worstWindow(allEntries()).m_Allowed, 1.5 * (2 * 4 + 2) + 5);
+  RateLimitBound Bound = allEntries();
+  Bound.m_LoweringTime = seconds(1);
+  EXPECT_EQ(Oracle.worstWindow(Bound).m_Allowed, 1.5 * (3 * 4 + 1) + 5);
   EXPECT_EQ(Oracle.usedRatio(seconds(8), seconds(12)), 0.25);
 }
 
