Tests/Soak: rate limits of servers, and entries that know each other

The entries of the soak had no seeds and so never heard each other, which hid all that they exchange, rate limits included. They now use one port of different loopback addresses. Servers name a limit of 1 to 6 a second for 5 to 10 s, drawn apart from the other faults; checked is the users' bound for the requests of all entries that were not restarted, frozen or behind a slow link just before. A planted run that counts each request four times is reported.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -52,11 +52,13 @@
 } // namespace
 
 Soak::Soak(SoakSettings Settings)
-    : m_Settings(std::move(Settings)), m_Draw(m_Settings.m_Seed) {
+    : m_Settings(std::move(Settings)), m_Draw(m_Settings.m_Seed),
+      m_LimitDraw(m_Settings.m_Seed) {
   m_StoreAddress = m_Store.listen();
   for (int Index = 0; Index < Servers; ++Index)
     addServer();
   publish();
+  m_PeerPort = portOf(freeAddress(m_Loop));
   for (int Index = 0; Index < m_Settings.m_Entries; ++Index)
     addEntry(Index);
 }
@@ -100,15 +102,20 @@
   Added.m_Name = "entry-" + std::to_string(Index);
   Added.m_CallerAddress = freeAddress(m_Loop);
   Added.m_DirectoryAddress = freeAddress(m_Loop);
-  const std::string Peer = freeAddress(m_Loop);
+  // Entries find each other at one port of different addresses.
+  const std::string Address = "127.0.0." + std::to_string(Index + 2);
+  std::string Seeds;
+  for (int Other = 0; Other < m_Settings.m_Entries; ++Other)
+    Seeds += (Other > 0 ? ", \"127.0.0." : "\"127.0.0.") +
+             std::to_string(Other + 2) + ":1\"";
   const std::string Path = m_Settings.m_Folder + "/" + Added.m_Name;
   std::ofstream File(Path + ".yaml");
-  File << "node: " << Added.m_Name
-       << "\nzone: a\nip: 127.0.0.1\npeer_port: " << portOf(Peer)
+  File << "node: " << Added.m_Name << "\nzone: a\nip: " << Address
+       << "\npeer_port: " << m_PeerPort
        << "\ncaller_address: " << Added.m_CallerAddress
        << "\nready_address: " << freeAddress(m_Loop)
-       << "\ndirectory_address: " << Added.m_DirectoryAddress
-       << "\nseeds: []\nlog: " << m_StoreAddress
+       << "\ndirectory_address: " << Added.m_DirectoryAddress << "\nseeds: ["
+       << Seeds << "]\nlog: " << m_StoreAddress
        << "\nretries: {ratio: 0.2, window_s: 10, extra: 90}\n"
           "address_lifetime_s: 5\ngrace_period_s: 3\nmax_open_files: 1000\n"
           "link_mbps: 1000\n";
@@ -155,6 +162,10 @@
     if (m_Asking)
       injectFault();
   });
+  every(base::Millis(500), [this] {
+    if (m_Asking)
+      changeLimits();
+  });
   every(base::Millis(50), [this] {
     heal();
     checkServers();
@@ -169,6 +180,7 @@
     m_Loop.run_one_for(std::chrono::milliseconds(50));
   checkServers();
   checkPromises();
+  checkLimits();
 }
 
 void Soak::ask() {
@@ -365,6 +377,39 @@
   addServer();
 }
 
+void Soak::changeLimits() {
+  for (Server &Each : m_Servers) {
+    const bool IsLimited = Each.m_LimitUntil > base::Millis(0);
+    if (IsLimited && now() >= Each.m_LimitUntil) {
+      Each.m_LimitUntil = {};
+      Each.m_Server->m_NamedLimit.clear();
+      Each.m_Oracle.limitEnded(now());
+    } else if (!IsLimited && m_LimitDraw.chance(0.1)) {
+      const std::uint64_t PerSecond = 1 + m_LimitDraw.below(6);
+      Each.m_LimitUntil =
+          now() + base::Millis(5000 + static_cast<std::int64_t>(
+                                          m_LimitDraw.below(5000)));
+      Each.m_Server->m_NamedLimit = std::to_string(PerSecond);
+      Each.m_Oracle.limitNamed(now(), static_cast<double>(PerSecond));
+      m_Faults.push_back(Each.m_Server->id() + " names a limit of " +
+                         std::to_string(PerSecond));
+    }
+  }
+}
+
+void Soak::checkLimits() {
+  fakes::RateLimitBound Bound;
+  Bound.m_InformedEntriesOnly = false;
+  for (const Server &Each : m_Servers) {
+    const auto Worst = Each.m_Oracle.worstWindow(Bound);
+    if (Worst.m_Requests > Worst.m_Allowed)
+      violate(Each.m_Server->id() + " got " +
+              std::to_string(static_cast<int>(Worst.m_Requests)) +
+              " requests in 4 s, its rate limit allows " +
+              std::to_string(static_cast<int>(Worst.m_Allowed)));
+  }
+}
+
 void Soak::faultOfStore() {
   const std::uint64_t Way = m_Draw.below(6);
   m_Faults.push_back("store fault " + std::to_string(Way));
@@ -433,9 +478,15 @@
     const bool Leaving = Of.m_LeftAt > base::Millis(0) &&
                          now() > Of.m_LeftAt + DrainBound + base::Millis(300) &&
                          Of.m_Proxy->m_Fault == LinkFault::None;
+    if (Of.m_Proxy->m_Fault != LinkFault::None)
+      Of.m_HeldUntil = now() + Touch;
+    const int Count = m_Settings.m_Plant == Plant::LimitExceeded ? 4 : 1;
     for (; Of.m_Checked < Seen.size(); ++Of.m_Checked) {
       const ReceivedRequest &Each = Seen[Of.m_Checked];
       const Entry &From = m_Entries[std::stoul(Each.m_Headers.at("X-Entry"))];
+      if (now() > Of.m_HeldUntil && now() > From.m_ExcusedUntil)
+        for (int Copy = 0; Copy < Count; ++Copy)
+          Of.m_Oracle.requestArrived(now(), From.m_Name);
       if (Leaving && now() > From.m_ExcusedUntil)
         violate(Of.m_Server->id() + " got " + Each.m_Id + " from " +
                 From.m_Name + " " +
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -4,6 +4,7 @@
 #include "Base/Clock.h"
 #include "Base/Random.h"
 #include "ChildProcess.h"
+#include "Fakes/RateLimitOracle.h"
 #include "LoopbackProxy.h"
 #include "Net/HttpClient.h"
 #include "Platform/StandinServer.h"
@@ -25,7 +26,8 @@
   RetryAfterSilence, ///< A request that may run once reaches a second server.
   VersionGoesBack,   ///< An entry answers as before a version that it served.
   LeavingStillUsed,  ///< A server that leaves goes on getting work.
-  AnswerOfAnother    ///< A caller gets the answer to another request.
+  AnswerOfAnother,   ///< A caller gets the answer to another request.
+  LimitExceeded      ///< A server with a rate limit gets requests four times.
 };
 
 struct SoakSettings {
@@ -61,6 +63,12 @@
     /// When its leaving was acknowledged; zero while it stays.
     base::Millis m_LeftAt{};
     std::size_t m_Checked = 0;
+    /// Records the requests that count towards the rate limit.
+    fakes::RateLimitOracle m_Oracle;
+    /// When the server stops naming a rate limit; zero while it names none.
+    base::Millis m_LimitUntil{};
+    /// Until when requests are left out, since its link was slow.
+    base::Millis m_HeldUntil{};
   };
   struct Entry {
     std::string m_Name;
@@ -100,6 +108,9 @@
   void faultOfEntry();
   void faultOfServer();
   void faultOfStore();
+  /// Lets servers name a rate limit for a while.
+  void changeLimits();
+  void checkLimits();
   void heal();
   void checkServers();
   void checkPromises();
@@ -111,9 +122,12 @@
   const SoakSettings m_Settings;
   const base::Clock m_Clock = base::steadyClock();
   base::Random m_Draw;
+  /// Draws of the rate limits, so that they do not change the other faults.
+  base::Random m_LimitDraw;
   boost::asio::io_context m_Loop{1};
   StandinStore m_Store{m_Loop};
   std::string m_StoreAddress;
+  std::string m_PeerPort;
   net::HttpClient m_Http{m_Loop};
   std::vector<Server> m_Servers;
   std::vector<Entry> m_Entries;
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -16,7 +16,8 @@
     {"retry-after-silence", Plant::RetryAfterSilence},
     {"version-goes-back", Plant::VersionGoesBack},
     {"leaving-still-used", Plant::LeavingStillUsed},
-    {"answer-of-another", Plant::AnswerOfAnother}};
+    {"answer-of-another", Plant::AnswerOfAnother},
+    {"limit-exceeded", Plant::LimitExceeded}};
 
 /// Plays one seed. \returns whether all promises were kept.
 bool playSeed(SoakSettings Settings, const std::string &Folder) {
