Net: bound the bytes of a response beside its body

A backend server in trouble may send bytes that are no answer until the entry closes. Interim responses, the extension of a chunk, trailer fields and the body of a response to another request had no bound but the request's deadline: the caller got 504 after 4 s, the entry had read 0.9 to 8.4 GB on loopback by then, and the other callers of that server waited as long.

Cause: the parser bounds a head, and the forwarder the body of the expected response; the bytes between were nobody's.

All bytes of a call that are not the body of its response are now counted and bounded by 256 KiB and 16 times the body, and at most 16 responses are skipped. Beyond that the call fails as an answer that broke off: it is not reported as not run, and only what may be repeated is.

EndlessResponseTest sends each kind over real sockets until the entry closes, and checks what the caller gets, that the request ran once, and what was read (24 MiB with the system's buffers). Heads, single fields, bodies and events were bounded before.

--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -63,6 +63,13 @@
   base::Millis m_MaxIdleTime = base::seconds(50);
   std::size_t m_MaxIdleConnectionsPerAddress = 256;
   std::uint32_t m_MaxHeadBytes = 64 * KiB;
+  /// Maximum number of bytes of a call that do not belong to the body of its
+  /// response: heads, the framing of chunks, trailers, and responses to other
+  /// requests. A body of small chunks may have more, in proportion to its size.
+  std::size_t m_MaxOverheadBytes = 256 * KiB;
+  /// Maximum number of interim responses and responses to other requests in a
+  /// call.
+  unsigned m_MaxSkippedResponses = 16;
   /// Maximum size of a body that fetch() collects.
   std::uint64_t m_MaxBodyBytes = 64 * MiB;
 };
--- a/Source/Net/HttpClientConnection.cpp
+++ b/Source/Net/HttpClientConnection.cpp
@@ -80,6 +80,9 @@
   m_WriteStarted = false;
   m_StartedAt = m_Clock.now();
   m_LastReadAt = m_StartedAt;
+  m_SkippedResponses = 0;
+  m_BodyBytes = 0;
+  m_OverheadBytes = 0;
   beginResponse();
   armTimer();
   if (m_Connected)
@@ -213,11 +216,20 @@
   boost::system::error_code Code;
   const std::size_t Used = m_Parser->put(m_Buffer.data(), Code);
   m_Buffer.consume(Used);
+  const std::size_t Body =
+      m_IsStrayResponse ? 0 : std::min(Used, m_Parser->get().body().size());
+  m_BodyBytes += Body;
+  m_OverheadBytes += Used - Body;
   if (Code && Code != http::error::need_more) {
     failAfterSending(m_Address +
                      " sent a malformed response: " + Code.message());
     return false;
   }
+  if (!isOverheadAllowed()) {
+    failAfterSending(m_Address +
+                     " sent too many bytes beside the body of its response");
+    return false;
+  }
   if (!m_HeadDone && m_Parser->is_header_done() && !onHead())
     return false;
   // The final head is not complete yet; a 1xx response may have been skipped.
@@ -225,10 +237,8 @@
     return Used > 0;
   if (!deliverBody())
     return false;
-  if (m_Parser->is_done() && m_IsStrayResponse) {
-    beginResponse();
-    return true;
-  }
+  if (m_Parser->is_done() && m_IsStrayResponse)
+    return skipResponse();
   if (m_Parser->is_done()) {
     succeed();
     return false;
@@ -237,10 +247,8 @@
 }
 
 bool HttpClientConnection::onHead() {
-  if (m_Parser->get().result_int() < FirstFinalStatus) {
-    beginResponse();
-    return true;
-  }
+  if (m_Parser->get().result_int() < FirstFinalStatus)
+    return skipResponse();
   m_HeadDone = true;
   const auto Call = m_Call;
   const HttpResponseHead Head = readHead(m_Parser->get());
@@ -257,6 +265,23 @@
   return !Call->m_Ended;
 }
 
+bool HttpClientConnection::skipResponse() {
+  if (++m_SkippedResponses > m_Options.m_MaxSkippedResponses) {
+    failAfterSending(m_Address + " sent too many responses to one request");
+    return false;
+  }
+  beginResponse();
+  return true;
+}
+
+bool HttpClientConnection::isOverheadAllowed() const {
+  // The framing of a chunk of one byte takes five bytes, and may have a short
+  // extension.
+  constexpr std::size_t MaxFramingPerByte = 16;
+  return m_OverheadBytes + m_Buffer.size() <=
+         m_Options.m_MaxOverheadBytes + MaxFramingPerByte * m_BodyBytes;
+}
+
 void HttpClientConnection::beginResponse() {
   m_HeadDone = false;
   m_IsStrayResponse = false;
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -88,6 +88,11 @@
   bool parseSome();
   bool onHead();
   void beginResponse();
+  /// Starts to read the next response after one that does not count.
+  /// \returns whether the call goes on.
+  bool skipResponse();
+  /// \returns whether the bytes beside the body are within their limit.
+  [[nodiscard]] bool isOverheadAllowed() const;
   bool deliverBody();
   void onPeerClosed(const boost::system::error_code &Why);
   void armTimer();
@@ -115,6 +120,11 @@
   /// The response being read belongs to another request and is discarded.
   bool m_IsStrayResponse = false;
   bool m_HadStrayResponse = false;
+  unsigned m_SkippedResponses = 0;
+  /// Bytes of the present call that were parsed: those of the body of its
+  /// response, and all others.
+  std::size_t m_BodyBytes = 0;
+  std::size_t m_OverheadBytes = 0;
   bool m_Closed = false;
 };
 
--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -162,7 +162,63 @@
       return;
     case Behavior::TruncatedStream:
       return;
+    default:
+      break;
     }
+    const auto [Begin, Block] = endless(Mode);
+    ++m_Server.m_EndlessResponses;
+    m_Block = Block;
+    m_Out = Begin;
+    sendEndless();
+  }
+
+  /// Returns the begin of an endless response and the text that follows again
+  /// and again.
+  [[nodiscard]] std::pair<std::string, std::string>
+  endless(Behavior Mode) const {
+    const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string Letters(100, 'x');
+    switch (Mode) {
+    case Behavior::EndlessHead:
+      return {signedHead(200, ""), "X-Field: " + Letters + "\r\n"};
+    case Behavior::EndlessField:
+      return {signedHead(200, "X-Field: "), Letters};
+    case Behavior::EndlessInterim:
+      return {"", "HTTP/1.1 102 Processing\r\n\r\n"};
+    case Behavior::EndlessBody:
+      return {signedHead(200, "\r\n"), Letters};
+    case Behavior::EndlessChunk:
+      return {signedHead(200, Chunked) + "1;", Letters};
+    case Behavior::EndlessTrailer:
+      return {signedHead(200, Chunked) + "1\r\nx\r\n0\r\n",
+              "X-Field: " + Letters + "\r\n"};
+    case Behavior::EndlessForeign:
+      return {"HTTP/1.1 200 X\r\nAttempt-Id: other\r\n\r\n", Letters};
+    case Behavior::EndlessEvent:
+      return {signedHead(200, Chunked) + "7fffffff\r\ndata: ", Letters};
+    case Behavior::EndlessComments:
+      return {signedHead(200, Chunked) + "7fffffff\r\n", ": \n"};
+    default:
+      return {};
+    }
+  }
+
+  void sendEndless() {
+    constexpr std::size_t BlockBytes = 64 * 1024;
+    while (m_Out.size() < BlockBytes)
+      m_Out += m_Block;
+    asio::async_write(
+        m_Socket, asio::buffer(m_Out),
+        [Self = shared_from_this()](const boost::system::error_code &Code,
+                                    std::size_t Count) {
+          Self->m_Server.m_EndlessBytes += Count;
+          if (Code) {
+            --Self->m_Server.m_EndlessResponses;
+            return;
+          }
+          Self->m_Out.clear();
+          Self->sendEndless();
+        });
   }
 
   void send(const std::string &Bytes) {
@@ -271,6 +327,8 @@
   asio::streambuf m_Buffer;
   ReceivedRequest m_Request;
   std::string m_Out;
+  /// Text of an endless response.
+  std::string m_Block;
   int m_NextEvent = 1;
   bool m_WatchingDisconnect = false;
 };
--- a/Tests/Platform/StandinServer.h
+++ b/Tests/Platform/StandinServer.h
@@ -25,7 +25,17 @@
   ForeignResponse, ///< The response to another request, then the correct one.
   Extra,           ///< A second response directly after the correct one.
   Malformed,       ///< Bytes that are not an HTTP response.
-  TruncatedStream  ///< Truncates a stream within its third event.
+  TruncatedStream, ///< Truncates a stream within its third event.
+  // Each of these sends bytes until the caller closes the connection.
+  EndlessHead,    ///< Header fields.
+  EndlessField,   ///< One header field.
+  EndlessInterim, ///< Interim responses.
+  EndlessBody,    ///< A signed body without a length.
+  EndlessChunk,   ///< The extension of a chunk.
+  EndlessTrailer, ///< Trailer fields after a complete chunked body.
+  EndlessForeign, ///< The body of the response to another request.
+  EndlessEvent,   ///< One event of a stream.
+  EndlessComments ///< Comment lines between the events of a stream.
 };
 
 /// One request as the server received it.
@@ -70,6 +80,10 @@
   /// running.
   int m_Disconnects = 0;
   int m_Connections = 0;
+  /// Bytes of endless responses that the operating system has accepted.
+  std::size_t m_EndlessBytes = 0;
+  /// Number of endless responses that are being sent.
+  int m_EndlessResponses = 0;
 
 private:
   class Connection;
