Direct: bound the memory of all buffered responses

Each buffered response may have 8 MiB; 60 endless ones at a time took 238 MB, more than a VM of 160 MB has. Together they now get 32 MiB; beyond that a response larger than 64 KiB is cut off, so that small ones pass. The memory of a response is released with its attempt.

--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -12,8 +12,6 @@
 constexpr int FirstServerErrorStatus = 500;
 constexpr int FirstSuccessStatus = 200;
 constexpr int FirstRedirectStatus = 300;
-/// Maximum size of a response that is buffered before it is forwarded.
-constexpr std::size_t MaxBufferedBytes = 8 * net::MiB;
 /// Timeout for the next event of a stream. Callers abandon a stream after two
 /// seconds without an event, so it has to be resumed elsewhere before that.
 constexpr base::Millis StreamTimeout{1300};
@@ -97,7 +95,7 @@
   m_AttemptActive = true;
   m_HasHead = false;
   m_ResponseInfo = {};
-  m_ResponseBody.clear();
+  releaseBody();
   m_EventSplitter.discardPartialEvent();
   m_SentAt = Now;
   m_LastByteAt = Now;
@@ -164,12 +162,22 @@
       forwardEvents(*Complete);
     return;
   }
-  if (m_ResponseBody.size() + Data.size() > MaxBufferedBytes) {
+  if (!m_Forwarder.mayBuffer(m_ResponseBody.size(), Data.size())) {
     m_Cancel.cancel();
+    m_LastFailure = "the response is too large to be buffered: " +
+                    formatNumber(static_cast<std::int64_t>(
+                        m_ResponseBody.size() + Data.size())) +
+                    " bytes";
     attemptEnded(AttemptOutcome::Garbled);
     return;
   }
   m_ResponseBody.append(Data);
+  m_Forwarder.m_BufferedBytes += Data.size();
+}
+
+void ForwardedRequest::releaseBody() {
+  m_Forwarder.m_BufferedBytes -= m_ResponseBody.size();
+  m_ResponseBody = {};
 }
 
 void ForwardedRequest::forwardEvents(const std::string &Events) {
@@ -431,6 +439,7 @@
                               std::string_view Outcome) {
   m_Finished = true;
   m_Timer.cancel();
+  releaseBody();
   const base::Millis Now = now();
   const base::Millis Waited =
       (m_Queued ? Now : std::max(m_AdmittedAt, m_Parameters.m_ArrivalTime)) -
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -58,6 +58,8 @@
   void attemptEnded(AttemptOutcome Outcome);
   void perform(NextAction Next, AttemptOutcome Outcome);
   void releaseAttempt(AttemptOutcome Outcome);
+  /// Removes the buffered response.
+  void releaseBody();
   void forwardResponse();
   void sendError(base::ResultCode Code, const std::string &Message,
                  base::Millis RetryAfter);
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -21,6 +21,14 @@
 /// service is stalled, and a request is not moved to another server.
 constexpr base::Millis ProgressWindow{400};
 
+/// Maximum size of a response that is buffered before it is forwarded.
+constexpr std::size_t MaxBufferedBytes = 8 * net::MiB;
+/// Maximum size of all buffered responses together; a fraction of the memory of
+/// the smallest VMs.
+constexpr std::size_t MaxTotalBufferedBytes = 32 * net::MiB;
+/// A response up to this size is buffered even if the others use up the total.
+constexpr std::size_t MinBufferedBytes = 64 * net::KiB;
+
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -248,6 +256,12 @@
         static_cast<double>(Usage.m_InFlight) / Servers);
 }
 
+bool RequestForwarder::mayBuffer(std::size_t Size, std::size_t Added) const {
+  return Size + Added <= MinBufferedBytes ||
+         (Size + Added <= MaxBufferedBytes &&
+          m_BufferedBytes + Added <= MaxTotalBufferedBytes);
+}
+
 void RequestForwarder::armQueueTimer() {
   if (m_QueueTimerArmed)
     return;
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -143,6 +143,9 @@
   /// Returns the retry-after time of a refused request of \p Service.
   [[nodiscard]] base::Millis retryAfter(const std::string &Service) const;
   void armQueueTimer();
+  /// Returns whether a response of \p Size bytes may grow by \p Added bytes.
+  /// A large one is cut off if all responses together need too much memory.
+  [[nodiscard]] bool mayBuffer(std::size_t Size, std::size_t Added) const;
   /// Returns the capacity and requests in flight of the service. The capacity
   /// is limited so that event intervals stay within their target.
   [[nodiscard]] ServerPool::ServiceUsage
@@ -156,6 +159,8 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<ForwardedRequest>>
       m_ActiveRequests;
   std::uint64_t m_NextToken = 1;
+  /// Bytes of all responses that are being buffered.
+  std::size_t m_BufferedBytes = 0;
   ShutdownPolicy m_ShutdownPolicy;
   boost::asio::steady_timer m_QueueTimer;
   bool m_QueueTimerArmed = false;
