--- a/Tests/Platform/RateLimitTest.cpp
+++ b/Tests/Platform/RateLimitTest.cpp
@@ -1,5 +1,7 @@
 #include "EntryFixture.h"
 
+#include <set>
+
 namespace corneldeck::tests {
 
 namespace {
@@ -11,6 +13,35 @@
 class PlatformRateLimit : public PlatformEntry {
 protected:
   PlatformRateLimit() : PlatformEntry(3) {}
+
+  /// Checks the bound for the entries that have forwarded the limit, and for
+  /// all of them.
+  static void checkLimit(const StandinServer &Server,
+                         const EntryAnswers &Answers) {
+    fakes::RateLimitOracle Oracle;
+    addTraffic(Oracle, Server, Answers);
+    fakes::RateLimitBound AllEntries;
+    AllEntries.m_InformedEntriesOnly = false;
+    for (const fakes::RateLimitBound &Bound :
+         {fakes::RateLimitBound{}, AllEntries}) {
+      const auto Worst = Oracle.worstWindow(Bound);
+      EXPECT_GT(Worst.m_Requests, 0) << Server.id();
+      EXPECT_LE(Worst.m_Requests, Worst.m_Allowed) << Server.id();
+    }
+  }
+
+  /// Runs until each entry sends its share of requests to a server again.
+  void runUntilUnlimited(const StandinServer &Server) {
+    runUntil([&] {
+      const std::size_t Before = Server.m_Received.size();
+      sendTraffic(milliseconds(300), milliseconds(10));
+      std::set<std::string> Entries;
+      for (std::size_t Index = Before; Index < Server.m_Received.size();
+           ++Index)
+        Entries.insert(Server.m_Received[Index].m_Id.substr(0, 2));
+      return Entries.size() == static_cast<std::size_t>(m_EntryCount);
+    });
+  }
 };
 
 } // namespace
@@ -22,11 +53,55 @@
   for (const auto &OfEntry : Answers)
     for (const AnswerPtr &Each : OfEntry)
       EXPECT_EQ(Each->m_Status, 200);
-  fakes::RateLimitOracle Oracle;
-  addTraffic(Oracle, *m_Servers[0], Answers);
-  const auto Worst = Oracle.worstWindow({});
-  EXPECT_GT(Worst.m_Requests, 0);
-  EXPECT_LE(Worst.m_Requests, Worst.m_Allowed);
+  checkLimit(*m_Servers[0], Answers);
+}
+
+// Failure: with all servers limited, they got all requests, or callers were
+// told to return sooner than a server takes a request.
+TEST_F(PlatformRateLimit, RefusesWhatLimitedServersDoNotTake) {
+  for (const auto &Each : m_Servers)
+    Each->m_NamedLimit = "0.5";
+  const auto Answers = sendTraffic(milliseconds(9000), milliseconds(25));
+  for (const auto &Each : m_Servers)
+    checkLimit(*Each, Answers);
+  int Refused = 0;
+  for (const auto &OfEntry : Answers)
+    for (const AnswerPtr &Each : OfEntry) {
+      if (Each->m_Status == 200)
+        continue;
+      ++Refused;
+      EXPECT_EQ(Each->m_Status, 503);
+      const auto RetryAfter = net::findHeader(Each->m_Headers, "Retry-After");
+      ASSERT_FALSE(RetryAfter.empty());
+      EXPECT_GE(std::stod(std::string(RetryAfter)), 0.4);
+    }
+  EXPECT_GT(Refused, 0);
+}
+
+// Failure: a limit held at some entries after the server no longer named it.
+TEST_F(PlatformRateLimit, ALimitEndsAtAllEntries) {
+  m_Servers[0]->m_NamedLimit = "1";
+  sendTraffic(milliseconds(2000), milliseconds(25));
+  m_Servers[0]->m_NamedLimit.clear();
+  runUntilUnlimited(*m_Servers[0]);
+}
+
+// Failure: the limit of an earlier start of a server held after its restart
+// under the same id.
+TEST_F(PlatformRateLimit, ARestartedServerHasNoLimit) {
+  m_Servers[0]->m_NamedLimit = "0";
+  sendTraffic(milliseconds(2000), milliseconds(25));
+  m_Servers[0]->restart(2);
+  m_Store.put("keyed.servers", m_Servers[0]->id(), m_Servers[0]->record());
+  runUntilUnlimited(*m_Servers[0]);
+}
+
+// Failure: an invalid limit ended the one before, or was applied.
+TEST_F(PlatformRateLimit, InvalidLimitsAreIgnored) {
+  m_Servers[0]->m_NamedLimit = "-1";
+  m_Servers[1]->m_NamedLimit = "1e9";
+  runUntilUnlimited(*m_Servers[0]);
+  runUntilUnlimited(*m_Servers[1]);
 }
 
 } // namespace corneldeck::tests
