Direct: log the wait of refused requests

A request that was refused after its wait in the queue had waited_ms=0 in its final line: it was marked as admitted before the line was written. Seen in a run of PlatformRateLimitTest: waited_ms=0 ms=150.

--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -60,7 +60,6 @@
 }
 
 void ForwardedRequest::refuseOverloaded() {
-  m_Queued = false;
   sendError(base::ResultCode::Overloaded,
             m_Forwarder.usage(m_Parameters.m_Service).isRateLimited()
                 ? "all backend servers are at their rate limit"
@@ -69,7 +68,6 @@
 }
 
 void ForwardedRequest::refuseUnavailable() {
-  m_Queued = false;
   m_LastFailure = "the rank group is closed";
   sendError(base::ResultCode::NoReplica,
             "the rank group of the service has lost a rank",
