--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -60,10 +60,10 @@
 }
 
 void ForwardedRequest::refuseOverloaded() {
-  sendError(base::ResultCode::Overloaded,
-            m_Forwarder.usage(m_Parameters.m_Service).isRateLimited()
-                ? "all backend servers are at their rate limit"
-                : "all backend servers are at capacity",
+  m_LastFailure = m_Forwarder.usage(m_Parameters.m_Service).isRateLimited()
+                      ? "all backend servers are at their rate limit"
+                      : "all backend servers are at capacity";
+  sendError(base::ResultCode::Overloaded, m_LastFailure,
             m_Forwarder.retryAfter(m_Parameters.m_Service));
 }
 
