Direct: discard stored tokens when a server lowers its limit

A server that lowered its limit from 20 to 1 a second got 22 requests in the next half second: tokens that were stored under the higher limit stayed valid. The stored tokens are now cut to the bound of the present limit. RateTokensTest.ALowerLimitDiscardsStoredTokens failed before with 22 against 4.

The end of a limit is repeated by the granter alone and not by all entries, which would take each other's statements, with the delay of each message added, for newer ones.

--- a/Source/Direct/RateTokenGranter.cpp
+++ b/Source/Direct/RateTokenGranter.cpp
@@ -28,6 +28,7 @@
     if (!IsNew)
       refill(Of, Now);
     Of.m_PerSecond = PerSecond;
+    refill(Of, Now);
   }
 }
 
@@ -97,10 +98,10 @@
   const auto Elapsed = static_cast<double>((Now - Of.m_RefilledAt).count());
   Of.m_RefilledAt = Now;
   const double Bound =
-      BaseTokens + Of.m_PerSecond - static_cast<double>(Of.m_Granted.size());
-  if (Of.m_Tokens < Bound)
-    Of.m_Tokens = std::min(Bound, Of.m_Tokens + Of.m_PerSecond * Elapsed /
-                                                    MillisPerSecond);
+      std::max(0.0, BaseTokens + Of.m_PerSecond -
+                        static_cast<double>(Of.m_Granted.size()));
+  Of.m_Tokens =
+      std::min(Bound, Of.m_Tokens + Of.m_PerSecond * Elapsed / MillisPerSecond);
 }
 
 } // namespace corneldeck::direct
--- a/Source/Direct/ServerRateLimits.cpp
+++ b/Source/Direct/ServerRateLimits.cpp
@@ -126,8 +126,9 @@
   for (const auto &[Server, Limit] : m_Known) {
     const base::Millis Age = Now - Limit.m_StatedAt;
     const bool IsRecent = Limit.m_FirstHand && Age <= m_Settings.m_FirstHandAge;
-    const bool IsEnd = !Limit.m_PerSecond && Age <= m_Settings.m_EndRetention;
-    if (IsRecent || IsEnd || (Limit.m_PerSecond && IsGranter(Server)))
+    const bool IsRepeated =
+        Limit.m_PerSecond || Age <= m_Settings.m_EndRetention;
+    if (IsRecent || (IsRepeated && IsGranter(Server)))
       Statements.push_back(
           {Server, m_Instances.at(Server).m_StartTime, Limit.m_PerSecond, Age});
   }
--- a/Source/Direct/ServerRateLimits.h
+++ b/Source/Direct/ServerRateLimits.h
@@ -43,11 +43,11 @@
 struct ServerRateLimitSettings {
   /// A limit that no response has confirmed for this long is dropped.
   base::Millis m_ConfirmationTimeout = base::seconds(30);
-  /// The other entries are told for this long that a limit has ended.
-  base::Millis m_EndRetention = base::seconds(5);
-  /// Statements older than this are sent only by the entry that grants the
-  /// server's tokens.
+  /// An entry sends the statements in responses to itself for this long.
   base::Millis m_FirstHandAge = base::seconds(2);
+  /// The entry that grants the tokens of a server repeats the end of its limit
+  /// for this long, and the limit itself for as long as it holds.
+  base::Millis m_EndRetention = base::seconds(5);
   /// Maximum number of statements in a heartbeat; the newest are sent.
   std::size_t m_MaxStatements = 64;
 };
--- a/Tests/Direct/RateTokensTest.cpp
+++ b/Tests/Direct/RateTokensTest.cpp
@@ -124,6 +124,19 @@
   EXPECT_LE(Sent, 91);
 }
 
+// Failure: tokens that were stored under a higher limit were used under a lower
+// one.
+TEST_F(RateTokensTest, ALowerLimitDiscardsStoredTokens) {
+  for (int Count = 0; Count < 20; ++Count) {
+    for (Entry *Each : entries())
+      named(*Each, 20);
+    m_Now += base::Millis(200);
+  }
+  for (Entry *Each : entries())
+    named(*Each, 1);
+  EXPECT_LE(run(base::Millis(500)), 4);
+}
+
 TEST_F(RateTokensTest, AServerWithALimitOfZeroGetsFewRequests) {
   for (Entry *Each : entries())
     named(*Each, 0);
