Bench, Tests: state the time until a lower limit is known, fix lint

The matrix allowed a former limit for a time that was derived from the limits of the step, also where nothing delays the entries. The users excuse entries that are cut off.

Lint of the new test files: explicit widths, reserved vectors.

--- a/Source/Bench/ServerLimitPromise.cpp
+++ b/Source/Bench/ServerLimitPromise.cpp
@@ -24,6 +24,8 @@
 constexpr Millis StepAfter = seconds(2);
 constexpr Millis HealAfter = seconds(12);
 constexpr Millis RestAfter = seconds(10);
+/// The limit that a server lowers to 1.
+constexpr double HighestLimit = 6;
 /// Part of the ordinary share of requests that a server without a limit gets.
 constexpr double LeastShare = 0.5;
 /// Part of a limit that is used.
@@ -34,6 +36,8 @@
   std::string m_Name;
   std::function<void(ServerLimitModel &)> m_Begin;
   std::function<void(ServerLimitModel &)> m_Heal;
+  /// Time until all entries know of a lower limit.
+  Millis m_LoweringTime = Millis(500);
 };
 
 void doNothing(ServerLimitModel &) {}
@@ -58,6 +62,13 @@
 std::vector<LimitFault> limitFaults() {
   using Path = fakes::FakeNetwork::Path;
   const auto Frozen = std::make_shared<std::size_t>(0);
+  LimitFault AllCutOff =
+      pathFault("all-cut-off", [](Path &Each) { Each.m_Cut = true; });
+  // Each entry learns a lower limit from its next response, after the interval
+  // of its part of the former limit and of its requests for a token.
+  AllCutOff.m_LoweringTime =
+      Millis(static_cast<std::int64_t>(Entries * 1000 / HighestLimit)) +
+      direct::RateTokenSettings().m_MaxRequestInterval;
   return {
       {"none", doNothing, doNothing},
       {"entry-cut-off",
@@ -74,7 +85,7 @@
              Model.cutPath(Granter, Entry, true);
        },
        healPaths},
-      pathFault("all-cut-off", [](Path &Each) { Each.m_Cut = true; }),
+      AllCutOff,
       pathFault("messages-lost", [](Path &Each) { Each.m_LossRatio = 0.3; }),
       pathFault("messages-late",
                 [](Path &Each) { Each.m_Jitter = Millis(400); }),
@@ -126,7 +137,7 @@
       {"one-takes-most", {6}, doNothing},
       {"all-limited", std::vector<double>(Servers, 2), doNothing},
       {"limit-falls",
-       {6},
+       {HighestLimit},
        [](ServerLimitModel &Model) { Model.nameLimit(0, 1); }},
       {"limit-ends",
        {1},
@@ -143,17 +154,11 @@
   return std::to_string(static_cast<std::int64_t>(Value));
 }
 
-std::string checkLimits(const ServerLimitModel &Model, const LimitStep &Step,
-                        Millis Begin) {
+std::string checkLimits(const ServerLimitModel &Model, const LimitFault &Fault,
+                        const LimitStep &Step, Millis Begin) {
   fakes::RateLimitBound Bound;
   Bound.m_InformedEntriesOnly = false;
-  // An entry that is cut off learns a lower limit from its next response, and
-  // has only its part of the former limit.
-  const double Highest =
-      *std::max_element(Step.m_Limits.begin(), Step.m_Limits.end());
-  if (Highest > 0)
-    Bound.m_LoweringTime =
-        Millis(static_cast<std::int64_t>(Entries * 1000 / Highest));
+  Bound.m_LoweringTime = Fault.m_LoweringTime;
   for (std::size_t Server = 0; Server < Step.m_Limits.size(); ++Server) {
     const auto Worst = Model.oracle(Server).worstWindow(Bound);
     if (Worst.m_Requests > Worst.m_Allowed)
@@ -189,7 +194,7 @@
   Model.runFor(RestAfter / 2);
   const std::uint64_t Before = Model.arrivals(0);
   Model.runFor(RestAfter / 2);
-  std::string Seen = checkLimits(Model, Step, Begin);
+  std::string Seen = checkLimits(Model, Fault, Step, Begin);
   const auto Got = static_cast<double>(Model.arrivals(0) - Before);
   const double Share = RequestsPerSecond / Servers *
                        static_cast<double>(RestAfter.count()) / 2000;
@@ -406,7 +411,7 @@
   FuzzFleet Fleet(Plant);
   for (const FuzzStep &Step : Schedule)
     Fleet.perform(Step);
-  const std::string Seen = Fleet.check();
+  std::string Seen = Fleet.check();
   if (!Seen.empty())
     return Seen;
   Fleet.endLimit();
--- a/Tests/Platform/EndlessMemoryTest.cpp
+++ b/Tests/Platform/EndlessMemoryTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t MiB = 1024 * 1024;
+constexpr std::size_t MiB = 1024UL * 1024;
 
 /// Returns the resident memory of this process in bytes.
 std::size_t residentBytes() {
@@ -28,8 +28,10 @@
   setAll(Behavior::EndlessBody);
   const std::size_t Before = residentBytes();
   std::size_t Most = 0;
+  constexpr int Calls = 60;
   std::vector<AnswerPtr> Answers;
-  for (int Count = 0; Count < 60; ++Count)
+  Answers.reserve(Calls);
+  for (int Count = 0; Count < Calls; ++Count)
     Answers.push_back(call("POST", "/once/a", "m" + std::to_string(Count)));
   runUntil([&] {
     Most = std::max(Most, residentBytes());
--- a/Tests/Platform/EndlessResponseTest.cpp
+++ b/Tests/Platform/EndlessResponseTest.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::size_t MiB = 1024 * 1024;
+constexpr std::size_t MiB = 1024UL * 1024;
 
 /// Entries before servers that send bytes without end.
 class EndlessResponse : public PlatformEntry {
@@ -66,8 +66,10 @@
   m_Servers[0]->m_Behavior = Behavior::EndlessForeign;
   m_Servers[1]->m_Behavior = Behavior::EndlessComments;
   // The servers have 24 places.
+  constexpr int Calls = 20;
   std::vector<AnswerPtr> Answers;
-  for (int Count = 0; Count < 20; ++Count)
+  Answers.reserve(Calls);
+  for (int Count = 0; Count < Calls; ++Count)
     Answers.push_back(call("POST", Count % 2 == 0 ? "/plain/a" : "/stream/a",
                            "o" + std::to_string(Count)));
   for (const AnswerPtr &Each : Answers) {
--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -204,7 +204,7 @@
   }
 
   void sendEndless() {
-    constexpr std::size_t BlockBytes = 64 * 1024;
+    constexpr std::size_t BlockBytes = 64UL * 1024;
     while (m_Out.size() < BlockBytes)
       m_Out += m_Block;
     asio::async_write(
