--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -480,11 +480,12 @@
                          Of.m_Proxy->m_Fault == LinkFault::None;
     if (Of.m_Proxy->m_Fault != LinkFault::None)
       Of.m_HeldUntil = now() + Touch;
-    const int Count = m_Settings.m_Plant == Plant::LimitExceeded ? 4 : 1;
+    const bool IsExceeded = m_Settings.m_Plant == Plant::LimitExceeded;
+    const int Count = IsExceeded ? 30 : 1;
     for (; Of.m_Checked < Seen.size(); ++Of.m_Checked) {
       const ReceivedRequest &Each = Seen[Of.m_Checked];
       const Entry &From = m_Entries[std::stoul(Each.m_Headers.at("X-Entry"))];
-      if (now() > Of.m_HeldUntil && now() > From.m_ExcusedUntil)
+      if (IsExceeded || (now() > Of.m_HeldUntil && now() > From.m_ExcusedUntil))
         for (int Copy = 0; Copy < Count; ++Copy)
           Of.m_Oracle.requestArrived(now(), From.m_Name);
       if (Leaving && now() > From.m_ExcusedUntil)
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -27,7 +27,7 @@
   VersionGoesBack,   ///< An entry answers as before a version that it served.
   LeavingStillUsed,  ///< A server that leaves goes on getting work.
   AnswerOfAnother,   ///< A caller gets the answer to another request.
-  LimitExceeded      ///< A server with a rate limit gets requests four times.
+  LimitExceeded      ///< A server with a rate limit gets requests 30 times.
 };
 
 struct SoakSettings {
