Tests/Platform: check the end of a limit at the entries, not by the choice of servers

Traced: no entry applied a limit (limited_servers=0 in all final lines), but entry-0 sent 1 of its 1,990 requests to i-0 and entry-1 1 to i-1. Their only response from that server had been slow, and a latency estimate without new samples does not fade.

The test took 'each entry sends requests to the server' for 'no entry applies a limit'. It now reads the number of limited servers from each entry's metrics, which is what the names of the tests say, for all three tests; the invalid value now also follows a valid one, which has to stay.

--- a/Tests/Platform/RateLimitTest.cpp
+++ b/Tests/Platform/RateLimitTest.cpp
@@ -1,7 +1,5 @@
 #include "EntryFixture.h"
 
-#include <set>
-
 namespace corneldeck::tests {
 
 namespace {
@@ -30,16 +28,29 @@
     }
   }
 
-  /// Runs until each entry sends its share of requests to a server again.
-  void runUntilUnlimited(const StandinServer &Server) {
+  /// Returns the number of servers to which an entry applies a limit.
+  int limitedServers(int Entry) {
+    const std::string Name = "\ncorneldeck_rate_limited_servers ";
+    int Count = -1;
+    m_Http.get(m_Settings[Entry].m_PeerAddress, "/metrics", base::seconds(5),
+               [&](base::Result<net::HttpResponse> Reply) {
+                 ASSERT_TRUE(Reply.has_value());
+                 const std::size_t At = Reply->m_Body.find(Name);
+                 ASSERT_NE(At, std::string::npos);
+                 Count = std::stoi(Reply->m_Body.substr(At + Name.size()));
+               });
+    runUntil([&Count] { return Count >= 0; });
+    return Count;
+  }
+
+  /// Sends requests until all entries apply limits to \p Servers servers.
+  void runUntilLimited(int Servers) {
     runUntil([&] {
-      const std::size_t Before = Server.m_Received.size();
       sendTraffic(milliseconds(300), milliseconds(10));
-      std::set<std::string> Entries;
-      for (std::size_t Index = Before; Index < Server.m_Received.size();
-           ++Index)
-        Entries.insert(Server.m_Received[Index].m_Id.substr(0, 2));
-      return Entries.size() == static_cast<std::size_t>(m_EntryCount);
+      for (int Entry = 0; Entry < m_EntryCount; ++Entry)
+        if (limitedServers(Entry) != Servers)
+          return false;
+      return true;
     });
   }
 };
@@ -81,27 +92,29 @@
 // Failure: a limit held at some entries after the server no longer named it.
 TEST_F(PlatformRateLimit, ALimitEndsAtAllEntries) {
   m_Servers[0]->m_NamedLimit = "1";
-  sendTraffic(milliseconds(2000), milliseconds(25));
+  runUntilLimited(1);
   m_Servers[0]->m_NamedLimit.clear();
-  runUntilUnlimited(*m_Servers[0]);
+  runUntilLimited(0);
 }
 
 // Failure: the limit of an earlier start of a server held after its restart
 // under the same id.
 TEST_F(PlatformRateLimit, ARestartedServerHasNoLimit) {
   m_Servers[0]->m_NamedLimit = "0";
-  sendTraffic(milliseconds(2000), milliseconds(25));
+  runUntilLimited(1);
   m_Servers[0]->restart(2);
   m_Store.put("keyed.servers", m_Servers[0]->id(), m_Servers[0]->record());
-  runUntilUnlimited(*m_Servers[0]);
+  runUntilLimited(0);
 }
 
 // Failure: an invalid limit ended the one before, or was applied.
 TEST_F(PlatformRateLimit, InvalidLimitsAreIgnored) {
+  m_Servers[0]->m_NamedLimit = "1";
+  runUntilLimited(1);
   m_Servers[0]->m_NamedLimit = "-1";
   m_Servers[1]->m_NamedLimit = "1e9";
-  runUntilUnlimited(*m_Servers[0]);
-  runUntilUnlimited(*m_Servers[1]);
+  sendTraffic(milliseconds(1000), milliseconds(10));
+  runUntilLimited(1);
 }
 
 } // namespace corneldeck::tests
