--- a/Source/Net/HttpClientConnection.cpp
+++ b/Source/Net/HttpClientConnection.cpp
@@ -282,8 +282,7 @@
 }
 
 bool HttpClientConnection::isOverheadAllowed() const {
-  // The framing of a chunk of one byte takes five bytes, and may have a short
-  // extension.
+  // A chunk of one byte has five bytes of framing, more with an extension.
   constexpr std::size_t MaxFramingPerByte = 16;
   return m_OverheadBytes + m_Buffer.size() <=
          m_Options.m_MaxOverheadBytes + MaxFramingPerByte * m_BodyBytes;
--- a/Tests/Platform/RateLimitTest.cpp
+++ b/Tests/Platform/RateLimitTest.cpp
@@ -67,8 +67,8 @@
   checkLimit(*m_Servers[0], Answers);
 }
 
-// Failure: with all servers limited, they got all requests, or callers were
-// told to return sooner than a server takes a request.
+// Failure: with all servers limited, they got all requests, or the retry-after
+// time of refused requests was below its minimum.
 TEST_F(PlatformRateLimit, RefusesWhatLimitedServersDoNotTake) {
   for (const auto &Each : m_Servers)
     Each->m_NamedLimit = "0.5";
