Gateway: log transfers of feeds and the application of versions

When a version came into force late, no line said whether its transfer from another entry, its reading from the log or its application took the time.

feed-fetched names the source, bytes and duration of each transfer, failed transfers state their duration, configuration-in-force has apply_ms, and metrics count sent and received bytes and failed transfers. No decision changes.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -99,6 +99,8 @@
     EventInfo{EventId::ServerRateLimit, "server-rate-limit",
               "The rate limit of a backend server was named, changed or ended, "
               "or a response named an invalid one."},
+    EventInfo{EventId::FeedFetched, "feed-fetched",
+              "The state of a feed was fetched from another node."},
     EventInfo{EventId::DependencyLost, "dependency-lost",
               "A dependency of the process does not respond."},
     EventInfo{EventId::DependencyBack, "dependency-back",
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -60,6 +60,7 @@
   ServersChanged = 1421,
   RecordUnreadable = 1422,
   ServerRateLimit = 1423,
+  FeedFetched = 1424,
   DependencyLost = 1430,
   DependencyBack = 1431,
   // Leases: 1500.
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -84,7 +84,7 @@
                    Metrics, m_Rng},
                   std::move(Requests)),
       m_Configuration(
-          Context, m_Log, m_PeerClient, Events,
+          Context, m_Log, m_PeerClient, Events, Metrics,
           sharedFeedSettings("configuration",
                              followerSettings(m_Settings.m_ConfigurationTopic,
                                               ConfigurationPollTimeout,
@@ -94,7 +94,7 @@
              const std::string &After) { return Before != After; },
           [this] { configurationChanged(); }),
       m_Servers(
-          Context, m_Log, m_PeerClient, Events,
+          Context, m_Log, m_PeerClient, Events, Metrics,
           sharedFeedSettings("servers",
                              followerSettings(m_Settings.m_ServersTopic,
                                               base::Millis(0),
@@ -177,6 +177,7 @@
 }
 
 void GatewayNode::configurationChanged() {
+  const base::Millis StartedAt = m_Clock.now();
   auto Decoded =
       m_Records.m_DecodeConfiguration(m_Configuration.state().values());
   if (!Decoded) {
@@ -190,12 +191,8 @@
   const direct::RouteTable *Current = m_Forwarder.routes();
   if (Current && Current->configuration().m_Version >= Decoded->m_Version)
     return;
-  m_Events.record(
-      base::EventId::ConfigurationInForce,
-      {{"version", std::to_string(Decoded->m_Version)},
-       {"routes", std::to_string(Decoded->m_Routes.size())},
-       {"offset", std::to_string(m_Configuration.state().contentOffset())},
-       {"log_age_ms", std::to_string(m_Configuration.staleness().count())}});
+  const std::uint64_t Version = Decoded->m_Version;
+  const std::size_t Routes = Decoded->m_Routes.size();
   net::HttpServerOptions ServerOptions;
   ServerOptions.m_MaxConnections = m_Settings.m_MaxConnections;
   ServerOptions.m_MaxHeadBytes = Decoded->m_Limits.m_MaxHeadBytes;
@@ -205,6 +202,17 @@
   m_CallerServer->setOptions(ServerOptions);
   m_Forwarder.setRoutes(
       std::make_shared<const direct::RouteTable>(std::move(*Decoded)));
+  m_Metrics
+      .gauge("corneldeck_configuration_version",
+             "Version of the configuration that new requests use.")
+      .set(static_cast<double>(Version));
+  m_Events.record(
+      base::EventId::ConfigurationInForce,
+      {{"version", std::to_string(Version)},
+       {"routes", std::to_string(Routes)},
+       {"offset", std::to_string(m_Configuration.state().contentOffset())},
+       {"log_age_ms", std::to_string(m_Configuration.staleness().count())},
+       {"apply_ms", std::to_string((m_Clock.now() - StartedAt).count())}});
 }
 
 void GatewayNode::serversChanged() {
@@ -294,7 +302,7 @@
   constexpr int Ok = 200;
   constexpr int NotFound = 404;
   const std::string_view Target = Exchange->target();
-  for (const SharedFeed *Each : {&m_Configuration, &m_Servers})
+  for (SharedFeed *Each : {&m_Configuration, &m_Servers})
     if (Target.starts_with(FeedsPath) &&
         Target.substr(FeedsPath.size()) == Each->name()) {
       Each->sendState(*Exchange);
--- a/Source/Gateway/SharedFeed.cpp
+++ b/Source/Gateway/SharedFeed.cpp
@@ -5,9 +5,20 @@
 
 namespace corneldeck::gateway {
 
+namespace {
+
+metrics::Counter &counter(metrics::Registry &Metrics, const std::string &Name,
+                          const std::string &Help, const std::string &Feed) {
+  return Metrics.counter("corneldeck_feed_" + Name + "_total", Help,
+                         {{"feed", Feed}});
+}
+
+} // namespace
+
 SharedFeed::SharedFeed(boost::asio::io_context &Context,
                        const feed::KeyedLogClient &Log, net::HttpClient &Client,
-                       base::Timeline &Events, SharedFeedSettings Settings,
+                       base::Timeline &Events, metrics::Registry &Metrics,
+                       SharedFeedSettings Settings,
                        feed::KeyedState::IsSignificant IsSignificant,
                        std::function<void()> Changed)
     : m_Settings(std::move(Settings)), m_Client(Client), m_Events(Events),
@@ -15,7 +26,16 @@
       m_Follower(
           Context, Log, m_State, m_Settings.m_Follower,
           {[this] { notifyChanged(); },
-           [this](const base::Error *Failure) { recordContact(Failure); }}) {}
+           [this](const base::Error *Failure) { recordContact(Failure); }}),
+      m_SentBytes(counter(Metrics, "sent_bytes",
+                          "Bytes of feeds sent to other nodes.",
+                          m_Settings.m_Name)),
+      m_FetchedBytes(counter(Metrics, "fetched_bytes",
+                             "Bytes of feeds received from other nodes.",
+                             m_Settings.m_Name)),
+      m_FailedFetches(counter(Metrics, "failed_fetches",
+                              "Transfers of feeds that were not completed.",
+                              m_Settings.m_Name)) {}
 
 void SharedFeed::writePosition(wire::FeedPosition &Position) const {
   Position.set_loaded(m_State.isLoaded());
@@ -52,7 +72,7 @@
                        !m_State.isLoaded());
 }
 
-void SharedFeed::sendState(net::HttpExchange &Exchange) const {
+void SharedFeed::sendState(net::HttpExchange &Exchange) {
   wire::FeedState State;
   State.set_content_offset(m_State.contentOffset());
   for (const feed::KeyedRecord &Each : m_State.records()) {
@@ -63,8 +83,9 @@
     Added.set_value(Each.m_Value.value_or(std::string()));
   }
   constexpr int Ok = 200;
-  Exchange.respond(Ok, {{"Content-Type", "application/x-protobuf"}},
-                   State.SerializeAsString());
+  const std::string Body = State.SerializeAsString();
+  m_SentBytes.add(Body.size());
+  Exchange.respond(Ok, {{"Content-Type", "application/x-protobuf"}}, Body);
 }
 
 void SharedFeed::fetch(const wire::NodeNews &Sender) {
@@ -72,16 +93,21 @@
   m_Client.get(
       Sender.peer_address(), "/feeds/" + m_Settings.m_Name,
       m_Settings.m_FetchTimeout,
-      [this, Node = Sender.node()](base::Result<net::HttpResponse> Reply) {
+      [this, Node = Sender.node(),
+       StartedAt = m_Clock.now()](base::Result<net::HttpResponse> Reply) {
         m_FetchInFlight = false;
+        const std::string Duration =
+            std::to_string((m_Clock.now() - StartedAt).count());
         wire::FeedState State;
         constexpr int Ok = 200;
         if (!Reply || Reply->m_Status != Ok ||
             !State.ParseFromString(Reply->m_Body)) {
+          m_FailedFetches.add();
           m_Events.record(
               base::EventId::DependencyLost,
               {{"on", "feed " + m_Settings.m_Name},
                {"node", Node},
+               {"ms", Duration},
                {"why", Reply ? "status " + std::to_string(Reply->m_Status)
                              : Reply.error().m_Message}});
           return;
@@ -95,6 +121,13 @@
           if (Each.has_value())
             Added.m_Value = Each.value();
         }
+        m_FetchedBytes.add(Reply->m_Body.size());
+        m_Events.record(base::EventId::FeedFetched,
+                        {{"feed", m_Settings.m_Name},
+                         {"node", Node},
+                         {"offset", std::to_string(State.content_offset())},
+                         {"bytes", std::to_string(Reply->m_Body.size())},
+                         {"ms", Duration}});
         if (m_State.mergeRecords(Records, State.content_offset()))
           notifyChanged();
       });
--- a/Source/Gateway/SharedFeed.h
+++ b/Source/Gateway/SharedFeed.h
@@ -4,6 +4,7 @@
 #include "Base/Timeline.h"
 #include "Feed/FeedFollower.h"
 #include "Fleet/FleetNode.h"
+#include "Metrics/Registry.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpExchange.h"
 
@@ -36,7 +37,7 @@
 public:
   SharedFeed(boost::asio::io_context &Context, const feed::KeyedLogClient &Log,
              net::HttpClient &Client, base::Timeline &Events,
-             SharedFeedSettings Settings,
+             metrics::Registry &Metrics, SharedFeedSettings Settings,
              feed::KeyedState::IsSignificant IsSignificant,
              std::function<void()> Changed);
 
@@ -55,7 +56,7 @@
                         const std::vector<wire::NodeNews> &LiveEntries);
 
   /// Responds to a fetch of another node with the full state.
-  void sendState(net::HttpExchange &Exchange) const;
+  void sendState(net::HttpExchange &Exchange);
 
   [[nodiscard]] const feed::KeyedState &state() const { return m_State; }
   [[nodiscard]] const std::string &name() const { return m_Settings.m_Name; }
@@ -84,6 +85,9 @@
   feed::KeyedState m_State;
   feed::FeedFollower m_Follower;
   std::map<std::string, Peer> m_Peers;
+  metrics::Counter &m_SentBytes;
+  metrics::Counter &m_FetchedBytes;
+  metrics::Counter &m_FailedFetches;
   bool m_FetchInFlight = false;
   bool m_LogReachable = true;
 };
