Tests/Platform: reproduce versions that come into force late

LinkNetwork limits the links of entries in the test's process, and the stand-in of the log can send its responses in pieces.

The addresses of the tests' entries are their process's own and outside the range that the system assigns, since an entry sometimes could not listen on a port that had been probed as free.

--- a/Tests/Platform/EntryFixture.cpp
+++ b/Tests/Platform/EntryFixture.cpp
@@ -44,16 +44,17 @@
     m_Store.put("keyed.servers", m_Servers.back()->id(),
                 m_Servers.back()->record());
   }
-  publish(1);
+  if (m_IsPublishedAtStart)
+    publish(1);
   const std::string Log = m_Store.listen();
   for (int Index = 0; Index < m_EntryCount; ++Index) {
     platform::NodeSettings Settings;
     Settings.m_Node = "entry-" + std::to_string(Index);
     Settings.m_Zone = "a";
-    Settings.m_PeerAddress = freeAddress();
-    Settings.m_CallerAddress = freeAddress();
-    Settings.m_ReadyAddress = freeAddress();
-    Settings.m_DirectoryAddress = freeAddress();
+    Settings.m_PeerAddress = nextAddress();
+    Settings.m_CallerAddress = nextAddress();
+    Settings.m_ReadyAddress = nextAddress();
+    Settings.m_DirectoryAddress = nextAddress();
     Settings.m_LogAddress = Log;
     Settings.m_RetryBudget.m_ExtraRetries = 1000;
     Settings.m_AddressLifetime = base::seconds(5);
@@ -61,45 +62,71 @@
     Settings.m_MaxOpenFiles = 1000;
     m_Settings.push_back(Settings);
   }
+  std::string Seed = m_Settings[0].m_PeerAddress;
+  if (m_LinkRate > 0) {
+    m_Links = std::make_unique<LinkNetwork>(m_Loop, m_LinkRate);
+    for (const platform::NodeSettings &Settings : m_Settings) {
+      const std::string Address =
+          m_Links->addNode(Settings.m_Node, Settings.m_PeerAddress);
+      if (&Settings == &m_Settings.front())
+        Seed = Address;
+    }
+  }
   for (platform::NodeSettings &Settings : m_Settings)
-    Settings.m_Seeds = {m_Settings[0].m_PeerAddress};
+    Settings.m_Seeds = {Seed};
   m_Entries.resize(m_EntryCount);
   for (int Index = 0; Index < m_EntryCount; ++Index)
-    startEntry(Index);
-  for (int Index = 0; Index < m_EntryCount; ++Index)
+    ASSERT_NO_FATAL_FAILURE(startEntry(Index));
+  for (int Index = 0; Index < m_EntryCount && m_IsPublishedAtStart; ++Index)
     runUntil([this, Index] { return isReady(Index); });
 }
 
 void PlatformEntry::startEntry(int Index) {
   m_Entries[Index] =
       std::make_unique<platform::EntryProcess>(m_Loop, m_Settings[Index]);
-  ASSERT_TRUE(m_Entries[Index]->start().has_value());
+  const auto Started = m_Entries[Index]->start();
+  ASSERT_TRUE(Started.has_value()) << Started.error().m_Message;
 }
 
-std::string PlatformEntry::freeAddress() {
-  static int Next = 34'000 + ::getpid() * 67 % 20'000;
-  for (;;) {
-    boost::system::error_code Problem;
-    boost::asio::ip::tcp::acceptor Probe(m_Loop, boost::asio::ip::tcp::v4());
-    Probe.bind({boost::asio::ip::make_address("127.0.0.1"),
-                static_cast<std::uint16_t>(++Next)},
-               Problem);
-    if (!Problem)
-      return "127.0.0.1:" + std::to_string(Next);
-  }
+std::string PlatformEntry::nextAddress() {
+  // An address of this process alone, and ports that the system does not assign
+  // by itself: nothing else can take them before they are used.
+  constexpr int FirstPort = 10'000;
+  constexpr int Bytes = 256;
+  static int Port = FirstPort;
+  const int Process = ::getpid();
+  return "127." + std::to_string(1 + Process / Bytes % (Bytes - 2)) + "." +
+         std::to_string(Process % Bytes) + ".1:" + std::to_string(Port++);
 }
 
-void PlatformEntry::publish(int Version, const std::string &Extra) {
+void PlatformEntry::publish(int Version, const std::string &Extra, int Unused,
+                            int PrefixNumbers) {
   json Routes = {route("/plain/", "idempotent", "svc"),
                  route("/once/", "non_idempotent", "svc"),
                  route("/stream/", "streaming", "svc"),
                  route("/stream/once/", "streaming", "svc")};
   if (!Extra.empty())
     Routes.push_back(route(Extra, "idempotent", "svc"));
+  base::Random Names(1);
+  for (int Count = 0; Count < Unused; ++Count) {
+    std::string Prefix = "/u";
+    for (int Number = 0; Number < PrefixNumbers; ++Number)
+      Prefix += std::to_string(Names.below(std::uint64_t{1} << 62U));
+    Routes.push_back(route(Prefix + "/", "idempotent", "svc"));
+  }
+  json Service = {{"name", "svc"}, {"max-connections", 50}};
+  if (m_HasEngines) {
+    Service["engine"] = {{"capacity", 8},     {"step_ms", 1.0},
+                         {"per_seq_ms", 0.1}, {"stride", 4},
+                         {"form_ms", 2000},   {"read_per_s", 100000}};
+    for (json &Each : Routes)
+      if (Each["type"] == "streaming")
+        Each["itl-target-ms"] = 150;
+  }
   const json Config = {
       {"version", Version},
       {"routes", Routes},
-      {"backends", {{{"name", "svc"}, {"max-connections", 50}}}},
+      {"backends", {Service}},
       {"limits",
        {{"max-header-bytes", 4096},
         {"max-body-bytes", 10000},
@@ -199,6 +226,22 @@
                               entryName(static_cast<int>(Entry)));
 }
 
+double PlatformEntry::metric(int Entry, const std::string &Name) {
+  double Value = -1;
+  bool Done = false;
+  m_Http.get(m_Settings[Entry].m_PeerAddress, "/metrics", base::seconds(30),
+             [&](const base::Result<net::HttpResponse> &Reply) {
+               Done = true;
+               const std::string Line = "\n" + Name + " ";
+               const std::size_t At =
+                   Reply ? Reply->m_Body.find(Line) : std::string::npos;
+               if (At != std::string::npos)
+                 Value = std::stod(Reply->m_Body.substr(At + Line.size()));
+             });
+  runUntil([&Done] { return Done; });
+  return Value;
+}
+
 bool PlatformEntry::isReady(int Entry) {
   int Status = 0;
   m_Http.get(m_Settings[Entry].m_ReadyAddress, "/readyz", base::seconds(5),
--- a/Tests/Platform/EntryFixture.h
+++ b/Tests/Platform/EntryFixture.h
@@ -1,6 +1,7 @@
 #ifndef CORNELDECK_TESTS_PLATFORM_ENTRYFIXTURE_H
 #define CORNELDECK_TESTS_PLATFORM_ENTRYFIXTURE_H
 
+#include "LinkNetwork.h"
 #include "StandinServer.h"
 #include "StandinStore.h"
 
@@ -39,10 +40,16 @@
   void SetUp() override;
 
   void startEntry(int Index);
-  std::string freeAddress();
+  /// Returns an address that was not returned before.
+  static std::string nextAddress();
   /// Publishes a version of the configuration.
   /// \param Extra path prefix of an additional route; none if empty.
-  void publish(int Version, const std::string &Extra = {});
+  /// \param Unused number of routes that no request uses.
+  /// \param PrefixNumbers how many random numbers the prefix of each of them
+  /// consists of. More bytes at the same number of routes take longer to
+  /// transfer, and hardly longer to decode.
+  void publish(int Version, const std::string &Extra = {}, int Unused = 0,
+               int PrefixNumbers = 1);
   /// Runs the I/O context until \p Done returns true.
   void runUntil(const std::function<bool()> &Done);
 
@@ -63,6 +70,9 @@
                          const StandinServer &Server,
                          const EntryAnswers &Answers);
 
+  /// Returns the value of a metric without labels of an entry.
+  double metric(int Entry, const std::string &Name);
+
   bool isReady(int Entry);
   std::vector<std::string> addresses(int Entry);
   void setAll(Behavior Mode);
@@ -71,9 +81,18 @@
   const ReceivedRequest &receivedRequest(const std::string &Id);
 
   const int m_EntryCount;
+  /// Whether the service runs on engines, whose servers are the ranks of a
+  /// group.
+  bool m_HasEngines = false;
+  /// Whether the first version is published before the entries start.
+  bool m_IsPublishedAtStart = true;
+  /// Bandwidth of the entries' links in bytes per second; unlimited if zero.
+  double m_LinkRate = 0;
   boost::asio::io_context m_Loop{1};
   StandinStore m_Store{m_Loop};
   std::vector<std::unique_ptr<StandinServer>> m_Servers;
+  /// Null if the bandwidth is unlimited.
+  std::unique_ptr<LinkNetwork> m_Links;
   std::vector<platform::NodeSettings> m_Settings;
   std::vector<std::unique_ptr<platform::EntryProcess>> m_Entries;
   net::HttpClient m_Http{m_Loop};
--- a/Tests/Platform/StandinStore.cpp
+++ b/Tests/Platform/StandinStore.cpp
@@ -4,7 +4,6 @@
 #include "Net/RequestTarget.h"
 
 #include <chrono>
-#include <nlohmann/json.hpp>
 
 namespace corneldeck::tests {
 
@@ -35,11 +34,6 @@
   return Records;
 }
 
-void replyJson(net::HttpExchange &Exchange, int Status,
-               const nlohmann::json &Body) {
-  Exchange.respond(net::jsonResponse(Body.dump(), Status));
-}
-
 } // namespace
 
 StandinStore::StandinStore(boost::asio::io_context &Context)
@@ -60,6 +54,13 @@
   Stored.m_Records.clear();
 }
 
+void StandinStore::saveCopy() { m_Copy = m_Topics; }
+
+void StandinStore::restoreCopy() {
+  m_Topics = m_Copy;
+  ++m_Era;
+}
+
 std::uint64_t StandinStore::end(const std::string &Name) const {
   const auto Found = m_Topics.find(Name);
   return Found == m_Topics.end()
@@ -67,6 +68,11 @@
              : Found->second.m_FirstOffset + Found->second.m_Records.size();
 }
 
+std::size_t StandinStore::valueSize(const std::string &Name,
+                                    const std::string &Key) const {
+  return m_Topics.at(Name).m_Newest.at(Key).second.size();
+}
+
 std::uint64_t StandinStore::add(const std::string &Name,
                                 const std::string &Record) {
   Topic &Stored = m_Topics[Name];
@@ -93,6 +99,20 @@
       });
 }
 
+net::HttpHeaders StandinStore::headers() const {
+  if (!m_NamesEra)
+    return {};
+  return {{"Store-Era", std::to_string(m_Era)}};
+}
+
+void StandinStore::replyJson(net::HttpExchange &Exchange, int Status,
+                             const nlohmann::json &Body) const {
+  net::HttpResponse Response = net::jsonResponse(Body.dump(), Status);
+  for (const net::HttpHeader &Each : headers())
+    Response.m_Headers.push_back(Each);
+  Exchange.respond(Response);
+}
+
 void StandinStore::handle(const ExchangePtr &Exchange) {
   ++m_Calls;
   if (m_Faults.m_Unavailable) {
@@ -104,7 +124,7 @@
   const bool Refused =
       m_Faults.m_RefusedIps.contains(Remote.substr(0, Remote.rfind(':')));
   if (m_Faults.m_Busy || Refused) {
-    Exchange->respond(503, {}, "");
+    Exchange->respond(503, headers(), "");
     return;
   }
   if (m_Faults.m_Delay > base::Millis(0))
@@ -124,14 +144,14 @@
   else if (Path == "/log-trim")
     trim(Exchange);
   else
-    Exchange->respond(404, {}, "");
+    Exchange->respond(404, headers(), "");
 }
 
 void StandinStore::append(const ExchangePtr &Exchange) {
   const net::RequestTarget Target(Exchange->target());
   const std::string Name = Target.text("topic").value_or("");
   if (Name == "keyed.op" || Name == "keyed.servers") {
-    Exchange->respond(403, {}, "");
+    Exchange->respond(403, headers(), "");
     return;
   }
   if (m_Rng.chance(m_Faults.m_LateRate)) {
@@ -190,7 +210,7 @@
   const std::string Name = Target.text("topic").value_or("");
   const Topic &Stored = m_Topics[Name];
   const std::uint64_t From = Target.number("from", 0);
-  if (From < Stored.m_FirstOffset) {
+  if (From < Stored.m_FirstOffset || From > end(Name)) {
     replyJson(*Exchange, 410, {{"start-offset", Stored.m_FirstOffset}});
     return;
   }
@@ -208,7 +228,30 @@
     const std::string &Record = Stored.m_Records[At - Stored.m_FirstOffset];
     Body += bigEndian(Record.size(), 4) + Record;
   }
-  Exchange->respond(200, {}, Body);
+  sendBody(Exchange, Body);
+}
+
+void StandinStore::sendBody(const ExchangePtr &Exchange,
+                            const std::string &Body) {
+  if (m_Faults.m_PieceInterval == base::Millis(0)) {
+    Exchange->respond(200, headers(), Body);
+    return;
+  }
+  Exchange->startStream(200, headers());
+  sendPieces(Exchange, Body, 0);
+}
+
+void StandinStore::sendPieces(const ExchangePtr &Exchange,
+                              const std::string &Body, std::size_t Sent) {
+  constexpr std::size_t PieceBytes = 64 * net::KiB;
+  if (Sent >= Body.size()) {
+    Exchange->endStream();
+    return;
+  }
+  Exchange->writeChunk(std::string_view(Body).substr(Sent, PieceBytes));
+  runAfter(m_Faults.m_PieceInterval, [this, Exchange, Body, Sent] {
+    sendPieces(Exchange, Body, Sent + PieceBytes);
+  });
 }
 
 void StandinStore::newest(const ExchangePtr &Exchange) {
@@ -229,9 +272,9 @@
                        {"data", net::encodeBase64(Newest.second)},
                        {"offset", Newest.first}});
   }
-  replyJson(
-      *Exchange, 200,
-      {{"entries", Entries}, {"has-more", More}, {"end-offset", end(Name)}});
+  const nlohmann::json Page = {
+      {"entries", Entries}, {"has-more", More}, {"end-offset", end(Name)}};
+  sendBody(Exchange, Page.dump());
 }
 
 void StandinStore::trim(const ExchangePtr &Exchange) {
