Net: report the progress of responses and the end of their writing

fetch() tells its caller about each piece of the body of a successful response, so that a read of the log can count as contact while it makes progress.

respond() can tell when the operating system has accepted a response, so that transfers to other nodes can be counted.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -9,6 +9,12 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr int OkStatus = 200;
+
+} // namespace
+
 namespace detail {
 
 HttpConnectionPool::HttpConnectionPool(asio::io_context &Context,
@@ -121,12 +127,16 @@
     Received->m_Status = Head.m_Status;
     Received->m_Headers = Head.m_Headers;
   };
-  Callbacks.m_OnData = [Received, TooLarge, Limit](std::string_view Data) {
-    if (Received->m_Body.size() + Data.size() > Limit)
-      *TooLarge = true;
-    else
-      Received->m_Body.append(Data);
-  };
+  Callbacks.m_OnData =
+      [Received, TooLarge, Limit,
+       OnProgress = std::move(Call.m_OnProgress)](std::string_view Data) {
+        if (OnProgress && Received->m_Status == OkStatus)
+          OnProgress();
+        if (Received->m_Body.size() + Data.size() > Limit)
+          *TooLarge = true;
+        else
+          Received->m_Body.append(Data);
+      };
   Callbacks.m_OnEnd = [Received, TooLarge, Callback = std::move(Callback)](
                           const base::Result<void> &Outcome) {
     if (!Outcome)
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -29,6 +29,9 @@
   base::Millis m_Timeout = base::seconds(10);
   /// Maximum time without a received byte; zero for no limit.
   base::Millis m_ReadTimeout{};
+  /// Called by fetch() with each piece of the body of a response with status
+  /// 200; optional.
+  std::function<void()> m_OnProgress;
 };
 
 /// The status and the header fields of a response.
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -91,8 +91,8 @@
   bool parseSome();
   bool onHead();
   void beginResponse();
-  /// Starts to read the next response after one that does not count.
-  /// \returns whether the call goes on.
+  /// Discards a response that does not end the call, and reads the next one.
+  /// \returns false if the call has ended with an error.
   bool skipResponse();
   /// \returns whether the bytes beside the body are within their limit.
   [[nodiscard]] bool isOverheadAllowed() const;
--- a/Source/Net/HttpConnection.cpp
+++ b/Source/Net/HttpConnection.cpp
@@ -58,6 +58,7 @@
     --m_Shared->m_InFlight;
     Exchange->onPeerClosed();
   }
+  runWrittenHook();
   if (m_Shared->m_OnClosed)
     m_Shared->m_OnClosed(this);
 }
@@ -326,12 +327,12 @@
       asio::buffer(m_Writing) + m_WrittenBytes,
       [Self = shared_from_this()](const boost::system::error_code &Code,
                                   std::size_t Count) {
-        Self->onWritten(Code, Count);
+        Self->onWriteDone(Code, Count);
       });
 }
 
-void HttpConnection::onWritten(const boost::system::error_code &Code,
-                               std::size_t Count) {
+void HttpConnection::onWriteDone(const boost::system::error_code &Code,
+                                 std::size_t Count) {
   if (m_Closed)
     return;
   if (Code) {
@@ -352,7 +353,20 @@
     flush();
 }
 
+void HttpConnection::onWritten(std::function<void()> Hook) {
+  m_WrittenHook = std::move(Hook);
+}
+
+void HttpConnection::runWrittenHook() {
+  const std::function<void()> Hook = std::exchange(m_WrittenHook, nullptr);
+  if (Hook)
+    Hook();
+}
+
 void HttpConnection::onWritesDone() {
+  runWrittenHook();
+  if (m_Closed)
+    return;
   if (m_CloseAfterWrite) {
     shutdownSend();
     return;
--- a/Source/Net/HttpConnection.h
+++ b/Source/Net/HttpConnection.h
@@ -48,6 +48,9 @@
 
   // For HttpExchange.
   void sendResponse(const HttpResponse &Response, const HttpRequest &Request);
+  /// Sets a hook that runs once, when all queued bytes have been written or the
+  /// connection is closed.
+  void onWritten(std::function<void()> Hook);
   void sendHead(int Status, const HttpHeaders &Headers,
                 const HttpRequest &Request);
   bool sendChunk(std::string_view Data);
@@ -74,8 +77,9 @@
   void scheduleFlush();
   void flush();
   void writeSome();
-  void onWritten(const boost::system::error_code &Code, std::size_t Count);
+  void onWriteDone(const boost::system::error_code &Code, std::size_t Count);
   void onWritesDone();
+  void runWrittenHook();
   void shutdownSend();
 
   static constexpr base::Millis Never{std::numeric_limits<std::int64_t>::max()};
@@ -87,6 +91,7 @@
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
   HttpExchange::Impl *m_Exchange = nullptr;
+  std::function<void()> m_WrittenHook;
   base::Millis m_Deadline = Never;
   base::Millis m_WriteDeadline = Never;
   std::string m_Pending;
--- a/Source/Net/HttpExchange.cpp
+++ b/Source/Net/HttpExchange.cpp
@@ -54,11 +54,17 @@
   return m_Impl->m_Remote;
 }
 
-void HttpExchange::respond(const HttpResponse &Response) {
-  if (m_Impl->m_ResponseStarted || !m_Impl->m_Connection)
+void HttpExchange::respond(const HttpResponse &Response,
+                           std::function<void()> Done) {
+  if (m_Impl->m_ResponseStarted || !m_Impl->m_Connection) {
+    if (Done)
+      Done();
     return;
+  }
   m_Impl->m_ResponseStarted = true;
-  m_Impl->releaseConnection()->sendResponse(Response, m_Impl->m_Request);
+  const auto Connection = m_Impl->releaseConnection();
+  Connection->onWritten(std::move(Done));
+  Connection->sendResponse(Response, m_Impl->m_Request);
 }
 
 void HttpExchange::respond(int Status, const HttpHeaders &Headers,
--- a/Source/Net/HttpExchange.h
+++ b/Source/Net/HttpExchange.h
@@ -42,7 +42,9 @@
   [[nodiscard]] const std::string &remoteAddress() const;
 
   /// Sends the whole response. Does nothing if a response was started.
-  void respond(const HttpResponse &Response);
+  /// \param Done runs once, when the operating system has accepted all bytes
+  /// of the response or the connection is closed.
+  void respond(const HttpResponse &Response, std::function<void()> Done = {});
   void respond(int Status, const HttpHeaders &Headers, std::string_view Body);
   /// Sends the result of errorResponse().
   void respondWithError(const base::Error &Failure,
--- a/Tests/Net/HttpClientTest.cpp
+++ b/Tests/Net/HttpClientTest.cpp
@@ -97,6 +97,25 @@
   EXPECT_EQ(codeOf({}), base::ResultCode::StreamBroken);
 }
 
+// Failure: the body of a refusal was taken for the progress of a read, so that
+// entries that the log refused stayed its readers.
+TEST_F(HttpClientTest, ARefusalIsNotProgress) {
+  listenRaw();
+  bool HasProgress = false;
+  HttpCall Call;
+  Call.m_OnProgress = [&HasProgress] { HasProgress = true; };
+  for (const std::string Status : {"429 Too Many Requests", "200 OK"}) {
+    respondOnce("HTTP/1.1 " + Status + "\r\nContent-Length: 4\r\n\r\nbody",
+                true);
+    Call.m_Address = m_Address;
+    bool Ended = false;
+    m_Client.fetch(
+        Call, [&Ended](const base::Result<HttpResponse> &) { Ended = true; });
+    runUntil([&Ended] { return Ended; });
+    EXPECT_EQ(HasProgress, Status == "200 OK") << Status;
+  }
+}
+
 TEST_F(HttpClientTest, TimesOutWithoutResponse) {
   listenRaw();
   respondOnce("", false);
