Node: end reads of the log by lack of progress

A read of the log by corneldeck-entry and corneldeck-agent ended one second after its wait time, whatever its size and progress, and was then repeated in full.

A read ends now after a second without a byte, or after 20 s.

--- a/Source/Node/LogHttpClient.cpp
+++ b/Source/Node/LogHttpClient.cpp
@@ -14,7 +14,11 @@
 
 constexpr int HttpOk = 200;
 constexpr base::Millis AppendTimeout = base::seconds(3);
-constexpr base::Millis ReadTimeoutMargin = base::seconds(1);
+/// Timeout of a read without progress, in addition to its wait time.
+constexpr base::Millis ReadTimeout = base::seconds(1);
+/// Timeout of a read that makes progress. A record may be as large as a link
+/// transfers in seconds.
+constexpr base::Millis MaxReadTime = base::seconds(20);
 /// Approximate size of the headers of a request and its response together.
 constexpr std::size_t HeaderBytes = 300;
 
@@ -102,7 +106,8 @@
     Call.m_Target = "/read?from=" + std::to_string(Request.m_From) +
                     "&limit=" + std::to_string(Request.m_Limit) +
                     "&wait_ms=" + std::to_string(Request.m_Wait.count());
-    Call.m_Timeout = Request.m_Wait + ReadTimeoutMargin;
+    Call.m_Timeout = Request.m_Wait + MaxReadTime;
+    Call.m_ReadTimeout = Request.m_Wait + ReadTimeout;
     Http.fetch(std::move(Call), [Done = std::move(Done), OnBytes](
                                     base::Result<net::HttpResponse> Response) {
       OnBytes(HeaderBytes + (Response ? Response->m_Body.size() : 0));
