Bench: model the spread of versions over limited links

Scenario and promise feed-spread run the selection of sources and the uploads with 9, 46 and 360 entries on links of 40 Mbit/s of which callers use 30%, with versions of 0.1 to 10 MB, beside two baselines: each entry reads the log, and the code before.

--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -12,6 +12,7 @@
   All.push_back(catalogueScenario());
   All.push_back(controlCostScenario());
   All.push_back(drainScenario());
+  All.push_back(feedSpreadScenario());
   All.push_back(leasesScenario());
   All.push_back(limitsScenario());
   All.push_back(serverLimitsScenario());
@@ -30,6 +31,7 @@
   All.push_back(admissionPromise());
   All.push_back(atMostOncePromise());
   All.push_back(cataloguePromise());
+  All.push_back(feedSpreadPromise());
   All.push_back(leasesPromise());
   All.push_back(limitsPromise());
   All.push_back(serverLimitsPromise());
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -18,6 +18,8 @@
 Scenario limitsScenario();
 Scenario serverLimitsScenario();
 Promise serverLimitsPromise();
+Scenario feedSpreadScenario();
+Promise feedSpreadPromise();
 Scenario controlCostScenario();
 Promise limitsPromise();
 Promise retriesPromise();
