RankGroup: add the time of the copies to the timeout of a preparation

The preparation of expert maps was aborted 9 s after its order, however long the copies take, and then began again: a group with slow copies never got new maps.

The timeout includes twice the time of the copies of the rank with the most of them. GroupPlannerSimulation.SwitchesToMapsThatAreCopiedSlowly guards it.

--- a/Source/RankGroup/GroupPlanner.cpp
+++ b/Source/RankGroup/GroupPlanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace corneldeck::rankgroup {
 
@@ -362,9 +363,10 @@
                    std::max<std::int64_t>(1, m_Settings.m_CopyTime.count())));
   m_Skew = expectedSkew(m_CurrentMaps, Samples, Limits.m_Slowdowns);
   LayerMaps Improved = improveMaps(m_CurrentMaps, Samples, Limits);
-  std::size_t Copies = 0;
-  for (std::size_t Set = 0; Set < m_CurrentMaps.size(); ++Set)
-    Copies += Improved[Set].copiesToLoad(m_CurrentMaps[Set]);
+  const std::vector<std::size_t> RankCopies =
+      copiesPerRank(Improved, m_CurrentMaps);
+  const std::size_t Copies =
+      std::accumulate(RankCopies.begin(), RankCopies.end(), std::size_t{0});
   const double After = expectedSkew(Improved, Samples, Limits.m_Slowdowns);
   const double Gain = m_Skew - After;
   const bool Worthwhile =
@@ -387,6 +389,10 @@
                    {"step", number(newestStep())},
                    {"reports", describeReports(Now)}});
   m_EncodedMaps = encodeMaps(m_NextMaps);
+  const auto MostCopies = static_cast<std::int64_t>(
+      *std::max_element(RankCopies.begin(), RankCopies.end()));
+  m_PrepareTimeout =
+      m_Settings.m_PrepareTimeout + m_Settings.m_CopyTime * (2 * MostCopies);
   enterPhase(SwitchPhase::Prepare, Now);
   setCommandForAll(SwitchOrderKind::Prepare);
 }
@@ -442,7 +448,7 @@
                      Report.command_result() ==
                          1 + static_cast<std::uint32_t>(OrderResult::Rejected));
   }
-  if (Rejected || Now - m_PhaseSince > m_Settings.m_PrepareTimeout) {
+  if (Rejected || Now - m_PhaseSince > m_PrepareTimeout) {
     m_Events.record(base::EventId::MapAborted,
                     {{"group", m_Group},
                      {"version", number(m_SwitchVersion)},
--- a/Source/RankGroup/GroupPlanner.h
+++ b/Source/RankGroup/GroupPlanner.h
@@ -54,7 +54,8 @@
   float m_SlowdownThreshold = 1.2F;
   /// Upper bound of a rank's slowdown in planning.
   float m_MaxSlowdown = 6;
-  /// Time after which the preparation of new maps is aborted.
+  /// Time after which the preparation of new maps is aborted, in addition to
+  /// twice the expected time for the copies of one rank.
   base::Millis m_PrepareTimeout = base::seconds(9);
 };
 
@@ -211,6 +212,8 @@
   std::uint64_t m_Epoch = 0;
   SwitchPhase m_Phase = SwitchPhase::Gather;
   base::Millis m_PhaseSince{};
+  /// Time after which the current preparation is aborted.
+  base::Millis m_PrepareTimeout{};
   /// Current request for reports.
   std::uint64_t m_Round = 0;
   base::Millis m_RoundStartedAt{};
--- a/Source/RankGroup/LayerMaps.cpp
+++ b/Source/RankGroup/LayerMaps.cpp
@@ -417,6 +417,19 @@
   return Maps;
 }
 
+std::vector<std::size_t> copiesPerRank(const LayerMaps &Next,
+                                       const LayerMaps &Present) {
+  std::vector<std::size_t> Copies;
+  for (std::size_t Set = 0; Set < Next.size(); ++Set) {
+    Copies.resize(std::max(Copies.size(), Next[Set].ranks()));
+    for (Expert ExpertId = 0; ExpertId < Next[Set].experts(); ++ExpertId)
+      for (const Rank RankId : Next[Set].replicas(ExpertId))
+        if (!Present[Set].holds(RankId, ExpertId))
+          ++Copies[RankId];
+  }
+  return Copies;
+}
+
 double expectedSkew(const LayerMaps &Maps, const LayerSamples &Samples,
                     const RankSlowdowns &Slowdowns) {
   if (Maps.empty())
--- a/Source/RankGroup/LayerMaps.h
+++ b/Source/RankGroup/LayerMaps.h
@@ -41,6 +41,11 @@
 base::Result<LayerMaps> decodeMaps(const std::vector<std::uint32_t> &Numbers,
                                    std::size_t Experts);
 
+/// \returns for each rank the number of experts of all layer sets that it must
+/// copy to use \p Next instead of \p Present.
+std::vector<std::size_t> copiesPerRank(const LayerMaps &Next,
+                                       const LayerMaps &Present);
+
 /// Each rank's time for a unit of work relative to a rank at normal speed.
 /// Empty if all ranks run at normal speed.
 using RankSlowdowns = std::vector<float>;
--- a/Tests/RankGroup/GroupPlannerSimulationTest.cpp
+++ b/Tests/RankGroup/GroupPlannerSimulationTest.cpp
@@ -43,6 +43,15 @@
   EXPECT_EQ(Group.longestHeld(), 0);
 }
 
+// Failure: the preparation of maps whose copies take longer than a fixed time
+// was always aborted, so the group never got new maps.
+TEST(GroupPlannerSimulation, SwitchesToMapsThatAreCopiedSlowly) {
+  SimulatedGroup Group(1, {}, PlantedFault::None, base::seconds(6));
+  Group.run(Ticks);
+  EXPECT_FALSE(Group.hasMixedMaps());
+  EXPECT_GT(Group.switches(), 1);
+}
+
 TEST(GroupPlannerSimulation, DelayedOrdersNeverMixMaps) {
   FaultRates Rates;
   Rates.m_OrderDelayed = 0.35;
--- a/Tests/RankGroup/SimulatedGroup.cpp
+++ b/Tests/RankGroup/SimulatedGroup.cpp
@@ -7,19 +7,22 @@
 namespace {
 
 constexpr int TicksPerPass = 2;
-constexpr int CopyTicks = 8;
+constexpr std::size_t MaxNewPerRank = 2;
+/// Delay of an order to prepare, in addition to the copies.
+constexpr int PrepareTicks = 2;
 constexpr int FormationTicks = 20;
 /// An order without a result is executed 2 to 12 s later.
 constexpr int MinOrderDelayTicks = 66;
 constexpr int MaxOrderDelayTicks = 400;
 constexpr int TakeoverTicks = 40;
 
-PlannerSettings plannerSettings() {
+PlannerSettings plannerSettings(base::Millis CopyTime) {
   PlannerSettings Settings;
   Settings.m_LayerSets = 1;
   Settings.m_Experts = SimulatedGroup::Experts;
   Settings.m_Placement.m_SlotsPerRank = SimulatedGroup::SlotsPerRank;
-  Settings.m_Placement.m_MaxNewPerRank = 2;
+  Settings.m_Placement.m_MaxNewPerRank = MaxNewPerRank;
+  Settings.m_CopyTime = CopyTime;
   return Settings;
 }
 
@@ -33,9 +36,10 @@
 } // namespace
 
 SimulatedGroup::SimulatedGroup(std::uint64_t Seed, FaultRates Rates,
-                               PlantedFault Fault)
+                               PlantedFault Fault, base::Millis CopyTime)
     : m_Random(Seed), m_Rates(Rates), m_PlantedFault(Fault),
-      m_Events("test", 10), m_Engines(Ranks), m_Agents(Ranks) {
+      m_CopyTime(CopyTime), m_Events("test", 10), m_Engines(Ranks),
+      m_Agents(Ranks) {
   for (std::uint32_t Rank = 0; Rank < Ranks; ++Rank) {
     m_Agents[Rank].m_Driver = std::make_unique<RankDriver>();
     m_Engines[Rank].m_Counts.assign(Experts, 0);
@@ -68,8 +72,8 @@
   Planner &Added = m_Planners.emplace_back();
   Added.m_Rank = static_cast<std::uint32_t>(m_Random.below(Ranks));
   Added.m_Planner = std::make_unique<GroupPlanner>(
-      "group", "agent-" + std::to_string(Added.m_Rank), Term, plannerSettings(),
-      m_Events);
+      "group", "agent-" + std::to_string(Added.m_Rank), Term,
+      plannerSettings(m_CopyTime), m_Events);
 }
 
 OrderResult SimulatedGroup::apply(std::uint32_t Rank,
@@ -85,7 +89,10 @@
     Target.m_HighestVersion = Order.m_Version;
     Target.m_PreparedVersion = Order.m_Version;
     Target.m_PreparedDigest = digestMaps(Order.m_Maps);
-    Target.m_CopyingUntil = m_Tick + CopyTicks;
+    Target.m_CopyingUntil =
+        m_Tick + PrepareTicks +
+        static_cast<int>(m_CopyTime.count() * MaxNewPerRank /
+                         TickDuration.count());
     Target.m_PreparedExpertLists.clear();
     for (const ExpertMap &Map : Order.m_Maps) {
       const std::size_t Length = Target.m_PreparedExpertLists.size();
--- a/Tests/RankGroup/SimulatedGroup.h
+++ b/Tests/RankGroup/SimulatedGroup.h
@@ -35,14 +35,17 @@
 };
 
 /// Simulates the engines of a rank group, controlled by the real GroupPlanner
-/// and RankDriver. Each tick is 30 ms.
+/// and RankDriver.
 class SimulatedGroup {
 public:
+  static constexpr base::Millis TickDuration{30};
   static constexpr std::uint32_t Ranks = 3;
   static constexpr std::size_t Experts = 6;
   static constexpr std::size_t SlotsPerRank = 4;
 
-  SimulatedGroup(std::uint64_t Seed, FaultRates Rates, PlantedFault Fault);
+  /// \param CopyTime time in which a rank copies one expert.
+  SimulatedGroup(std::uint64_t Seed, FaultRates Rates, PlantedFault Fault,
+                 base::Millis CopyTime = base::Millis(100));
 
   /// Runs \p Ticks ticks. Stops at the first pass in which ranks use different
   /// maps.
@@ -95,12 +98,13 @@
   void crashGroup();
   [[nodiscard]] rankgroup::RankState reportedState(std::uint32_t Rank) const;
   [[nodiscard]] base::Millis now() const {
-    return base::Millis(1000 + m_Tick * 30);
+    return base::Millis(1000) + TickDuration * m_Tick;
   }
 
   base::Random m_Random;
   const FaultRates m_Rates;
   const PlantedFault m_PlantedFault;
+  const base::Millis m_CopyTime;
   base::Timeline m_Events;
   std::vector<Engine> m_Engines;
   std::vector<Agent> m_Agents;
