Direct, Gateway: observe that servers leave or want no requests for a time

Backend servers say in their responses that they leave, and a refusal may name a time for which they want no requests. Nothing decoded either: a leaving server got requests until the list of servers showed it, and a full one got them again at once.

ServerNotices keeps both, ServerPool::availability decides in one place whether a server may be used, and first attempts, retries, resumed streams, tokens and the choice during backoff ask it. Entries repeat in their heartbeats that a server leaves.

ServerPool keeps the sum of the loads that entries report instead of adding them up at each request.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -101,6 +101,9 @@
               "or a response named an invalid one."},
     EventInfo{EventId::FeedFetched, "feed-fetched",
               "The state of a feed was fetched from another node."},
+    EventInfo{EventId::ServerNoticed, "server-notice",
+              "A backend server said that it leaves or wants no requests for "
+              "some time, or this has ended."},
     EventInfo{EventId::LogEraChanged, "log-era-changed",
               "The log has returned with an older copy of its records."},
     EventInfo{EventId::DependencyLost, "dependency-lost",
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -61,6 +61,7 @@
   RecordUnreadable = 1422,
   ServerRateLimit = 1423,
   FeedFetched = 1424,
+  ServerNoticed = 1425,
   LogEraChanged = 1426,
   DependencyLost = 1430,
   DependencyBack = 1431,
--- a/Source/Direct/AdmissionQueue.cpp
+++ b/Source/Direct/AdmissionQueue.cpp
@@ -111,7 +111,10 @@
   // Randomize over one to two times the wait, so that callers refused together
   // do not return together.
   Wait *= 1 + Rng.uniform();
-  return std::min(base::Millis(static_cast<std::int64_t>(Wait)),
+  const base::Millis PauseRemaining =
+      Usage.isUnwanted() ? Usage.m_PauseRemaining : base::Millis(0);
+  return PauseRemaining +
+         std::min(base::Millis(static_cast<std::int64_t>(Wait)),
                   m_Settings.m_MaxRetryAfter);
 }
 
--- a/Source/Direct/AdmissionQueue.h
+++ b/Source/Direct/AdmissionQueue.h
@@ -85,7 +85,8 @@
 
   /// Returns a randomized time after which a refused request may be retried. It
   /// grows with the time needed to empty the queue, and with the interval
-  /// between two requests if all servers of the service have a rate limit.
+  /// between two requests if all servers of the service have a rate limit. It
+  /// is not before the end of the first pause if no server wants requests.
   base::Millis retryAfter(const std::string &Service,
                           const ServerPool::ServiceUsage &Usage,
                           base::Random &Rng) const;
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -60,9 +60,13 @@
 }
 
 void ForwardedRequest::refuseOverloaded() {
-  m_LastFailure = m_Forwarder.usage(m_Parameters.m_Service).isRateLimited()
-                      ? "all backend servers are at their rate limit"
-                      : "all backend servers are at capacity";
+  const auto Usage = m_Forwarder.usage(m_Parameters.m_Service);
+  if (Usage.isUnwanted())
+    m_LastFailure = "all backend servers leave or want no requests for now";
+  else
+    m_LastFailure = Usage.isRateLimited()
+                        ? "all backend servers are at their rate limit"
+                        : "all backend servers are at capacity";
   sendError(base::ResultCode::Overloaded, m_LastFailure,
             m_Forwarder.retryAfter(m_Parameters.m_Service));
 }
@@ -86,6 +90,7 @@
     return;
   }
   m_Server = Chosen->m_Id;
+  m_ServerStartTime = Pool.notices().startTime(m_Server);
   m_TriedServers.push_back(m_Server);
   m_Tracker.attemptSent();
   m_UnprocessedPromptTokens = m_Parameters.m_Request.m_PromptTokens;
@@ -137,10 +142,16 @@
   m_Head = Head;
   m_ResponseInfo = m_Forwarder.m_Codec.m_DecodeResponse(Head);
   m_LastByteAt = now();
-  if (!m_ResponseInfo.m_WrongServer)
-    m_Forwarder.m_Dependencies.m_Pool.rateLimits().recordResponse(
-        m_Server, m_ResponseInfo.m_RateLimit,
-        m_ResponseInfo.m_Signed && !m_ResponseInfo.m_NotRun, m_SentAt, now());
+  if (m_ResponseInfo.m_WrongServer)
+    return;
+  ServerPool &Pool = m_Forwarder.m_Dependencies.m_Pool;
+  const bool IsAccepted = m_ResponseInfo.m_Signed && !m_ResponseInfo.m_NotRun;
+  Pool.rateLimits().recordResponse(m_Server, m_ResponseInfo.m_RateLimit,
+                                   IsAccepted, m_SentAt, now());
+  Pool.notices().recordResponse(
+      m_Server, m_ServerStartTime,
+      {m_ResponseInfo.m_IsLeaving, m_ResponseInfo.m_Pause, IsAccepted},
+      m_SentAt, now());
 }
 
 void ForwardedRequest::onResponseData(std::string_view Data) {
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -80,6 +80,7 @@
 
   // State of the current attempt.
   std::string m_Server;
+  std::uint64_t m_ServerStartTime = 0;
   net::HttpCallHandle m_Cancel;
   net::HttpResponseHead m_Head;
   ResponseInfo m_ResponseInfo;
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -151,6 +151,10 @@
     Forwarded->refuseUnavailable();
     return;
   }
+  if (usage(Parameters.m_Service).isUnwanted()) {
+    Forwarded->refuseOverloaded();
+    return;
+  }
   const auto Decision = m_Dependencies.m_AdmissionQueue.admit(
       Parameters.m_Service, Parameters.m_Token, Parameters.m_Priority,
       Found->m_TargetLatency, usage(Parameters.m_Service), Now);
@@ -195,6 +199,12 @@
         if (const auto Found = m_ActiveRequests.find(Token);
             Found != m_ActiveRequests.end())
           std::shared_ptr<ForwardedRequest>(Found->second)->refuseUnavailable();
+    if (usage(Service).isUnwanted())
+      for (const std::uint64_t Token :
+           m_Dependencies.m_AdmissionQueue.clear(Service))
+        if (const auto Found = m_ActiveRequests.find(Token);
+            Found != m_ActiveRequests.end())
+          std::shared_ptr<ForwardedRequest>(Found->second)->refuseOverloaded();
     const auto Dequeued =
         m_Dependencies.m_AdmissionQueue.dequeue(Service, usage(Service), Now);
     for (const std::uint64_t Token : Dequeued.m_Admitted)
@@ -242,8 +252,10 @@
   m_EventIntervals.record(static_cast<double>(Interval.count()));
   const direct::Service *Found = m_Routes->configuration().findService(Service);
   const auto Usage = m_Dependencies.m_Pool.usage(Service, m_Clock.now());
-  // Servers with a rate limit take part in every pass of their group.
-  const unsigned Servers = Usage.m_Servers + Usage.m_LimitedServers;
+  // Servers with a rate limit or a notice take part in every pass of their
+  // group.
+  const unsigned Servers =
+      Usage.m_Servers + Usage.m_LimitedServers + Usage.m_ServersWithNotice;
   if (Found && Found->m_Engine && Servers > 0)
     m_Dependencies.m_Limiter.recordInterval(
         Service, *Found->m_Engine, Interval,
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -57,6 +57,10 @@
   bool m_Signed = false;
   /// The rate limit that the server names in the response.
   RateLimitField m_RateLimit;
+  /// The server leaves and accepts no new requests.
+  bool m_IsLeaving = false;
+  /// The time for which the server wants no requests from this entry.
+  PauseField m_Pause;
 };
 
 /// Protocol hooks that decode and encode the messages of callers and backend
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -25,6 +25,7 @@
 ServerPool::ServerPool(std::string Zone, ServerPoolSettings Settings,
                        std::uint64_t FirstTokenNumber)
     : m_Zone(std::move(Zone)), m_Settings(Settings),
+      m_Notices(Settings.m_Notices),
       m_RateTokens(m_RateLimits, Settings.m_RateTokens, FirstTokenNumber) {}
 
 void ServerPool::replaceServers(const std::vector<BackendServer> &Servers,
@@ -41,41 +42,74 @@
       Added.m_Health.m_WarmUpUntil = Now + Each.m_WarmUpRemaining;
   }
   m_States = std::move(Next);
+  m_ByService.clear();
+  std::map<std::string, std::uint64_t> StartTimes;
   std::map<std::string, ServerRateLimits::Instance> Instances;
-  for (const BackendServer &Each : Servers)
-    Instances[Each.m_Id] = {Each.m_Address, Each.m_StartTime};
-  m_RateLimits.replaceServers(Instances, Now);
+  for (auto &[Id, Each] : m_States) {
+    m_ByService[Each.m_Server.m_Service].push_back(&Each);
+    StartTimes[Id] = Each.m_Server.m_StartTime;
+    Instances[Id] = {Each.m_Server.m_Address, Each.m_Server.m_StartTime};
+  }
+  m_Notices.replaceServers(std::move(StartTimes), Now);
+  m_RateLimits.replaceServers(std::move(Instances), Now);
+}
+
+const std::vector<ServerPool::ServerState *> &
+ServerPool::serversOf(std::string_view Service) const {
+  static const std::vector<ServerState *> None;
+  const auto Found = m_ByService.find(Service);
+  return Found == m_ByService.end() ? None : Found->second;
+}
+
+ServerAvailability ServerPool::availability(const std::string &Id,
+                                            base::Millis Now) const {
+  const auto Found = m_States.find(Id);
+  return Found == m_States.end() ? ServerAvailability::Unavailable
+                                 : availability(Found->second, Now);
+}
+
+ServerAvailability ServerPool::availability(const ServerState &Candidate,
+                                            base::Millis Now) const {
+  const std::string &Id = Candidate.m_Server.m_Id;
+  if (Candidate.m_Server.m_Draining || !m_Notices.permits(Id, Now))
+    return ServerAvailability::Unavailable;
+  const bool HasToken = m_RateTokens.permits(Id);
+  if (Candidate.m_Health.m_BackoffUntil > Now)
+    return HasToken ? ServerAvailability::InBackoff
+                    : ServerAvailability::Unavailable;
+  return HasToken ? ServerAvailability::Available : ServerAvailability::NoToken;
 }
 
 const BackendServer *
 ServerPool::chooseServer(std::string_view Service,
                          const std::vector<std::string> &Excluded,
                          base::Millis Now, base::Random &Rng) {
+  dropExpiredLoads(Now);
   const double MeanLatency = meanLatency(Service);
   const ServerState *Best = nullptr;
   const ServerState *FirstAvailable = nullptr;
   const ServerState *BestLimited = nullptr;
   double BestScore = 0;
   double BestLimitedScore = 0;
-  for (const auto &[Id, Candidate] : m_States) {
-    const BackendServer &Server = Candidate.m_Server;
-    if (Server.m_Service != Service || Server.m_Draining ||
-        contains(Excluded, Id))
+  for (const ServerState *Candidate : serversOf(Service)) {
+    if (contains(Excluded, Candidate->m_Server.m_Id))
+      continue;
+    const ServerAvailability Availability = availability(*Candidate, Now);
+    if (Availability == ServerAvailability::Unavailable)
       continue;
-    const bool IsPermitted = m_RateTokens.permits(Id);
-    if (Candidate.m_Health.m_BackoffUntil > Now) {
-      if (IsPermitted &&
-          (!FirstAvailable || Candidate.m_Health.m_BackoffUntil <
-                                  FirstAvailable->m_Health.m_BackoffUntil))
-        FirstAvailable = &Candidate;
+    if (Availability == ServerAvailability::InBackoff) {
+      if (!FirstAvailable || Candidate->m_Health.m_BackoffUntil <
+                                 FirstAvailable->m_Health.m_BackoffUntil)
+        FirstAvailable = Candidate;
       continue;
     }
+    const bool IsPermitted = Availability == ServerAvailability::Available;
     const double Score =
-        score(Candidate, MeanLatency, Now) + MaxTieBreak * Rng.uniform();
+        score(*Candidate, MeanLatency, Now) + MaxTieBreak * Rng.uniform();
     const ServerState *&Lowest = IsPermitted ? Best : BestLimited;
     double &LowestScore = IsPermitted ? BestScore : BestLimitedScore;
     if (!Lowest || Score < LowestScore) {
-      Lowest = &Candidate;
+      Lowest = Candidate;
       LowestScore = Score;
     }
   }
@@ -89,10 +123,9 @@
 void ServerPool::requestToken(std::string_view Service, base::Millis Now,
                               base::Random &Rng) {
   std::vector<const std::string *> Candidates;
-  for (const auto &[Id, Each] : m_States)
-    if (Each.m_Server.m_Service == Service && !Each.m_Server.m_Draining &&
-        Each.m_Health.m_BackoffUntil <= Now && !m_RateTokens.permits(Id))
-      Candidates.push_back(&Id);
+  for (const ServerState *Each : serversOf(Service))
+    if (availability(*Each, Now) == ServerAvailability::NoToken)
+      Candidates.push_back(&Each->m_Server.m_Id);
   if (Candidates.empty())
     return;
   // Starts at a random server, so that the entries do not all ask for tokens of
@@ -108,7 +141,7 @@
                          base::Millis Now) const {
   const BackendServer &Server = Candidate.m_Server;
   const Health &State = Candidate.m_Health;
-  const ServerLoad Load = load(Server.m_Id, Now);
+  const ServerLoad Load = load(Server.m_Id);
   const double Capacity = std::max(1U, Server.m_Capacity);
   double Score = (Load.m_Requests +
                   Load.m_PromptTokens / m_Settings.m_TokensPerRequest + 1) /
@@ -130,6 +163,7 @@
 void ServerPool::attemptStarted(const std::string &Id, double PromptTokens,
                                 base::Millis Now) {
   m_RateTokens.use(Id, Now);
+  m_Notices.recordAttempt(Id, Now);
   ServerLoad &Load = m_LocalLoads[Id];
   ++Load.m_Requests;
   Load.m_PromptTokens += PromptTokens;
@@ -155,6 +189,10 @@
   const auto Found = m_States.find(Id);
   if (Found == m_States.end())
     return;
+  // The pause already keeps requests away.
+  if (Outcome == ServerOutcome::Refused &&
+      m_Notices.pauseRemaining(Id, Now) > base::Millis(0))
+    return;
   Health &State = Found->second.m_Health;
   const bool Succeeded = Outcome == ServerOutcome::Served;
   // A refusal means that the server is overloaded, not that it is failing.
@@ -184,39 +222,113 @@
 
 void ServerPool::setPeerLoads(const std::string &Peer, ServerLoads Loads,
                               base::Millis Now) {
+  if (m_Peers.empty())
+    m_NextExpiry = Now + m_Settings.m_LoadLifetime;
   PeerReport &Report = m_Peers[Peer];
+  subtractPeerLoads(Report.m_Loads);
+  addPeerLoads(Loads);
   Report.m_Loads = std::move(Loads);
   Report.m_ReceivedAt = Now;
 }
 
-void ServerPool::removePeer(const std::string &Peer) { m_Peers.erase(Peer); }
+void ServerPool::removePeer(const std::string &Peer) {
+  const auto Found = m_Peers.find(Peer);
+  if (Found == m_Peers.end())
+    return;
+  subtractPeerLoads(Found->second.m_Loads);
+  m_Peers.erase(Found);
+}
+
+void ServerPool::addPeerLoads(const ServerLoads &Loads) {
+  for (const auto &[Id, Load] : Loads) {
+    ServerLoad &Sum = m_PeerLoads[Id];
+    Sum.m_Requests += Load.m_Requests;
+    Sum.m_PromptTokens += Load.m_PromptTokens;
+  }
+}
+
+void ServerPool::subtractPeerLoads(const ServerLoads &Loads) {
+  for (const auto &[Id, Load] : Loads) {
+    const auto Found = m_PeerLoads.find(Id);
+    if (Found == m_PeerLoads.end())
+      continue;
+    ServerLoad &Sum = Found->second;
+    Sum.m_Requests -= Load.m_Requests;
+    Sum.m_PromptTokens -= Load.m_PromptTokens;
+    if (Sum == ServerLoad())
+      m_PeerLoads.erase(Found);
+  }
+}
+
+void ServerPool::dropExpiredLoads(base::Millis Now) {
+  if (Now <= m_NextExpiry)
+    return;
+  base::Millis Oldest = Now;
+  std::erase_if(m_Peers, [&](const auto &Each) {
+    const PeerReport &Report = Each.second;
+    if (Now - Report.m_ReceivedAt > m_Settings.m_LoadLifetime) {
+      subtractPeerLoads(Report.m_Loads);
+      return true;
+    }
+    Oldest = std::min(Oldest, Report.m_ReceivedAt);
+    return false;
+  });
+  m_NextExpiry = Oldest + m_Settings.m_LoadLifetime;
+}
 
 ServerPool::ServiceUsage ServerPool::usage(std::string_view Service,
-                                           base::Millis Now) const {
+                                           base::Millis Now) {
+  dropExpiredLoads(Now);
   ServiceUsage Usage;
-  for (const auto &[Id, Each] : m_States) {
-    const BackendServer &Server = Each.m_Server;
-    if (Server.m_Service != Service)
+  for (const ServerState *Each : serversOf(Service)) {
+    const BackendServer &Server = Each->m_Server;
+    const std::string &Id = Server.m_Id;
+    const unsigned InFlight = load(Id).m_Requests;
+    const ServerAvailability Availability = availability(*Each, Now);
+    const bool IsOnTrial = m_Notices.isOnTrial(Id);
+    // The other entries may still use a server that is in a pause here.
+    if (!IsOnTrial)
+      Usage.m_InFlight += InFlight;
+    switch (Availability) {
+    case ServerAvailability::Unavailable:
+      if (!Server.m_Draining && (IsOnTrial || m_Notices.isLeaving(Id)))
+        addNotice(Usage, Id, Now);
       continue;
-    const unsigned InFlight = load(Id, Now).m_Requests;
-    Usage.m_InFlight += InFlight;
-    if (Server.m_Draining || Each.m_Health.m_BackoffUntil > Now)
+    case ServerAvailability::InBackoff:
+      ++Usage.m_ServersInBackoff;
       continue;
+    case ServerAvailability::Available:
+    case ServerAvailability::NoToken:
+      break;
+    }
     const auto Limit = m_RateLimits.limit(Id);
     if (!Limit) {
       ++Usage.m_Servers;
-      Usage.m_Capacity += Server.m_Capacity;
+      Usage.m_Capacity += IsOnTrial ? 1 : Server.m_Capacity;
       continue;
     }
     ++Usage.m_LimitedServers;
     Usage.m_LimitPerSecond += *Limit;
     const bool HasPlace = InFlight < Server.m_Capacity;
     Usage.m_LimitedCapacity +=
-        InFlight + (HasPlace && m_RateTokens.permits(Id) ? 1 : 0);
+        InFlight +
+        (HasPlace && Availability == ServerAvailability::Available ? 1 : 0);
   }
   return Usage;
 }
 
+void ServerPool::addNotice(ServiceUsage &Usage, const std::string &Id,
+                           base::Millis Now) const {
+  ++Usage.m_ServersWithNotice;
+  const base::Millis Remaining = m_Notices.isLeaving(Id)
+                                     ? base::Millis(0)
+                                     : m_Notices.pauseRemaining(Id, Now);
+  const bool IsFirst = Usage.m_PauseRemaining == base::Millis(0) ||
+                       Remaining < Usage.m_PauseRemaining;
+  if (Remaining > base::Millis(0) && IsFirst)
+    Usage.m_PauseRemaining = Remaining;
+}
+
 double ServerPool::failureRate(const Health &State, base::Millis Now) const {
   const auto Age = static_cast<double>((Now - State.m_FailureRateTime).count());
   const auto HalfLife =
@@ -224,29 +336,24 @@
   return State.m_FailureRate * std::exp2(-std::max(0.0, Age) / HalfLife);
 }
 
-ServerLoad ServerPool::load(const std::string &Id, base::Millis Now) const {
+ServerLoad ServerPool::load(const std::string &Id) const {
   ServerLoad Sum;
-  const auto Add = [&Sum, &Id](const ServerLoads &Loads) {
-    const auto Found = Loads.find(Id);
-    if (Found == Loads.end())
-      return;
-    Sum.m_Requests += Found->second.m_Requests;
-    Sum.m_PromptTokens += Found->second.m_PromptTokens;
-  };
-  Add(m_LocalLoads);
-  for (const auto &[Name, Report] : m_Peers)
-    if (Now - Report.m_ReceivedAt <= m_Settings.m_LoadLifetime)
-      Add(Report.m_Loads);
+  if (const auto Local = m_LocalLoads.find(Id); Local != m_LocalLoads.end())
+    Sum = Local->second;
+  if (const auto Others = m_PeerLoads.find(Id); Others != m_PeerLoads.end()) {
+    Sum.m_Requests += Others->second.m_Requests;
+    Sum.m_PromptTokens += Others->second.m_PromptTokens;
+  }
   return Sum;
 }
 
 double ServerPool::meanLatency(std::string_view Service) const {
   double Sum = 0;
   unsigned Servers = 0;
-  for (const auto &[Id, Each] : m_States) {
-    if (Each.m_Server.m_Service != Service || Each.m_Health.m_Latency <= 0)
+  for (const ServerState *Each : serversOf(Service)) {
+    if (Each->m_Health.m_Latency <= 0)
       continue;
-    Sum += Each.m_Health.m_Latency;
+    Sum += Each->m_Health.m_Latency;
     ++Servers;
   }
   return Servers == 0 ? 0 : Sum / Servers;
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -4,6 +4,7 @@
 #include "Base/Random.h"
 #include "Direct/Configuration.h"
 #include "Direct/RateTokens.h"
+#include "Direct/ServerNotices.h"
 #include "Direct/ServerRateLimits.h"
 
 #include <cstdint>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace corneldeck::direct {
@@ -55,6 +57,14 @@
   Silent       ///< No byte within the timeout.
 };
 
+/// Whether a request may be sent to a backend server now.
+enum class ServerAvailability {
+  Available,
+  NoToken,    ///< It has a rate limit, and this entry has no token.
+  InBackoff,  ///< It may be used if no other server is available.
+  Unavailable ///< It drains, leaves or is in a pause, or was just on trial.
+};
+
 /// Settings of ServerPool.
 struct ServerPoolSettings {
   /// Smoothing factor of the failure rate. After two consecutive failures a
@@ -83,6 +93,7 @@
   base::Millis m_InitialBackoff = base::Millis(500);
   base::Millis m_MaxBackoff = base::seconds(4);
   RateTokenSettings m_RateTokens;
+  ServerNoticeSettings m_Notices;
 };
 
 /// Chooses the backend server for each attempt.
@@ -94,7 +105,11 @@
 /// If all servers of a service are in backoff, the one whose backoff ends first
 /// is chosen, so that a service is never left without a server. A server with a
 /// rate limit is chosen, in backoff or not, only while this entry has a token
-/// for it.
+/// for it. A server that leaves or is in a pause is never chosen, and after a
+/// pause it gets few requests until it has accepted one.
+///
+/// Every path to a server asks availability(): first attempts, retries, resumed
+/// streams, requests for tokens and the capacity that admission sees.
 class ServerPool {
 public:
   /// \param Zone the availability zone of this VM.
@@ -107,6 +122,10 @@
   void replaceServers(const std::vector<BackendServer> &Servers,
                       base::Millis Now);
 
+  /// Returns whether a request may be sent to the server \p Id now.
+  [[nodiscard]] ServerAvailability availability(const std::string &Id,
+                                                base::Millis Now) const;
+
   /// Returns the server for the next attempt, or null if none is left. The
   /// result is valid until the next call of replaceServers().
   /// \param Excluded ids of the servers that this request was already sent to.
@@ -146,6 +165,9 @@
   [[nodiscard]] const ServerRateLimits &rateLimits() const {
     return m_RateLimits;
   }
+  /// Returns the notices in the servers' responses.
+  [[nodiscard]] ServerNotices &notices() { return m_Notices; }
+  [[nodiscard]] const ServerNotices &notices() const { return m_Notices; }
   /// Returns the tokens of the servers with a rate limit.
   [[nodiscard]] RateTokens &rateTokens() { return m_RateTokens; }
   [[nodiscard]] const RateTokens &rateTokens() const { return m_RateTokens; }
@@ -154,8 +176,8 @@
   [[nodiscard]] const ServerLoads &localLoads() const { return m_LocalLoads; }
 
   /// Capacity of a service and its requests in flight over all entries. Servers
-  /// that drain or are in backoff add no capacity, nor do servers with a rate
-  /// limit.
+  /// that drain, leave, are in a pause or in backoff add no capacity, nor do
+  /// servers with a rate limit. A server on trial adds one request.
   struct ServiceUsage {
     unsigned m_Servers = 0;
     unsigned m_Capacity = 0;
@@ -166,6 +188,12 @@
     unsigned m_LimitedCapacity = 0;
     /// Sum of their limits, in requests per second.
     double m_LimitPerSecond = 0;
+    /// Servers in backoff.
+    unsigned m_ServersInBackoff = 0;
+    /// Servers that leave, are in a pause or were just on trial.
+    unsigned m_ServersWithNotice = 0;
+    /// Time until the first pause ends; zero if there is none.
+    base::Millis m_PauseRemaining{};
 
     /// Returns the requests that may be in flight.
     [[nodiscard]] unsigned totalCapacity() const {
@@ -175,10 +203,15 @@
     [[nodiscard]] bool isRateLimited() const {
       return m_Servers == 0 && m_LimitedServers > 0;
     }
+    /// Returns whether all servers that would accept requests otherwise leave
+    /// or are in a pause.
+    [[nodiscard]] bool isUnwanted() const {
+      return m_ServersWithNotice > 0 && m_Servers == 0 &&
+             m_LimitedServers == 0 && m_ServersInBackoff == 0;
+    }
   };
   /// Returns the usage of \p Service.
-  [[nodiscard]] ServiceUsage usage(std::string_view Service,
-                                   base::Millis Now) const;
+  [[nodiscard]] ServiceUsage usage(std::string_view Service, base::Millis Now);
 
 private:
   struct Health {
@@ -200,8 +233,20 @@
 
   /// Returns the failure rate, decayed to the time \p Now.
   [[nodiscard]] double failureRate(const Health &State, base::Millis Now) const;
+  [[nodiscard]] ServerAvailability availability(const ServerState &Candidate,
+                                                base::Millis Now) const;
   /// Returns the load of a server over all entries.
-  [[nodiscard]] ServerLoad load(const std::string &Id, base::Millis Now) const;
+  [[nodiscard]] ServerLoad load(const std::string &Id) const;
+  /// Adds or subtracts the loads of an entry to or from m_PeerLoads.
+  void addPeerLoads(const ServerLoads &Loads);
+  void subtractPeerLoads(const ServerLoads &Loads);
+  /// Removes the reports that have reached their lifetime.
+  void dropExpiredLoads(base::Millis Now);
+  /// Counts a server that leaves or is in a pause.
+  void addNotice(ServiceUsage &Usage, const std::string &Id,
+                 base::Millis Now) const;
+  [[nodiscard]] const std::vector<ServerState *> &
+  serversOf(std::string_view Service) const;
   /// Returns the mean latency of the servers of a service, in milliseconds; 0
   /// if unknown.
   [[nodiscard]] double meanLatency(std::string_view Service) const;
@@ -212,8 +257,15 @@
   const std::string m_Zone;
   const ServerPoolSettings m_Settings;
   std::map<std::string, ServerState, std::less<>> m_States;
+  std::map<std::string, std::vector<ServerState *>, std::less<>> m_ByService;
   ServerLoads m_LocalLoads;
   std::map<std::string, PeerReport> m_Peers;
+  /// Sum of the loads in m_Peers, so that a choice does not read the report of
+  /// each entry.
+  std::unordered_map<std::string, ServerLoad> m_PeerLoads;
+  /// When the oldest report in m_Peers may reach its lifetime.
+  base::Millis m_NextExpiry{};
+  ServerNotices m_Notices;
   ServerRateLimits m_RateLimits;
   RateTokens m_RateTokens;
 };
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -137,6 +137,7 @@
            }}),
       m_RateLimits(Context, m_Pool, m_Fleet, Events, Metrics,
                    [this] { m_Forwarder.processQueues(); }),
+      m_ServerNotices(m_Pool, Events, Metrics),
       m_Advisor({m_Settings.m_AddressLifetime, m_Settings.m_MaxAddresses}),
       m_PeerServer(Context, {},
                    [this](const std::shared_ptr<net::HttpExchange> &Exchange) {
@@ -183,6 +184,7 @@
   m_RetryBudget.setEntryCount(Live.size() + 1);
   m_Fleet.setReady(ready());
   m_RateLimits.update();
+  m_ServerNotices.update();
   if (m_Stopping)
     checkStopped();
   m_Timer.expires_after(std::chrono::milliseconds(TimerInterval.count()));
@@ -307,6 +309,7 @@
     Work.set_prompt_tokens(static_cast<std::uint32_t>(Load.m_PromptTokens));
   }
   m_RateLimits.fillHeartbeat(Beat);
+  m_ServerNotices.fillHeartbeat(Beat);
   for (const auto &[Service, Ratio] : m_Limiter.localRatios()) {
     wire::PassStretch &Stretch = *Beat.add_stretches();
     Stretch.set_service(Service);
@@ -323,6 +326,7 @@
   m_Configuration.handlePosition(Beat.sender(), Beat.configuration());
   m_Servers.handlePosition(Beat.sender(), Beat.servers());
   m_RateLimits.handleHeartbeat(Beat);
+  m_ServerNotices.handleHeartbeat(Beat);
   direct::ServerLoads Loads;
   for (const wire::ServerWork &Work : Beat.work())
     Loads[Work.server()] = {Work.requests(),
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -4,6 +4,7 @@
 #include "Direct/RequestForwarder.h"
 #include "Fleet/FleetNode.h"
 #include "Gateway/RateLimitExchange.h"
+#include "Gateway/ServerNoticeExchange.h"
 #include "Gateway/SharedFeed.h"
 #include "Membership/AddressSelector.h"
 #include "Net/HttpServer.h"
@@ -116,6 +117,7 @@
   SharedFeed m_Servers;
   fleet::FleetNode m_Fleet;
   RateLimitExchange m_RateLimits;
+  ServerNoticeExchange m_ServerNotices;
   membership::AddressSelector m_Advisor;
   std::unique_ptr<net::HttpServer> m_CallerServer;
   net::HttpServer m_PeerServer;
--- a/Tests/Platform/CallerCodecTest.cpp
+++ b/Tests/Platform/CallerCodecTest.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 using Kind = direct::RateLimitField::Kind;
+using PauseKind = direct::PauseField::Kind;
 
 direct::RateLimitField decode(const std::vector<std::string> &Values) {
   net::HttpResponseHead Head;
@@ -16,6 +17,20 @@
   return callerCodec().m_DecodeResponse(Head).m_RateLimit;
 }
 
+direct::ResponseInfo decodeResponse(int Status, const std::string &Name,
+                                    const std::vector<std::string> &Values) {
+  net::HttpResponseHead Head;
+  Head.m_Status = Status;
+  for (const std::string &Each : Values)
+    Head.m_Headers.push_back({Name, Each});
+  return callerCodec().m_DecodeResponse(Head);
+}
+
+direct::PauseField decodePause(const std::vector<std::string> &Values,
+                               int Status = 503) {
+  return decodeResponse(Status, "Retry-After", Values).m_Pause;
+}
+
 } // namespace
 
 TEST(CallerCodec, DecodesRateLimits) {
@@ -42,4 +57,40 @@
   EXPECT_EQ(decode({std::string(5000, 'x')}).m_Text.size(), 64U);
 }
 
+TEST(CallerCodec, DecodesPausesOfRefusals) {
+  EXPECT_EQ(decodePause({}).m_Kind, PauseKind::Absent);
+  EXPECT_EQ(decodePause({"2"}, 429).m_Kind, PauseKind::Absent);
+  EXPECT_EQ(decodePause({"2"}).m_Duration, base::Millis(2000));
+  EXPECT_EQ(decodePause({"0.0004"}).m_Duration, base::Millis(1));
+  EXPECT_EQ(decodePause({"0"}).m_Kind, PauseKind::Named);
+  EXPECT_EQ(decodePause({"0"}).m_Duration, base::Millis(0));
+  EXPECT_EQ(decodePause({std::string(200, '9')}).m_Duration,
+            base::seconds(1'000'000'000));
+}
+
+TEST(CallerCodec, UsesTheLongestOfSeveralPauses) {
+  EXPECT_EQ(decodePause({"1", "3", "2"}).m_Duration, base::seconds(3));
+}
+
+// Failure: a field that is not a plain decimal number must not start a pause.
+TEST(CallerCodec, ReportsInvalidPauses) {
+  for (const std::string Each :
+       {"", "-1", "+1", "1e3", "nan", "soon", "Fri, 04 Dec 2026 10:00:00 GMT",
+        "1;2", ".5", "1."})
+    EXPECT_EQ(decodePause({Each}).m_Kind, PauseKind::Invalid) << Each;
+  EXPECT_EQ(decodePause({"1", "x"}).m_Kind, PauseKind::Invalid);
+  EXPECT_EQ(decodePause({std::string(5000, 'x')}).m_Text.size(), 64U);
+}
+
+TEST(CallerCodec, DecodesServersThatLeave) {
+  const auto IsLeaving = [](const std::vector<std::string> &Values) {
+    return decodeResponse(200, "Server-Leaving", Values).m_IsLeaving;
+  };
+  EXPECT_FALSE(IsLeaving({}));
+  EXPECT_TRUE(IsLeaving({"1"}));
+  EXPECT_TRUE(IsLeaving({"0", "1"}));
+  EXPECT_FALSE(IsLeaving({"0"}));
+  EXPECT_FALSE(IsLeaving({"yes"}));
+}
+
 } // namespace corneldeck::platform
--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -80,6 +80,8 @@
     m_Request.m_ReceivedAt = std::chrono::steady_clock::now();
     m_Request.m_NamedLimit = m_Server.m_NamedLimit;
     m_Request.m_Ran = Mode != Behavior::NotRun && Mode != Behavior::WrongServer;
+    m_Request.m_NamesPause =
+        Mode == Behavior::NotRun && !m_Server.m_RetryAfter.empty();
     m_Server.m_Received.push_back(m_Request);
     respond(Mode);
   }
@@ -89,6 +91,8 @@
     Head += "Attempt-Id: " + m_Request.m_Id + "\r\n";
     if (!m_Request.m_NamedLimit.empty())
       Head += "Server-Limit: " + m_Request.m_NamedLimit + "\r\n";
+    if (m_Server.m_IsLeaving)
+      Head += "Server-Leaving: 1\r\n";
     return Head + Extra;
   }
 
@@ -116,6 +120,7 @@
   void respond(Behavior Mode) {
     const bool Streams = isStream() && Mode == Behavior::Serve;
     if (Streams || Mode == Behavior::TruncatedStream) {
+      m_IsTruncated = Mode == Behavior::TruncatedStream;
       startEvents();
       return;
     }
@@ -124,7 +129,10 @@
       send(completeResponse(200, body()));
       return;
     case Behavior::NotRun:
-      send(head(503, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+      send(head(503, (m_Server.m_RetryAfter.empty()
+                          ? std::string()
+                          : "Retry-After: " + m_Server.m_RetryAfter + "\r\n") +
+                         "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
       return;
     case Behavior::WrongServer:
       send(head(421, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
@@ -297,8 +305,9 @@
     std::string Event = "id: " + std::to_string(m_NextEvent) +
                         "\ndata: " + std::to_string(m_NextEvent * 7) + "\n\n";
     constexpr int CutAt = 3;
-    const bool Cut = m_Server.m_Behavior == Behavior::TruncatedStream &&
-                     m_NextEvent == CutAt;
+    const bool Cut =
+        (m_IsTruncated || m_Server.m_Behavior == Behavior::TruncatedStream) &&
+        m_NextEvent == CutAt;
     ++m_NextEvent;
     m_Out = chunk(Cut ? Event.substr(0, Event.size() / 2) : Event);
     asio::async_write(
@@ -330,6 +339,9 @@
   /// Text of an endless response.
   std::string m_Block;
   int m_NextEvent = 1;
+  /// Whether the stream is truncated even if the server behaves differently
+  /// meanwhile.
+  bool m_IsTruncated = false;
   bool m_WatchingDisconnect = false;
 };
 
@@ -377,13 +389,18 @@
   m_Open.clear();
   m_StartTime = StartTime;
   m_NamedLimit.clear();
+  m_IsLeaving = false;
 }
 
-std::string StandinServer::record(const std::string &State) const {
-  return nlohmann::json{
-      {"backend", m_Service}, {"address", m_Address},     {"zone", "a"},
-      {"capacity", 8},        {"lifecycle-state", State}, {"sequence", 1},
-      {"born", m_StartTime}}
+std::string StandinServer::record(const std::string &State,
+                                  int Sequence) const {
+  return nlohmann::json{{"backend", m_Service},
+                        {"address", m_Address},
+                        {"zone", "a"},
+                        {"capacity", 8},
+                        {"lifecycle-state", State},
+                        {"sequence", Sequence},
+                        {"born", m_StartTime}}
       .dump();
 }
 
--- a/Tests/Platform/StandinServer.h
+++ b/Tests/Platform/StandinServer.h
@@ -14,7 +14,8 @@
 /// How a stand-in backend server handles its next requests.
 enum class Behavior {
   Serve,
-  NotRun,               ///< 503 that reports that the request did not run.
+  NotRun,               ///< 503 that reports that the request did not run, and
+                        ///< names m_RetryAfter.
   WrongServer,          ///< 421.
   ServerError,          ///< A signed 500.
   Unsigned,             ///< A success without a signature.
@@ -48,6 +49,9 @@
   std::chrono::steady_clock::time_point m_ReceivedAt;
   /// Value of the rate limit in the response; empty if the response named none.
   std::string m_NamedLimit;
+  /// Whether the response refused the request and named a time in which the
+  /// server wants no others.
+  bool m_NamesPause = false;
 };
 
 /// Stands in for a backend server: sends a signed response to each request on
@@ -66,7 +70,9 @@
   [[nodiscard]] const std::string &id() const { return m_Id; }
   [[nodiscard]] const std::string &address() const { return m_Address; }
   /// Returns the record with which the server registers itself.
-  [[nodiscard]] std::string record(const std::string &State = "ready") const;
+  /// \param Sequence the number of the record in this start of the server.
+  [[nodiscard]] std::string record(const std::string &State = "ready",
+                                   int Sequence = 1) const;
   [[nodiscard]] int runs(const std::string &Request) const;
 
   Behavior m_Behavior = Behavior::Serve;
@@ -75,6 +81,11 @@
   int m_EventPause = 5;
   /// Rate limit that all responses name; empty for none.
   std::string m_NamedLimit;
+  /// Whether all responses say that the server leaves.
+  bool m_IsLeaving = false;
+  /// Seconds in which the server wants no requests after a refusal; empty for
+  /// none.
+  std::string m_RetryAfter;
   std::vector<ReceivedRequest> m_Received;
   /// Number of connections that the caller closed while its request was
   /// running.
