--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -16,6 +16,7 @@
   All.push_back(leasesScenario());
   All.push_back(limitsScenario());
   All.push_back(serverLimitsScenario());
+  All.push_back(serverNoticesScenario());
   All.push_back(mapSwitchScenario());
   All.push_back(pathScenario());
   All.push_back(rebalanceScenario());
@@ -35,6 +36,7 @@
   All.push_back(leasesPromise());
   All.push_back(limitsPromise());
   All.push_back(serverLimitsPromise());
+  All.push_back(serverNoticesPromise());
   All.push_back(mapSwitchPromise());
   All.push_back(mapSwitchExplorationPromise());
   All.push_back(outcomePromise());
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -18,6 +18,8 @@
 Scenario limitsScenario();
 Scenario serverLimitsScenario();
 Promise serverLimitsPromise();
+Scenario serverNoticesScenario();
+Promise serverNoticesPromise();
 Scenario feedSpreadScenario();
 Promise feedSpreadPromise();
 Scenario controlCostScenario();
--- a/Source/Bench/ServerLimitModel.cpp
+++ b/Source/Bench/ServerLimitModel.cpp
@@ -21,6 +21,7 @@
 /// Time after a restart or a freeze in which an entry's requests are not
 /// counted.
 constexpr Millis ExcusePeriod = base::seconds(3);
+constexpr Millis RefusalTime(5);
 constexpr double MillisPerSecond = 1000;
 
 } // namespace
@@ -56,6 +57,8 @@
 
 void ServerLimitModel::restartServer(std::size_t Server) {
   endLimit(Server);
+  acceptAll(Server);
+  m_Servers[Server].m_IsLeaving = false;
   ++m_Servers[Server].m_StartTime;
   m_Time.after(ListDelay, [this] {
     for (const auto &Each : m_Entries)
@@ -63,6 +66,37 @@
   });
 }
 
+void ServerLimitModel::leaveServer(std::size_t Server) {
+  m_Servers[Server].m_IsLeaving = true;
+}
+
+void ServerLimitModel::refuseBeyond(std::size_t Server, unsigned Places,
+                                    Millis Pause) {
+  m_Servers[Server].m_Places = Places;
+  m_Servers[Server].m_Pause = Pause;
+}
+
+void ServerLimitModel::acceptAll(std::size_t Server) {
+  m_Servers[Server].m_Places.reset();
+}
+
+void ServerLimitModel::listFormerStarts() {
+  for (Server &Each : m_Servers)
+    --Each.m_StartTime;
+  for (const auto &Each : m_Entries)
+    listServers(*Each);
+  for (Server &Each : m_Servers)
+    ++Each.m_StartTime;
+}
+
+std::size_t ServerLimitModel::entriesThatUse(std::size_t Server) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Entries.begin(), m_Entries.end(), [&](const auto &Each) {
+        return Each->m_Pool->availability(m_Servers[Server].m_Id, now()) !=
+               direct::ServerAvailability::Unavailable;
+      }));
+}
+
 void ServerLimitModel::cutEntry(std::size_t Entry, bool Cut) {
   for (std::size_t Other = 0; Other < m_Entries.size(); ++Other)
     if (Other != Entry)
@@ -122,6 +156,8 @@
   ++Started.m_Process;
   Started.m_Queue = std::make_unique<direct::AdmissionQueue>();
   Started.m_HeardAt.clear();
+  Started.m_LeavingStarts.clear();
+  Started.m_PausedUntil.clear();
   Started.m_ReadyAt = now() + StartDelay;
   Started.m_ExcusedUntil = now() + ExcusePeriod;
   direct::ServerPoolSettings Settings;
@@ -203,7 +239,14 @@
   if (now() < From.m_ReadyAt)
     return;
   const direct::RateTokens &Tokens = From.m_Pool->rateTokens();
-  Heartbeat Beat{From.m_Name, From.m_Pool->localLoads(), {}};
+  Heartbeat Beat{From.m_Name, From.m_Pool->localLoads(), {}, {}, {}};
+  const bool SharesPauses =
+      m_Options.m_NoticeMode == ServerNoticeMode::PausesToAll;
+  if (m_Options.m_NoticeMode == ServerNoticeMode::Shared || SharesPauses)
+    Beat.m_Leaving = From.m_Pool->notices().statements();
+  for (const auto &[Server, Until] : From.m_PausedUntil)
+    if (SharesPauses && Until > now())
+      Beat.m_Pauses[m_Servers[Server].m_Id] = Until - now();
   if (m_Options.m_Mode == ServerLimitMode::Shared)
     Beat.m_Statements = From.m_Pool->rateLimits().statements(
         now(), [&Tokens](const std::string &Server) {
@@ -220,6 +263,13 @@
 void ServerLimitModel::receiveHeartbeat(Entry &At, const Heartbeat &Beat) {
   At.m_HeardAt[Beat.m_From] = now();
   At.m_Pool->setPeerLoads(Beat.m_From, Beat.m_Loads, now());
+  for (const direct::LeavingStatement &Each : Beat.m_Leaving)
+    At.m_Pool->notices().applyStatement(Each, Beat.m_From, now());
+  for (const auto &[Server, Remaining] : Beat.m_Pauses) {
+    direct::ServerNotice Notice;
+    Notice.m_Pause = {direct::PauseField::Kind::Named, Remaining, {}};
+    At.m_Pool->notices().recordResponse(Server, 0, Notice, now(), now());
+  }
   if (m_Options.m_Plant == "forget-limits" && At.m_Process > 1)
     return;
   for (const direct::RateLimitStatement &Each : Beat.m_Statements)
@@ -255,6 +305,10 @@
 
 void ServerLimitModel::requestArrives(Entry &At) {
   using Decision = direct::AdmissionQueue::Decision;
+  if (At.m_Pool->usage(Service, now()).isUnwanted()) {
+    ++m_Outcomes.m_Refused;
+    return;
+  }
   const Decision Result =
       At.m_Queue->admit(Service, m_NextToken++, 0, TargetLatency,
                         At.m_Pool->usage(Service, now()), now());
@@ -277,37 +331,96 @@
     At.m_Pool->requestToken(Service, now(), m_Random);
 }
 
-void ServerLimitModel::startAttempt(Entry &At) {
+void ServerLimitModel::startAttempt(Entry &At,
+                                    const std::vector<std::string> &Tried) {
   const direct::BackendServer *Chosen =
-      At.m_Pool->chooseServer(Service, {}, now(), m_Random);
+      At.m_Pool->chooseServer(Service, Tried, now(), m_Random);
   if (!Chosen) {
     ++m_Outcomes.m_Refused;
     return;
   }
-  const std::size_t To = serverIndex(Chosen->m_Id);
+  Attempt Sent;
+  Sent.m_Entry = *entryIndex(At.m_Name);
+  Sent.m_Server = serverIndex(Chosen->m_Id);
+  Sent.m_Process = At.m_Process;
+  Sent.m_SentAt = now();
+  Sent.m_StartTime = At.m_Pool->notices().startTime(Chosen->m_Id);
+  Sent.m_Tried = Tried;
+  Sent.m_Tried.push_back(Chosen->m_Id);
   At.m_Pool->attemptStarted(Chosen->m_Id, 0, now());
-  const std::size_t From = *entryIndex(At.m_Name);
-  ++m_Servers[To].m_Arrivals;
-  if (now() >= At.m_ExcusedUntil)
-    m_Servers[To].m_Oracle.requestArrived(now(), At.m_Name);
-  m_Time.after(m_Options.m_ServiceTime,
-               [this, From, To, Process = At.m_Process, SentAt = now()] {
-                 serverResponds(From, To, Process, SentAt);
-               });
+  Server &To = m_Servers[Sent.m_Server];
+  ++To.m_Arrivals;
+  const auto Left = At.m_LeavingStarts.find(Sent.m_Server);
+  const auto Paused = At.m_PausedUntil.find(Sent.m_Server);
+  const bool IsUnwanted =
+      (Left != At.m_LeavingStarts.end() && Left->second == To.m_StartTime) ||
+      (Paused != At.m_PausedUntil.end() && Paused->second > now());
+  if (now() >= At.m_ExcusedUntil) {
+    To.m_Oracle.requestArrived(now(), At.m_Name);
+    m_Unwanted += IsUnwanted ? 1 : 0;
+  }
+  m_Outcomes.m_AttemptsAtLeaving += To.m_IsLeaving ? 1 : 0;
+  Sent.m_IsAccepted = !To.m_Places || To.m_InFlight < *To.m_Places;
+  ++To.m_InFlight;
+  m_Time.after(Sent.m_IsAccepted ? m_Options.m_ServiceTime : RefusalTime,
+               [this, Sent] { serverResponds(Sent); });
 }
 
-void ServerLimitModel::serverResponds(std::size_t Index, std::size_t To,
-                                      std::uint64_t Process, Millis SentAt) {
-  using Kind = direct::RateLimitField::Kind;
-  Entry &At = *m_Entries[Index];
-  Server &From = m_Servers[To];
-  if (At.m_Process != Process)
+void ServerLimitModel::serverResponds(const Attempt &Done) {
+  Entry &At = *m_Entries[Done.m_Entry];
+  Server &From = m_Servers[Done.m_Server];
+  --From.m_InFlight;
+  if (At.m_Process != Done.m_Process)
     return;
-  ++m_Outcomes.m_Served;
   At.m_Pool->attemptEnded(From.m_Id, 0);
-  At.m_Pool->recordOutcome(From.m_Id, direct::ServerOutcome::Served,
-                           now() - SentAt, now());
-  At.m_Queue->recordCompletion(Service, now());
+  recordNotice(At, Done);
+  At.m_Pool->recordOutcome(From.m_Id,
+                           Done.m_IsAccepted ? direct::ServerOutcome::Served
+                                             : direct::ServerOutcome::Refused,
+                           now() - Done.m_SentAt, now());
+  if (Done.m_IsAccepted) {
+    ++m_Outcomes.m_Served;
+    At.m_Queue->recordCompletion(Service, now());
+    recordLimit(At, Done);
+  } else {
+    ++m_Outcomes.m_RefusedAttempts;
+    constexpr std::size_t MaxAttempts = 3;
+    if (Done.m_Tried.size() < MaxAttempts)
+      startAttempt(At, Done.m_Tried);
+    else
+      ++m_Outcomes.m_Refused;
+  }
+  processQueue(At);
+}
+
+void ServerLimitModel::recordNotice(Entry &At, const Attempt &Done) {
+  const Server &From = m_Servers[Done.m_Server];
+  direct::ServerNotice Notice;
+  Notice.m_IsAccepted = Done.m_IsAccepted;
+  Notice.m_IsLeaving = From.m_IsLeaving;
+  if (!Done.m_IsAccepted)
+    Notice.m_Pause = {direct::PauseField::Kind::Named, From.m_Pause, {}};
+  if (Notice.m_IsLeaving)
+    At.m_LeavingStarts[Done.m_Server] = From.m_StartTime;
+  if (!Done.m_IsAccepted) {
+    Millis &Until = At.m_PausedUntil[Done.m_Server];
+    Until = std::max(Until, now() + From.m_Pause);
+  }
+  if (m_Options.m_NoticeMode == ServerNoticeMode::Ignored)
+    return;
+  if (m_Options.m_Plant == "ignore-leaving")
+    Notice.m_IsLeaving = false;
+  if (m_Options.m_Plant == "short-pauses")
+    Notice.m_Pause.m_Duration = Notice.m_Pause.m_Duration / 2;
+  if (m_Options.m_Plant == "endless-pauses")
+    Notice.m_Pause.m_Duration = Notice.m_Pause.m_Duration * 100;
+  At.m_Pool->notices().recordResponse(From.m_Id, Done.m_StartTime, Notice,
+                                      Done.m_SentAt, now());
+}
+
+void ServerLimitModel::recordLimit(Entry &At, const Attempt &Done) {
+  using Kind = direct::RateLimitField::Kind;
+  Server &From = m_Servers[Done.m_Server];
   direct::RateLimitField Field;
   if (From.m_Limit) {
     From.m_Oracle.limitForwarded(now(), At.m_Name);
@@ -323,9 +436,8 @@
   const bool IsEndless =
       m_Options.m_Plant == "endless-limits" && Field.m_Kind == Kind::Absent;
   if (!IsIgnored && !IsEndless)
-    At.m_Pool->rateLimits().recordResponse(From.m_Id, Field, true, SentAt,
-                                           now());
-  processQueue(At);
+    At.m_Pool->rateLimits().recordResponse(From.m_Id, Field, true,
+                                           Done.m_SentAt, now());
 }
 
 std::optional<std::size_t>
--- a/Source/Bench/ServerLimitPromise.cpp
+++ b/Source/Bench/ServerLimitPromise.cpp
@@ -1,5 +1,6 @@
 #include "Bench/PropertyRun.h"
 #include "Bench/Scenarios.h"
+#include "Bench/ServerFaults.h"
 #include "Bench/ServerLimitModel.h"
 
 #include <algorithm>
@@ -15,7 +16,7 @@
 
 // The fault matrix.
 
-constexpr std::size_t Entries = 9;
+constexpr std::size_t Entries = ServerFaultEntries;
 constexpr std::size_t Servers = 6;
 /// Each row is run with this many seeds.
 constexpr std::uint64_t Seeds = 4;
@@ -31,95 +32,6 @@
 /// Part of a limit that is used.
 constexpr double LeastUsed = 0.5;
 
-/// A fault; the entry 0 is one that does not grant tokens of the server 0.
-struct LimitFault {
-  std::string m_Name;
-  std::function<void(ServerLimitModel &)> m_Begin;
-  std::function<void(ServerLimitModel &)> m_Heal;
-  /// Time until all entries know of a lower limit.
-  Millis m_LoweringTime = Millis(500);
-};
-
-void doNothing(ServerLimitModel &) {}
-
-void healPaths(ServerLimitModel &Model) {
-  Model.changePaths([](fakes::FakeNetwork::Path &Each) { Each = {}; });
-}
-
-/// Returns an entry that does not grant the tokens of the server 0.
-std::size_t otherEntry(const ServerLimitModel &Model) {
-  return Model.granter(0) == 0 ? 1 : 0;
-}
-
-LimitFault
-pathFault(const std::string &Name,
-          const std::function<void(fakes::FakeNetwork::Path &)> &Change) {
-  return {Name,
-          [Change](ServerLimitModel &Model) { Model.changePaths(Change); },
-          healPaths};
-}
-
-std::vector<LimitFault> limitFaults() {
-  using Path = fakes::FakeNetwork::Path;
-  const auto Frozen = std::make_shared<std::size_t>(0);
-  LimitFault AllCutOff =
-      pathFault("all-cut-off", [](Path &Each) { Each.m_Cut = true; });
-  // Each entry learns a lower limit from its next response, after the interval
-  // of its part of the former limit and of its requests for a token.
-  AllCutOff.m_LoweringTime =
-      Millis(static_cast<std::int64_t>(Entries * 1000 / HighestLimit)) +
-      direct::RateTokenSettings().m_MaxRequestInterval;
-  return {
-      {"none", doNothing, doNothing},
-      {"entry-cut-off",
-       [](ServerLimitModel &Model) { Model.cutEntry(otherEntry(Model), true); },
-       healPaths},
-      {"granter-cut-off",
-       [](ServerLimitModel &Model) { Model.cutEntry(Model.granter(0), true); },
-       healPaths},
-      {"granter-cut-off-from-half",
-       [](ServerLimitModel &Model) {
-         const std::size_t Granter = Model.granter(0);
-         for (std::size_t Entry = 0; Entry < Entries; Entry += 2)
-           if (Entry != Granter)
-             Model.cutPath(Granter, Entry, true);
-       },
-       healPaths},
-      AllCutOff,
-      pathFault("messages-lost", [](Path &Each) { Each.m_LossRatio = 0.3; }),
-      pathFault("messages-late",
-                [](Path &Each) { Each.m_Jitter = Millis(400); }),
-      pathFault("messages-twice",
-                [](Path &Each) {
-                  Each.m_DuplicateRatio = 0.5;
-                  Each.m_Jitter = Millis(50);
-                }),
-      {"granter-frozen",
-       [Frozen](ServerLimitModel &Model) {
-         *Frozen = Model.granter(0);
-         Model.freezeEntry(*Frozen);
-       },
-       [Frozen](ServerLimitModel &Model) { Model.thawEntry(*Frozen); }},
-      {"granter-restarted",
-       [](ServerLimitModel &Model) { Model.restartEntry(Model.granter(0)); },
-       doNothing},
-      {"entries-restarted-in-turn",
-       [](ServerLimitModel &Model) {
-         for (std::size_t Entry = 0; Entry < Entries; ++Entry) {
-           Model.restartEntry(Entry);
-           Model.runFor(Millis(1000));
-         }
-       },
-       doNothing},
-      {"entries-added",
-       [](ServerLimitModel &Model) {
-         for (std::size_t Count = 0; Count < Entries; ++Count)
-           Model.addEntry();
-       },
-       doNothing},
-  };
-}
-
 /// What the servers do.
 struct LimitStep {
   std::string m_Name;
@@ -132,10 +44,11 @@
 
 std::vector<LimitStep> limitSteps() {
   return {
-      {"one-limited", {1}, doNothing},
-      {"one-takes-nothing", {0}, doNothing},
-      {"one-takes-most", {6}, doNothing},
-      {"all-limited", std::vector<double>(Servers, 2), doNothing},
+      {"one-limited", {1}, [](ServerLimitModel &) {}},
+      {"one-takes-nothing", {0}, [](ServerLimitModel &) {}},
+      {"one-takes-most", {6}, [](ServerLimitModel &) {}},
+      {"all-limited", std::vector<double>(Servers, 2),
+       [](ServerLimitModel &) {}},
       {"limit-falls",
        {HighestLimit},
        [](ServerLimitModel &Model) { Model.nameLimit(0, 1); }},
@@ -154,7 +67,7 @@
   return std::to_string(static_cast<std::int64_t>(Value));
 }
 
-std::string checkLimits(const ServerLimitModel &Model, const LimitFault &Fault,
+std::string checkLimits(const ServerLimitModel &Model, const ServerFault &Fault,
                         const LimitStep &Step, Millis Begin) {
   fakes::RateLimitBound Bound;
   Bound.m_InformedEntriesOnly = false;
@@ -172,7 +85,7 @@
   return "";
 }
 
-std::string runLimitRow(const LimitFault &Fault, const LimitStep &Step,
+std::string runLimitRow(const ServerFault &Fault, const LimitStep &Step,
                         const std::string &Plant, std::uint64_t Seed) {
   ServerLimitOptions Options;
   Options.m_Entries = Entries;
@@ -206,7 +119,7 @@
 
 std::vector<MatrixRow> serverLimitsMatrix(const std::string &Plant) {
   std::vector<MatrixRow> Rows;
-  for (const LimitFault &Fault : limitFaults())
+  for (const ServerFault &Fault : serverFaults(HighestLimit))
     for (const LimitStep &Step : limitSteps()) {
       std::string Seen;
       for (std::uint64_t Seed = 1; Seed <= Seeds && Seen.empty(); ++Seed)
