Tests/Soak: notices of servers, and a log that returns with an older copy

Servers say that they leave and start again, refuse requests with a pause, and the log returns with a copy of its records that is some time old.

The soak is split by subject.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -15,9 +14,8 @@
 
 namespace {
 
-/// Bounds of the promises, and how long a fault excuses an entry from them.
+/// A server that leaves must get no requests after this time.
 constexpr base::Millis DrainBound = base::seconds(2);
-constexpr base::Millis Touch = base::seconds(3);
 constexpr int Servers = 4;
 
 json route(const std::string &Prefix, const std::string &Type) {
@@ -53,7 +51,9 @@
 
 Soak::Soak(SoakSettings Settings)
     : m_Settings(std::move(Settings)), m_Draw(m_Settings.m_Seed),
-      m_LimitDraw(m_Settings.m_Seed) {
+      m_LimitDraw(m_Settings.m_Seed), m_NoticeDraw(m_Settings.m_Seed),
+      m_StoreDraw(m_Settings.m_Seed) {
+  m_Store.m_NamesEra = m_Settings.m_Plant != Plant::EraIgnored;
   m_StoreAddress = m_Store.listen();
   for (int Index = 0; Index < Servers; ++Index)
     addServer();
@@ -69,6 +69,8 @@
   Server &Added = m_Servers.emplace_back();
   Added.m_Server = std::make_unique<StandinServer>(
       m_Loop, "i-" + std::to_string(m_NextServer++), "svc");
+  Added.m_Server->m_RetryAfter =
+      m_Settings.m_Plant == Plant::PauseIgnored ? "0.2" : "1.5";
   Added.m_Proxy =
       std::make_unique<LoopbackProxy>(m_Loop, Added.m_Server->listen());
   Added.m_Address = Added.m_Proxy->listen();
@@ -76,13 +78,18 @@
 }
 
 void Soak::registerServer(const Server &Of, const std::string &State) {
-  json Record = json::parse(Of.m_Server->record(State));
+  json Record = json::parse(Of.m_Server->record(State, ++m_Records));
   Record["address"] = Of.m_Address;
   m_Store.put("keyed.servers", Of.m_Server->id(), Record.dump());
 }
 
 void Soak::publish() {
   ++m_Version;
+  m_PublishedAt.push_back(now());
+  writeConfiguration();
+}
+
+void Soak::writeConfiguration() {
   json Routes = {route("/plain/", "idempotent"),
                  route("/once/", "non_idempotent"),
                  route("/stream/", "streaming")};
@@ -163,8 +170,11 @@
       injectFault();
   });
   every(base::Millis(500), [this] {
-    if (m_Asking)
+    if (m_Asking) {
       changeLimits();
+      changeNotices();
+      changeStore();
+    }
   });
   every(base::Millis(50), [this] {
     heal();
@@ -189,6 +199,7 @@
   Request->m_Id = "q" + std::to_string(++m_NextRequest);
   Request->m_Entry = static_cast<std::size_t>(&Of - m_Entries.data());
   Request->m_Start = Of.m_Starts;
+  Request->m_SentAt = now();
   switch (m_Draw.below(4)) {
   case 0:
     Request->m_Path = "/once/";
@@ -231,8 +242,10 @@
     answered(Request);
   };
   auto Cancel = m_Http.request(std::move(Call), std::move(Hooks));
-  if (m_Draw.chance(0.02))
+  if (m_Draw.chance(0.02)) {
+    m_Cancelled.insert(Request->m_Id);
     Cancel.cancel();
+  }
 }
 
 void Soak::answered(const AskedPtr &Request) {
@@ -261,8 +274,12 @@
       Request->m_Version <= Of.m_SeenVersion)
     violate(Request->m_Id + ": " + Of.m_Name + " went back behind version " +
             std::to_string(Of.m_SeenVersion));
+  if (Request->m_Status == 404 && SameProcess)
+    checkInForce(*Request, Of);
   if (Request->m_Status != 200)
     return;
+  if (SameProcess)
+    recordLeaving(*Request);
   if (SameProcess)
     Of.m_SeenVersion = std::max(Of.m_SeenVersion, Request->m_Version);
   checkBody(*Request);
@@ -296,177 +313,6 @@
     Each.m_ExcusedUntil = std::max(Each.m_ExcusedUntil, now() + For + Touch);
 }
 
-void Soak::injectFault() {
-  switch (m_Draw.below(4)) {
-  case 0:
-    faultOfEntry();
-    return;
-  case 1:
-    // Every second seed leaves the store alone, since its faults excuse all
-    // entries from the bounds of time.
-    if (m_Settings.m_Seed % 2 == 0)
-      faultOfStore();
-    return;
-  case 2:
-    publish();
-    return;
-  default:
-    faultOfServer();
-    return;
-  }
-}
-
-void Soak::faultOfEntry() {
-  Entry &Of = m_Entries[m_Draw.below(m_Entries.size())];
-  if (Of.m_RestartAt > base::Millis(0) || Of.m_ContinueAt > base::Millis(0))
-    return;
-  const base::Millis For(300 + static_cast<std::int64_t>(m_Draw.below(1500)));
-  const std::uint64_t Way = m_Draw.below(4);
-  m_Faults.push_back(Of.m_Name + " fault " + std::to_string(Way));
-  Of.m_ExcusedUntil = now() + For + Touch;
-  switch (Way) {
-  case 0:
-    Of.m_Process->signal(SIGKILL);
-    Of.m_RestartAt = now() + For;
-    return;
-  case 1:
-    Of.m_Process->signal(SIGSTOP);
-    Of.m_ContinueAt = now() + For;
-    return;
-  case 2:
-    Of.m_Process->signal(SIGTERM);
-    // It serves on until its grace period is nearly over.
-    Of.m_RestartAt = now() + base::seconds(4);
-    Of.m_ExcusedUntil = now() + base::seconds(4) + Touch;
-    return;
-  default:
-    Of.m_Process->signal(SIGHUP);
-    return;
-  }
-}
-
-void Soak::faultOfServer() {
-  Server &Of = m_Servers[m_Draw.below(m_Servers.size())];
-  const std::uint64_t Way = m_Draw.below(6);
-  m_Faults.push_back(Of.m_Server->id() + " fault " + std::to_string(Way));
-  switch (Way) {
-  case 0:
-    Of.m_Proxy->resetAll();
-    return;
-  case 1:
-    Of.m_Proxy->m_Fault = static_cast<LinkFault>(1 + m_Draw.below(3));
-    return;
-  case 2:
-  case 3:
-    Of.m_Server->m_Behavior = static_cast<Behavior>(
-        1 +
-        m_Draw.below(static_cast<std::uint64_t>(Behavior::TruncatedStream)));
-    return;
-  default:
-    break;
-  }
-  const auto Staying =
-      std::count_if(m_Servers.begin(), m_Servers.end(), [](const Server &Each) {
-        return Each.m_LeftAt == base::Millis(0);
-      });
-  if (Of.m_LeftAt > base::Millis(0) || Staying <= 2)
-    return;
-  Of.m_LeftAt = now();
-  if (m_Settings.m_Plant != Plant::LeavingStillUsed)
-    registerServer(Of, "draining");
-  addServer();
-}
-
-void Soak::changeLimits() {
-  for (Server &Each : m_Servers) {
-    const bool IsLimited = Each.m_LimitUntil > base::Millis(0);
-    if (IsLimited && now() >= Each.m_LimitUntil) {
-      Each.m_LimitUntil = {};
-      Each.m_Server->m_NamedLimit.clear();
-      Each.m_Oracle.limitEnded(now());
-    } else if (!IsLimited && m_LimitDraw.chance(0.1)) {
-      const std::uint64_t PerSecond = 1 + m_LimitDraw.below(6);
-      Each.m_LimitUntil =
-          now() + base::Millis(5000 + static_cast<std::int64_t>(
-                                          m_LimitDraw.below(5000)));
-      Each.m_Server->m_NamedLimit = std::to_string(PerSecond);
-      Each.m_Oracle.limitNamed(now(), static_cast<double>(PerSecond));
-      m_Faults.push_back(Each.m_Server->id() + " names a limit of " +
-                         std::to_string(PerSecond));
-    }
-  }
-}
-
-void Soak::checkLimits() {
-  fakes::RateLimitBound Bound;
-  Bound.m_InformedEntriesOnly = false;
-  for (const Server &Each : m_Servers) {
-    const auto Worst = Each.m_Oracle.worstWindow(Bound);
-    if (Worst.m_Requests > Worst.m_Allowed)
-      violate(Each.m_Server->id() + " got " +
-              std::to_string(static_cast<int>(Worst.m_Requests)) +
-              " requests in 4 s, its rate limit allows " +
-              std::to_string(static_cast<int>(Worst.m_Allowed)));
-  }
-}
-
-void Soak::faultOfStore() {
-  const std::uint64_t Way = m_Draw.below(6);
-  m_Faults.push_back("store fault " + std::to_string(Way));
-  excuseAll(base::seconds(1));
-  switch (Way) {
-  case 0:
-    m_Store.m_Faults.m_Unavailable = true;
-    return;
-  case 1:
-    m_Store.m_Faults.m_Busy = true;
-    return;
-  case 2:
-    m_Store.m_Faults.m_Delay = base::Millis(200);
-    return;
-  case 3:
-    m_Store.m_Faults.m_LostResponseRate = 0.5;
-    return;
-  case 4:
-    m_Store.dropHistory("keyed.servers");
-    return;
-  default:
-    m_Store.dropHistory("keyed.op");
-    return;
-  }
-}
-
-void Soak::heal() {
-  for (Entry &Each : m_Entries) {
-    if (Each.m_ContinueAt > base::Millis(0) && now() >= Each.m_ContinueAt) {
-      Each.m_ContinueAt = {};
-      Each.m_Process->signal(SIGCONT);
-    }
-    if (Each.m_RestartAt > base::Millis(0) && now() >= Each.m_RestartAt) {
-      Each.m_Process->signal(SIGKILL);
-      if (!Each.m_Process->isRunning())
-        startEntry(Each);
-    }
-    const bool Expected =
-        Each.m_RestartAt == base::Millis(0) && !Each.m_Process->isRunning();
-    if (Expected) {
-      violate(Each.m_Name + " ended by itself");
-      startEntry(Each);
-    }
-  }
-  if (m_Draw.chance(0.06)) {
-    if (m_Store.m_Faults.m_Unavailable || m_Store.m_Faults.m_Busy ||
-        m_Store.m_Faults.m_Delay > base::Millis(0))
-      excuseAll({});
-    m_Store.m_Faults = {};
-  }
-  for (Server &Each : m_Servers)
-    if (m_Draw.chance(0.06)) {
-      Each.m_Server->m_Behavior = Behavior::Serve;
-      Each.m_Proxy->m_Fault = LinkFault::None;
-    }
-}
-
 void Soak::checkServers() {
   const bool Faulty = m_Store.m_Faults.m_Unavailable ||
                       m_Store.m_Faults.m_Busy ||
@@ -488,6 +334,7 @@
       if (IsExceeded || (now() > Of.m_HeldUntil && now() > From.m_ExcusedUntil))
         for (int Copy = 0; Copy < Count; ++Copy)
           Of.m_Oracle.requestArrived(now(), From.m_Name);
+      checkNotices(Of, Each);
       if (Leaving && now() > From.m_ExcusedUntil)
         violate(Of.m_Server->id() + " got " + Each.m_Id + " from " +
                 From.m_Name + " " +
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -27,7 +27,10 @@
   VersionGoesBack,   ///< An entry answers as before a version that it served.
   LeavingStillUsed,  ///< A server that leaves goes on getting work.
   AnswerOfAnother,   ///< A caller gets the answer to another request.
-  LimitExceeded      ///< A server with a rate limit gets requests 30 times.
+  LimitExceeded,     ///< A server with a rate limit gets requests 30 times.
+  NoticeIgnored, ///< A server that says that it leaves goes on getting work.
+  PauseIgnored,  ///< A server gets three requests before its pause is over.
+  EraIgnored     ///< An older copy of the log counts as newer than itself.
 };
 
 struct SoakSettings {
@@ -56,6 +59,17 @@
   [[nodiscard]] std::string summary() const;
 
 private:
+  /// How long a fault excuses an entry from the bounds of time.
+  static constexpr base::Millis Touch = base::seconds(3);
+
+  /// A notice of a server to an entry.
+  struct Notice {
+    base::Millis m_At{};
+    /// Start of the entry that received it.
+    std::uint64_t m_EntryStart = 0;
+    /// Requests that arrived in spite of it.
+    int m_Requests = 0;
+  };
   struct Server {
     std::unique_ptr<StandinServer> m_Server;
     std::unique_ptr<LoopbackProxy> m_Proxy;
@@ -69,6 +83,13 @@
     base::Millis m_LimitUntil{};
     /// Until when requests are left out, since its link was slow.
     base::Millis m_HeldUntil{};
+    std::uint64_t m_StartTime = 1;
+    /// When the server starts again after it has said that it leaves; zero if
+    /// it has not.
+    base::Millis m_StartsAgainAt{};
+    /// What the server has said to each entry, by index.
+    std::map<std::size_t, Notice> m_Leaving;
+    std::map<std::size_t, Notice> m_Pauses;
   };
   struct Entry {
     std::string m_Name;
@@ -88,6 +109,7 @@
     std::string m_Path;
     std::size_t m_Entry = 0;
     std::uint64_t m_Start = 0;
+    base::Millis m_SentAt{};
     int m_Version = 0;
     int m_Status = 0;
     bool m_Whole = false;
@@ -100,6 +122,7 @@
   void addEntry(int Index);
   void startEntry(Entry &Of);
   void publish();
+  void writeConfiguration();
   void registerServer(const Server &Of, const std::string &State);
   void ask();
   void answered(const AskedPtr &Request);
@@ -108,9 +131,22 @@
   void faultOfEntry();
   void faultOfServer();
   void faultOfStore();
+  /// Lets the store return with an older copy of its records.
+  void changeStore();
+  void returnStore();
+  /// Writes again what the operators and the servers have written.
+  void writeAgain();
+  /// Checks that a version was in force when a request was sent.
+  void checkInForce(const Asked &Request, const Entry &Of);
   /// Lets servers name a rate limit for a while.
   void changeLimits();
   void checkLimits();
+  /// Lets servers say that they leave, and starts them again.
+  void changeNotices();
+  /// Records that a caller got an answer of a server that leaves.
+  void recordLeaving(const Asked &Request);
+  /// Checks a request that a server received against its notices.
+  void checkNotices(Server &Of, const ReceivedRequest &Received);
   void heal();
   void checkServers();
   void checkPromises();
@@ -124,6 +160,8 @@
   base::Random m_Draw;
   /// Draws of the rate limits, so that they do not change the other faults.
   base::Random m_LimitDraw;
+  base::Random m_NoticeDraw;
+  base::Random m_StoreDraw;
   boost::asio::io_context m_Loop{1};
   StandinStore m_Store{m_Loop};
   std::string m_StoreAddress;
@@ -133,10 +171,18 @@
   std::vector<Entry> m_Entries;
   std::vector<AskedPtr> m_Promised;
   std::set<std::string> m_RunOnce;
+  std::set<std::string> m_Cancelled;
   std::map<std::string, int> m_Statuses;
   std::vector<std::string> m_Violations;
   std::vector<std::string> m_Faults;
   int m_Version = 0;
+  /// When each version was written, the first one at index 1.
+  std::vector<base::Millis> m_PublishedAt{{}};
+  /// When the store kept its copy; zero if it has none.
+  base::Millis m_CopiedAt{};
+  /// When everything is written again after a return; zero if that is done.
+  base::Millis m_WriteAgainAt{};
+  int m_Records = 0;
   int m_NextRequest = 0;
   int m_NextServer = 0;
   bool m_Asking = true;
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -17,7 +17,10 @@
     {"version-goes-back", Plant::VersionGoesBack},
     {"leaving-still-used", Plant::LeavingStillUsed},
     {"answer-of-another", Plant::AnswerOfAnother},
-    {"limit-exceeded", Plant::LimitExceeded}};
+    {"limit-exceeded", Plant::LimitExceeded},
+    {"notice-ignored", Plant::NoticeIgnored},
+    {"pause-ignored", Plant::PauseIgnored},
+    {"era-ignored", Plant::EraIgnored}};
 
 /// Plays one seed. \returns whether all promises were kept.
 bool playSeed(SoakSettings Settings, const std::string &Folder) {
