Tests/Soak: find the planted leaving server reliably

A server that leaves without telling the list gets no requests once it says in its responses that it leaves, which the soak lets servers do since notices are played; and it leaves at a random time, which may be too late for the check.

The run with this mistake plays no notices, and a server leaves with its first step. The check and its bound are unchanged.

--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -130,6 +130,8 @@
   void injectFault();
   void faultOfEntry();
   void faultOfServer();
+  /// Lets a server leave. Invalidates references to servers.
+  void startLeaving(Server &Of);
   void faultOfStore();
   /// Lets the store return with an older copy of its records.
   void changeStore();
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -82,6 +82,10 @@
       });
   if (Of.m_LeftAt > base::Millis(0) || Staying <= 2)
     return;
+  startLeaving(Of);
+}
+
+void Soak::startLeaving(Server &Of) {
   Of.m_LeftAt = now();
   if (m_Settings.m_Plant != Plant::LeavingStillUsed)
     registerServer(Of, "draining");
--- a/Tests/Soak/SoakNotices.cpp
+++ b/Tests/Soak/SoakNotices.cpp
@@ -1,5 +1,7 @@
 #include "Soak.h"
 
+#include <utility>
+
 namespace corneldeck::tests {
 
 namespace {
@@ -20,6 +22,13 @@
   // A new start of a server ends its limit.
   if (m_Settings.m_Plant == Plant::LimitExceeded)
     return;
+  // A server that says in its responses that it leaves gets no requests, also
+  // if the list of servers does not show it.
+  if (m_Settings.m_Plant == Plant::LeavingStillUsed) {
+    if (!std::exchange(m_Planted, true))
+      startLeaving(m_Servers.front());
+    return;
+  }
   // A planted mistake must show in one run.
   const double PauseRate =
       m_Settings.m_Plant == Plant::PauseIgnored ? 0.15 : 0.08;
