Tests/Soak: find planted mistakes that only undisturbed entries show

An entry that starts anew reads the log from its beginning, which cures the planted mistake, and faults of entries excuse them from the check. The checks and their bounds are unchanged.

--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -28,7 +28,7 @@
   LeavingStillUsed,  ///< A server that leaves goes on getting work.
   AnswerOfAnother,   ///< A caller gets the answer to another request.
   LimitExceeded,     ///< A server with a rate limit gets requests 30 times.
-  NoticeIgnored, ///< A server that says that it leaves goes on getting work.
+  NoticeIgnored, ///< A server gets requests after it has said that it leaves.
   PauseIgnored,  ///< A server gets three requests before its pause is over.
   EraIgnored     ///< An older copy of the log counts as newer than itself.
 };
@@ -128,6 +128,9 @@
   void answered(const AskedPtr &Request);
   void checkBody(const Asked &Request);
   void injectFault();
+  /// Returns false if the planted mistake shows only at entries that are not
+  /// excused.
+  [[nodiscard]] bool mayDisturbEntries() const;
   void faultOfEntry();
   void faultOfServer();
   /// Lets a server leave. Invalidates references to servers.
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -8,9 +8,7 @@
 void Soak::injectFault() {
   switch (m_Draw.below(4)) {
   case 0:
-    // A pause counts only while its entry is not excused, so a planted mistake
-    // might not show in one run.
-    if (m_Settings.m_Plant != Plant::PauseIgnored)
+    if (mayDisturbEntries())
       faultOfEntry();
     return;
   case 1:
@@ -28,6 +26,18 @@
   }
 }
 
+bool Soak::mayDisturbEntries() const {
+  switch (m_Settings.m_Plant) {
+  case Plant::LeavingStillUsed:
+  case Plant::NoticeIgnored:
+  case Plant::PauseIgnored:
+  case Plant::EraIgnored:
+    return false;
+  default:
+    return true;
+  }
+}
+
 void Soak::faultOfEntry() {
   Entry &Of = m_Entries[m_Draw.below(m_Entries.size())];
   if (Of.m_RestartAt > base::Millis(0) || Of.m_ContinueAt > base::Millis(0))
