--- a/Tests/Feed/SourceSelectorTest.cpp
+++ b/Tests/Feed/SourceSelectorTest.cpp
@@ -63,7 +63,7 @@
   EXPECT_EQ(Chosen.size(), 8U);
 }
 
-// Failure: a node asked a busy source again and again, or an outdated one.
+// Failure: a node repeated its request to a busy source, or to an outdated one.
 TEST(SourceSelector, AsksAnotherSourceThanABusyOne) {
   SourceSelector Selector = selector();
   Selector.announced(Millis(0), source("n1"), at(2));
@@ -82,8 +82,8 @@
   EXPECT_NE(started(Selector, *Due), "none");
 }
 
-// Failure: a source that did not respond was asked again at once, or a node
-// waited for it although others had a newer state than its own.
+// Failure: a node repeated its request at once to a source that did not
+// respond, or waited for it although others had a newer state than its own.
 TEST(SourceSelector, AvoidsSourcesThatFailed) {
   SourceSelector Selector = selector();
   Selector.announced(Millis(0), source("n1"), at(3));
@@ -145,7 +145,7 @@
   }
 }
 
-// Failure: nobody read a log that refused all but the last node.
+// Failure: no node read a log that refused all but the last one.
 TEST(ReaderRole, AllNodesReadInTheEnd) {
   ReaderRole Last({});
   Last.update(Millis(0), {359, 359, 0, true});
