Direct: refuse before the deadline, and spread all retry-after times

Seen: callers that were refused while the queue was long, or while all servers had a low rate limit, were all given 2.5 s; those that came before the first version of the configuration, to a stopping entry, or while no server took an attempt, were all given one fixed time. They returned together. A request whose deadline was before half of its route's target latency waited in the queue until that deadline.

Cause: retryAfter() applied its bound after randomizing; the fixed times were not randomized at all; the queue did not know deadlines.

Change: randomizedRetryAfter() draws each time between one and two times its base, to which the bound applies; a request waits for at most half of the time until its deadline, and is refused at once if its turn comes later than that.

--- a/Source/Bench/ServerLimitModel.cpp
+++ b/Source/Bench/ServerLimitModel.cpp
@@ -18,6 +18,7 @@
 /// Time in which a restarted entry accepts no requests.
 constexpr Millis StartDelay(500);
 constexpr Millis TargetLatency(300);
+constexpr Millis RequestTimeout(4000);
 /// Time after a restart or a freeze in which an entry's requests are not
 /// counted.
 constexpr Millis ExcusePeriod = base::seconds(3);
@@ -309,9 +310,9 @@
     ++m_Outcomes.m_Refused;
     return;
   }
-  const Decision Result =
-      At.m_Queue->admit(Service, m_NextToken++, 0, TargetLatency,
-                        At.m_Pool->usage(Service, now()), now());
+  const Decision Result = At.m_Queue->admit(
+      Service, {m_NextToken++, 0, TargetLatency, now() + RequestTimeout},
+      At.m_Pool->usage(Service, now()), now());
   if (Result == Decision::Admit) {
     startAttempt(At);
     return;
--- a/Source/Direct/AdmissionQueue.cpp
+++ b/Source/Direct/AdmissionQueue.cpp
@@ -1,5 +1,7 @@
 #include "Direct/AdmissionQueue.h"
 
+#include "Direct/RetryAfter.h"
+
 #include <algorithm>
 
 namespace corneldeck::direct {
@@ -22,18 +24,21 @@
 }
 
 AdmissionQueue::Decision
-AdmissionQueue::admit(const std::string &Service, std::uint64_t Token,
-                      int Priority, base::Millis TargetLatency,
+AdmissionQueue::admit(const std::string &Service, const Arrival &Request,
                       const ServerPool::ServiceUsage &Usage, base::Millis Now) {
   ServiceQueue &Queue = m_Queues[Service];
   updateRate(Queue, Now);
   if (Queue.m_Waiting.empty() && hasCapacity(Usage))
     return Decision::Admit;
-  const auto Ahead = static_cast<std::size_t>(std::count_if(
-      Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
-      [Priority](const Waiting &Each) { return Each.m_Priority <= Priority; }));
+  const auto Ahead = static_cast<std::size_t>(
+      std::count_if(Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
+                    [&Request](const Waiting &Each) {
+                      return Each.m_Priority <= Request.m_Priority;
+                    }));
+  const base::Millis TimeLeft =
+      std::min(Request.m_TargetLatency, Request.m_Deadline - Now);
   double LongestWait =
-      static_cast<double>(TargetLatency.count()) * m_Settings.m_MaxWaitRatio;
+      static_cast<double>(TimeLeft.count()) * m_Settings.m_MaxWaitRatio;
   const bool TooLong =
       Queue.m_Rate > 0
           ? static_cast<double>(Ahead + 1) / Queue.m_Rate * MillisPerSecond >
@@ -47,11 +52,13 @@
     LongestWait = std::min(LongestWait,
                            static_cast<double>(m_Settings.m_TokenWait.count()));
   }
-  const auto Position = std::find_if(
-      Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
-      [Priority](const Waiting &Each) { return Each.m_Priority > Priority; });
+  const auto Position =
+      std::find_if(Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
+                   [&Request](const Waiting &Each) {
+                     return Each.m_Priority > Request.m_Priority;
+                   });
   Queue.m_Waiting.insert(
-      Position, {Token, Priority,
+      Position, {Request.m_Token, Request.m_Priority,
                  Now + base::Millis(static_cast<std::int64_t>(LongestWait))});
   return Decision::Wait;
 }
@@ -108,14 +115,15 @@
         Wait, Usage.m_LimitPerSecond > 0
                   ? MillisPerSecond / Usage.m_LimitPerSecond
                   : static_cast<double>(m_Settings.m_MaxRetryAfter.count()));
-  // Randomize over one to two times the wait, so that callers refused together
-  // do not return together.
-  Wait *= 1 + Rng.uniform();
   const base::Millis PauseRemaining =
       Usage.isUnwanted() ? Usage.m_PauseRemaining : base::Millis(0);
+  // The bound applies before the time is randomized: otherwise all times above
+  // it would be the same.
   return PauseRemaining +
-         std::min(base::Millis(static_cast<std::int64_t>(Wait)),
-                  m_Settings.m_MaxRetryAfter);
+         randomizedRetryAfter(
+             std::min(base::Millis(static_cast<std::int64_t>(Wait)),
+                      m_Settings.m_MaxRetryAfter / 2),
+             Rng);
 }
 
 std::size_t AdmissionQueue::waitingCount(const std::string &Service) const {
--- a/Source/Direct/AdmissionQueue.h
+++ b/Source/Direct/AdmissionQueue.h
@@ -18,8 +18,9 @@
   /// capacity of the service. Not above 1, because every pass of a rank group
   /// waits for its slowest rank.
   double m_MaxUtilization = 1.0;
-  /// Longest wait in the queue as a fraction of the route's target latency. The
-  /// rest is left for the server's first byte.
+  /// Longest wait in the queue as a fraction of the route's target latency, or
+  /// of the time until the request's deadline if that is shorter. The rest is
+  /// left for the server's first byte.
   double m_MaxWaitRatio = 0.5;
   /// Smoothing factor of the moving average of the completion rate; one sample
   /// covers at least one second.
@@ -44,6 +45,16 @@
 public:
   explicit AdmissionQueue(AdmissionQueueSettings Settings = {});
 
+  /// A request that has arrived.
+  struct Arrival {
+    std::uint64_t m_Token = 0;
+    /// 0 is the most urgent.
+    int m_Priority = 0;
+    /// The target latency of the route.
+    base::Millis m_TargetLatency{};
+    base::Millis m_Deadline{};
+  };
+
   /// A queued request.
   struct Waiting {
     std::uint64_t m_Token = 0;
@@ -54,13 +65,10 @@
 
   enum class Decision { Admit, Wait, Refuse };
 
-  /// Admits, queues or refuses the request \p Token.
-  /// \param Priority 0 is the most urgent.
-  /// \param TargetLatency the target latency of the route.
-  /// \param Usage the capacity of the service and its requests in flight, over
-  /// all entries.
-  Decision admit(const std::string &Service, std::uint64_t Token, int Priority,
-                 base::Millis TargetLatency,
+  /// Admits, queues or refuses a request. One whose expected wait is longer
+  /// than it may wait is refused at once. \param Usage the capacity of the
+  /// service and its requests in flight, over all entries.
+  Decision admit(const std::string &Service, const Arrival &Request,
                  const ServerPool::ServiceUsage &Usage, base::Millis Now);
 
   /// Removes a queued request whose caller has disconnected or timed out.
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -1,6 +1,7 @@
 #include "Direct/ForwardedRequest.h"
 
 #include "Base/Format.h"
+#include "Direct/RetryAfter.h"
 
 #include <algorithm>
 #include <chrono>
@@ -21,8 +22,8 @@
 constexpr base::Millis MinSilenceTimeout{400};
 /// Shortest interval between two checks for a silent attempt.
 constexpr base::Millis SilenceCheckInterval{200};
-/// Minimum retry-after time when no server was available.
-constexpr base::Millis NoServerRetryAfter{800};
+/// Shortest retry-after time when no server was available.
+constexpr base::Millis NoServerRetryAfter{600};
 
 std::string formatNumber(std::int64_t Value) { return std::to_string(Value); }
 
@@ -293,7 +294,7 @@
     sendError(Outcome == AttemptOutcome::NotRun ? base::ResultCode::Overloaded
                                                 : base::ResultCode::NoReplica,
               "no backend server accepted the request",
-              std::max(NoServerRetryAfter,
+              std::max(noServerRetryAfter(),
                        m_Forwarder.retryAfter(m_Parameters.m_Service)));
     return;
   case NextAction::Fail:
@@ -328,6 +329,11 @@
   finish(base::EventId::RequestAnswered, m_Head.m_Status, "answered");
 }
 
+base::Millis ForwardedRequest::noServerRetryAfter() const {
+  return randomizedRetryAfter(NoServerRetryAfter,
+                              m_Forwarder.m_Dependencies.m_Rng);
+}
+
 void ForwardedRequest::sendError(base::ResultCode Code,
                                  const std::string &Message,
                                  base::Millis RetryAfter) {
@@ -379,7 +385,7 @@
   if (!Active && !m_Tracker.mayHaveRun()) {
     sendError(base::ResultCode::DeadlineTooShort,
               "the deadline passed before a backend server had capacity",
-              NoServerRetryAfter);
+              noServerRetryAfter());
     return;
   }
   m_LastFailure = "the deadline has passed";
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -61,6 +61,7 @@
   /// Removes the buffered response.
   void releaseBody();
   void forwardResponse();
+  [[nodiscard]] base::Millis noServerRetryAfter() const;
   void sendError(base::ResultCode Code, const std::string &Message,
                  base::Millis RetryAfter);
   void onCallerClosed();
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -1,6 +1,7 @@
 #include "Direct/RequestForwarder.h"
 
 #include "Direct/ForwardedRequest.h"
+#include "Direct/RetryAfter.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -11,12 +12,12 @@
 
 /// Interval for processing the queues; short compared to any target latency.
 constexpr std::chrono::milliseconds QueueInterval{25};
-/// Retry-after time while this entry has no configuration. Another entry has
-/// one, and this one gets one soon.
-constexpr base::Millis NotReadyRetryAfter{300};
-/// Retry-after time while this entry stops; the caller retries at another
-/// entry.
-constexpr base::Millis StoppingRetryAfter{100};
+/// Shortest retry-after time while this entry has no configuration. Another
+/// entry has one, and this one gets one soon.
+constexpr base::Millis NotReadyRetryAfter{200};
+/// Shortest retry-after time while this entry stops; the caller retries at
+/// another entry.
+constexpr base::Millis StoppingRetryAfter{80};
 /// If no other server of a service has sent data for this long, the whole
 /// service is stalled, and a request is not moved to another server.
 constexpr base::Millis ProgressWindow{400};
@@ -89,7 +90,8 @@
   if (!m_Routes) {
     refuse(*Exchange,
            {base::ResultCode::NotReady,
-            "no configuration loaded yet; retry soon", NotReadyRetryAfter},
+            "no configuration loaded yet; retry soon",
+            randomizedRetryAfter(NotReadyRetryAfter, m_Dependencies.m_Rng)},
            Request.m_Id);
     return;
   }
@@ -136,7 +138,7 @@
     refuse(*Exchange,
            {base::ResultCode::NotReady,
             "this entry is stopping; retry at another entry",
-            StoppingRetryAfter},
+            randomizedRetryAfter(StoppingRetryAfter, m_Dependencies.m_Rng)},
            Request.m_Id);
     return;
   }
@@ -156,8 +158,10 @@
     return;
   }
   const auto Decision = m_Dependencies.m_AdmissionQueue.admit(
-      Parameters.m_Service, Parameters.m_Token, Parameters.m_Priority,
-      Found->m_TargetLatency, usage(Parameters.m_Service), Now);
+      Parameters.m_Service,
+      {Parameters.m_Token, Parameters.m_Priority, Found->m_TargetLatency,
+       Parameters.m_Deadline},
+      usage(Parameters.m_Service), Now);
   if (Decision == AdmissionQueue::Decision::Admit)
     Forwarded->start();
   else
--- a/Tests/Direct/AdmissionTest.cpp
+++ b/Tests/Direct/AdmissionTest.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr base::Millis Target{500};
+constexpr base::Millis Deadline = base::seconds(20);
 constexpr ServerPool::ServiceUsage Free{2, 10, 9};
 constexpr ServerPool::ServiceUsage Full{2, 10, 10};
 
@@ -21,13 +22,28 @@
   return Engine;
 }
 
+/// Returns the shortest and the longest retry-after time of many requests.
+std::pair<base::Millis, base::Millis>
+retryAfterRange(const AdmissionQueue &Queue,
+                const ServerPool::ServiceUsage &Usage) {
+  base::Random Rng(3);
+  base::Millis Least = base::seconds(100);
+  base::Millis Most{};
+  for (int Count = 0; Count < 100; ++Count) {
+    const base::Millis Time = Queue.retryAfter("s", Usage, Rng);
+    Least = std::min(Least, Time);
+    Most = std::max(Most, Time);
+  }
+  return {Least, Most};
+}
+
 } // namespace
 
 TEST(AdmissionQueue, AdmitsRequestsWhileThereIsCapacity) {
   AdmissionQueue Queue;
-  EXPECT_EQ(Queue.admit("s", 1, 1, Target, Free, base::seconds(1)),
+  EXPECT_EQ(Queue.admit("s", {1, 1, Target, Deadline}, Free, base::seconds(1)),
             AdmissionQueue::Decision::Admit);
-  EXPECT_EQ(Queue.admit("s", 2, 1, Target, Full, base::seconds(1)),
+  EXPECT_EQ(Queue.admit("s", {2, 1, Target, Deadline}, Full, base::seconds(1)),
             AdmissionQueue::Decision::Wait);
 }
 
@@ -35,9 +51,9 @@
 TEST(AdmissionQueue, DequeuesByPriorityThenArrival) {
   AdmissionQueue Queue;
   const base::Millis Now = base::seconds(1);
-  Queue.admit("s", 1, 2, Target, Full, Now);
-  Queue.admit("s", 2, 1, Target, Full, Now);
-  Queue.admit("s", 3, 1, Target, Full, Now);
+  Queue.admit("s", {1, 2, Target, Deadline}, Full, Now);
+  Queue.admit("s", {2, 1, Target, Deadline}, Full, Now);
+  Queue.admit("s", {3, 1, Target, Deadline}, Full, Now);
   const auto Dequeued = Queue.dequeue("s", {2, 10, 8}, Now);
   EXPECT_EQ(Dequeued.m_Admitted, (std::vector<std::uint64_t>{2, 3}));
   EXPECT_EQ(Queue.waitingCount("s"), 1U);
@@ -50,15 +66,15 @@
     for (int Count = 0; Count < 4; ++Count)
       Queue.recordCompletion("s", base::seconds(Second));
   const base::Millis Now = base::seconds(4);
-  EXPECT_EQ(Queue.admit("s", 1, 1, Target, Full, Now),
+  EXPECT_EQ(Queue.admit("s", {1, 1, Target, Deadline}, Full, Now),
             AdmissionQueue::Decision::Wait);
-  EXPECT_EQ(Queue.admit("s", 2, 1, Target, Full, Now),
+  EXPECT_EQ(Queue.admit("s", {2, 1, Target, Deadline}, Full, Now),
             AdmissionQueue::Decision::Refuse);
 }
 
 TEST(AdmissionQueue, RefusesRequestsAtTheEndOfTheirWait) {
   AdmissionQueue Queue;
-  Queue.admit("s", 1, 1, Target, Full, base::seconds(1));
+  Queue.admit("s", {1, 1, Target, Deadline}, Full, base::seconds(1));
   EXPECT_TRUE(Queue.dequeue("s", Full, base::Millis(1200)).m_TimedOut.empty());
   EXPECT_EQ(Queue.dequeue("s", Full, base::Millis(1250)).m_TimedOut,
             (std::vector<std::uint64_t>{1}));
@@ -67,26 +83,70 @@
 
 TEST(AdmissionQueue, RemovedRequestsAreNotAdmitted) {
   AdmissionQueue Queue;
-  Queue.admit("s", 1, 1, Target, Full, base::seconds(1));
+  Queue.admit("s", {1, 1, Target, Deadline}, Full, base::seconds(1));
   Queue.remove("s", 1);
   EXPECT_TRUE(Queue.dequeue("s", Free, base::seconds(1)).m_Admitted.empty());
 }
 
+// Failure: a request waited in the queue until its deadline, and was refused
+// when its caller had no time left to go elsewhere.
+TEST(AdmissionQueue, RequestsDoNotWaitUntilTheirDeadline) {
+  AdmissionQueue Queue;
+  const base::Millis Now = base::seconds(1);
+  const base::Millis Soon = Now + base::Millis(200);
+  EXPECT_EQ(Queue.admit("s", {1, 1, Target, Soon}, Full, Now),
+            AdmissionQueue::Decision::Wait);
+  EXPECT_EQ(Queue.dequeue("s", Full, Now + base::Millis(100)).m_TimedOut,
+            (std::vector<std::uint64_t>{1}));
+}
+
+// Failure: a request was queued although its deadline was before the end of its
+// expected wait.
+TEST(AdmissionQueue, RefusesRequestsWhoseDeadlineIsBeforeTheirTurn) {
+  AdmissionQueue Queue;
+  // Ten completions per second: each position in the queue adds 100 ms.
+  for (int Second = 1; Second <= 3; ++Second)
+    for (int Count = 0; Count < 10; ++Count)
+      Queue.recordCompletion("s", base::seconds(Second));
+  const base::Millis Now = base::seconds(4);
+  EXPECT_EQ(
+      Queue.admit("s", {1, 1, Target, Now + base::Millis(150)}, Full, Now),
+      AdmissionQueue::Decision::Refuse);
+  EXPECT_EQ(Queue.admit("s", {2, 1, Target, Deadline}, Full, Now),
+            AdmissionQueue::Decision::Wait);
+}
+
 // Load: many callers that are refused at the same time.
 TEST(AdmissionQueue, RandomizesRetryAfterTimes) {
   AdmissionQueue Queue;
-  base::Random Rng(3);
-  base::Millis Least = base::seconds(100);
-  base::Millis Most{};
-  for (int Count = 0; Count < 100; ++Count) {
-    const base::Millis Time = Queue.retryAfter("s", {}, Rng);
-    Least = std::min(Least, Time);
-    Most = std::max(Most, Time);
-  }
+  const auto [Least, Most] = retryAfterRange(Queue, {});
   EXPECT_GE(Least, base::Millis(400));
   EXPECT_GT(Most - Least, base::Millis(300));
 }
 
+// Failure: callers that were refused while the queue was long, or while all
+// servers had a low rate limit, were all told the longest time and returned
+// together.
+TEST(AdmissionQueue, RandomizesTheLongestRetryAfterTimes) {
+  AdmissionQueue Queue;
+  for (int Second = 1; Second <= 3; ++Second)
+    Queue.recordCompletion("s", base::seconds(Second));
+  const base::Millis Now = base::seconds(4);
+  constexpr int Waiting = 8;
+  for (std::uint64_t Token = 1; Token <= Waiting; ++Token)
+    Queue.admit("s", {Token, 1, base::seconds(100), base::seconds(100)}, Full,
+                Now);
+  ASSERT_EQ(Queue.waitingCount("s"), Waiting);
+  ServerPool::ServiceUsage Limited;
+  Limited.m_LimitedServers = 1;
+  for (const auto &[Least, Most] :
+       {retryAfterRange(Queue, Full), retryAfterRange(Queue, Limited)}) {
+    EXPECT_GE(Least, base::seconds(1));
+    EXPECT_LE(Most, base::Millis(2500));
+    EXPECT_GT(Most - Least, base::seconds(1));
+  }
+}
+
 // Load: so many streams that passes exceed the target interval.
 TEST(ConcurrencyLimiter, LongIntervalsLowerTheLimit) {
   ConcurrencyLimiter Limiter;
--- a/Tests/Platform/EntryTest.cpp
+++ b/Tests/Platform/EntryTest.cpp
@@ -1,5 +1,7 @@
 #include "EntryFixture.h"
 
+#include <set>
+
 namespace corneldeck::tests {
 
 namespace {
@@ -13,6 +15,12 @@
   return All;
 }
 
+/// Entries that run before any version of the configuration is published.
+class PlatformEntryWithoutRoutes : public PlatformEntry {
+protected:
+  PlatformEntryWithoutRoutes() { m_IsPublishedAtStart = false; }
+};
+
 bool reportsNotRun(int Status) {
   return Status == 503 || Status == 429 || Status == 408 || Status == 421;
 }
@@ -60,6 +68,20 @@
             0U);
 }
 
+// Failure: callers that came before the first version of the configuration were
+// all given the same retry-after time and returned together.
+TEST_F(PlatformEntryWithoutRoutes, RefusedCallersReturnAtDifferentTimes) {
+  std::set<std::string> Times;
+  constexpr int Callers = 20;
+  for (int Count = 0; Count < Callers; ++Count) {
+    const auto Got =
+        finish(call("GET", "/plain/a", "r" + std::to_string(Count)));
+    EXPECT_EQ(Got->m_Status, 503);
+    Times.emplace(net::findHeader(Got->m_Headers, "Retry-After"));
+  }
+  EXPECT_GT(Times.size(), Callers / 2U);
+}
+
 // For each fault of all servers but one and each type of request: a request
 // that must not run twice runs at most once, and "not run" is reported only if
 // no server ran the request.
