Direct: forget the latency of a server after 20 s without a response

Seen: an entry that had got one slow response from a server sent it nothing more while the load was low; the other servers answered, so callers saw nothing but a service with a server less.

Cause: the moving average of a latency had no age. A server that is not chosen gets no new measurement.

Change: latencies are forgotten after 20 s without a response, in the score and in the mean of the service. A server's health starts anew with a new start of it.

A decay of the latency was tried first: it still kept the server out for more than 30 s, since the score has to come within 2% of the others.

--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -35,7 +35,8 @@
     ServerState &Added = Next[Each.m_Id];
     if (const auto Old = m_States.find(Each.m_Id);
         Old != m_States.end() &&
-        Old->second.m_Server.m_Address == Each.m_Address)
+        Old->second.m_Server.m_Address == Each.m_Address &&
+        Old->second.m_Server.m_StartTime == Each.m_StartTime)
       Added = Old->second;
     Added.m_Server = Each;
     if (Each.m_WarmUpRemaining > base::Millis(0))
@@ -85,7 +86,7 @@
                          const std::vector<std::string> &Excluded,
                          base::Millis Now, base::Random &Rng) {
   dropExpiredLoads(Now);
-  const double MeanLatency = meanLatency(Service);
+  const double MeanLatency = meanLatency(Service, Now);
   const ServerState *Best = nullptr;
   const ServerState *FirstAvailable = nullptr;
   const ServerState *BestLimited = nullptr;
@@ -146,10 +147,10 @@
   double Score = (Load.m_Requests +
                   Load.m_PromptTokens / m_Settings.m_TokensPerRequest + 1) /
                  Capacity;
-  if (MeanLatency > 0 && State.m_Latency > 0)
-    Score *=
-        std::clamp(State.m_Latency / MeanLatency, m_Settings.m_MinLatencyRatio,
-                   m_Settings.m_MaxLatencyRatio);
+  const double Latency = latency(State, Now);
+  if (MeanLatency > 0 && Latency > 0)
+    Score *= std::clamp(Latency / MeanLatency, m_Settings.m_MinLatencyRatio,
+                        m_Settings.m_MaxLatencyRatio);
   Score += failureRate(State, Now) * m_Settings.m_FailurePenalty;
   if (State.m_WarmUpUntil > Now)
     Score += WarmUpPenalty;
@@ -204,10 +205,11 @@
   State.m_FailureRateTime = Now;
   if (Succeeded && Latency > base::Millis(0)) {
     const auto Measured = static_cast<double>(Latency.count());
-    State.m_Latency = State.m_Latency <= 0
-                          ? Measured
-                          : State.m_Latency + m_Settings.m_LatencySmoothing *
-                                                  (Measured - State.m_Latency);
+    const double Before = latency(State, Now);
+    State.m_Latency = Before <= 0 ? Measured
+                                  : Before + m_Settings.m_LatencySmoothing *
+                                                 (Measured - Before);
+    State.m_LatencyTime = Now;
   }
   if (Outcome == ServerOutcome::Unreachable ||
       Outcome == ServerOutcome::Silent) {
@@ -336,6 +338,12 @@
   return State.m_FailureRate * std::exp2(-std::max(0.0, Age) / HalfLife);
 }
 
+double ServerPool::latency(const Health &State, base::Millis Now) const {
+  return Now - State.m_LatencyTime <= m_Settings.m_LatencyLifetime
+             ? State.m_Latency
+             : 0;
+}
+
 ServerLoad ServerPool::load(const std::string &Id) const {
   ServerLoad Sum;
   if (const auto Local = m_LocalLoads.find(Id); Local != m_LocalLoads.end())
@@ -347,13 +355,15 @@
   return Sum;
 }
 
-double ServerPool::meanLatency(std::string_view Service) const {
+double ServerPool::meanLatency(std::string_view Service,
+                               base::Millis Now) const {
   double Sum = 0;
   unsigned Servers = 0;
   for (const ServerState *Each : serversOf(Service)) {
-    if (Each->m_Health.m_Latency <= 0)
+    const double Latency = latency(Each->m_Health, Now);
+    if (Latency <= 0)
       continue;
-    Sum += Each->m_Health.m_Latency;
+    Sum += Latency;
     ++Servers;
   }
   return Servers == 0 ? 0 : Sum / Servers;
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -84,6 +84,9 @@
   /// Bounds of the ratio of a server's latency to the mean of its service.
   double m_MinLatencyRatio = 0.5;
   double m_MaxLatencyRatio = 8;
+  /// Latencies are forgotten after this time without a response, so that a
+  /// server that was slow is tried again.
+  base::Millis m_LatencyLifetime = base::seconds(20);
   /// Load reports of other entries are ignored after this time.
   base::Millis m_LoadLifetime = base::seconds(2);
   /// Number of unprocessed prompt tokens that count as one request.
@@ -218,6 +221,7 @@
     double m_FailureRate = 0;
     base::Millis m_FailureRateTime{};
     double m_Latency = 0;
+    base::Millis m_LatencyTime{};
     base::Millis m_BackoffUntil{};
     base::Millis m_Backoff{};
     base::Millis m_WarmUpUntil{};
@@ -231,6 +235,8 @@
     base::Millis m_ReceivedAt{};
   };
 
+  /// Returns the latency of a server in milliseconds; 0 if unknown.
+  [[nodiscard]] double latency(const Health &State, base::Millis Now) const;
   /// Returns the failure rate, decayed to the time \p Now.
   [[nodiscard]] double failureRate(const Health &State, base::Millis Now) const;
   [[nodiscard]] ServerAvailability availability(const ServerState &Candidate,
@@ -249,7 +255,8 @@
   serversOf(std::string_view Service) const;
   /// Returns the mean latency of the servers of a service, in milliseconds; 0
   /// if unknown.
-  [[nodiscard]] double meanLatency(std::string_view Service) const;
+  [[nodiscard]] double meanLatency(std::string_view Service,
+                                   base::Millis Now) const;
   /// Returns the score of a server; the lowest is the best.
   [[nodiscard]] double score(const ServerState &Candidate, double MeanLatency,
                              base::Millis Now) const;
--- a/Tests/Direct/ServerPoolTest.cpp
+++ b/Tests/Direct/ServerPoolTest.cpp
@@ -72,6 +72,38 @@
   EXPECT_EQ(m_Pool.usage("s", m_Now).m_InFlight, 0U);
 }
 
+// Failure: an entry that had got one slow response from a server never used it
+// again while the load was low.
+TEST_F(ServerPoolTest, ASlowResponseIsForgottenAfterSomeTime) {
+  m_Pool.recordOutcome("s1", ServerOutcome::Served, base::Millis(800), m_Now);
+  for (const char *Id : {"s2", "s3"})
+    m_Pool.recordOutcome(Id, ServerOutcome::Served, base::Millis(5), m_Now);
+  const base::Millis End = m_Now + base::seconds(30);
+  int Used = 0;
+  for (int Count = 0; Used == 0 && m_Now < End; ++Count) {
+    const std::string Id = pick();
+    Used += Id == "s1" ? 1 : 0;
+    // It is not used at once.
+    EXPECT_TRUE(Used == 0 || Count > 50);
+    m_Pool.recordOutcome(Id, ServerOutcome::Served, base::Millis(5), m_Now);
+    m_Now += base::Millis(100);
+  }
+  EXPECT_EQ(Used, 1);
+}
+
+// Failure: a server that had started again was used as little as before its
+// start.
+TEST_F(ServerPoolTest, AServerThatStartsAgainIsNotJudgedByItsPast) {
+  for (int Count = 0; Count < 5; ++Count)
+    m_Pool.recordOutcome("s1", ServerOutcome::Failed, {}, m_Now);
+  m_Pool.recordOutcome("s1", ServerOutcome::Unreachable, {}, m_Now);
+  EXPECT_EQ(picks(30)["s1"], 0);
+  BackendServer Restarted = server("s1");
+  Restarted.m_StartTime = 2;
+  m_Pool.replaceServers({Restarted, server("s2"), server("s3")}, m_Now);
+  EXPECT_GT(picks(30)["s1"], 0);
+}
+
 // Load: prompts of very different sizes.
 TEST_F(ServerPoolTest, PromptTokensCountUntilProcessed) {
   m_Pool.attemptStarted("s1", 3000, m_Now);
