Tests/Platform: see by the only server whether entries keep it

Change: the other servers drain, so that requests reach the server as long as the entries keep it; the bounds are as before. Both tests wait until a server has had no request in three rounds instead of one before the log returns, so that all entries know of the change.

--- a/Tests/Platform/LogEraTest.cpp
+++ b/Tests/Platform/LogEraTest.cpp
@@ -25,6 +25,16 @@
     return Server.m_Received.size() - Before;
   }
 
+  /// Sends requests until no entry chooses a server any more.
+  void runUntilUnused(const StandinServer &Server) {
+    constexpr int Rounds = 3;
+    int Unused = 0;
+    runUntil([&] {
+      Unused = requestsAt(Server) == 0 ? Unused + 1 : 0;
+      return Unused == Rounds;
+    });
+  }
+
   void publishServer(const StandinServer &Server, const std::string &State,
                      int Sequence) {
     m_Store.put("keyed.servers", Server.id(), Server.record(State, Sequence));
@@ -64,7 +74,7 @@
   StandinServer &Draining = *m_Servers[0];
   m_Store.saveCopy();
   publishServer(Draining, "draining", 2);
-  runUntil([&] { return requestsAt(Draining) == 0; });
+  runUntilUnused(Draining);
   m_Store.restoreCopy();
   for (int Count = 0; Count < 10; ++Count)
     EXPECT_EQ(requestsAt(Draining), 0U);
@@ -80,8 +90,11 @@
 // its record again, or stayed in use although it no longer existed.
 TEST_F(PlatformLogEra, AServerThatTheCopyLacksIsKeptForAWhile) {
   StandinServer &Missing = *m_Servers[2];
+  // No other server can be chosen instead.
+  publishServer(*m_Servers[0], "draining", 2);
+  publishServer(*m_Servers[1], "draining", 2);
   m_Store.put("keyed.servers", Missing.id(), std::nullopt);
-  runUntil([&] { return requestsAt(Missing) == 0; });
+  runUntilUnused(Missing);
   m_Store.saveCopy();
   publishServer(Missing, "ready", 5);
   runUntil([&] { return requestsAt(Missing) > 0; });
