Tests/Soak: play rank groups with agents as processes

AgentSoak runs the agents of one group before stand-ins of their engines and of the log. Agents are killed, suspended, stopped, restarted and told to reload, in series and overlapping; the log is out, busy, slow, loses responses or returns with an older copy; engines lose orders or execute them 2 to 6 s later; popularity shifts. No pass may start with different maps; after the faults passes have to go on and maps to follow a shift.

--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -1,3 +1,4 @@
+#include "AgentSoak.h"
 #include "Soak.h"
 
 #include <boost/program_options.hpp>
@@ -22,14 +23,20 @@
     {"pause-ignored", Plant::PauseIgnored},
     {"era-ignored", Plant::EraIgnored}};
 
-/// Plays one seed. \returns whether all promises were kept.
-bool playSeed(SoakSettings Settings, const std::string &Folder) {
+const std::map<std::string, AgentPlant> AgentPlants = {
+    {"mixed-maps", AgentPlant::MixedMaps},
+    {"group-stands", AgentPlant::GroupStands}};
+
+/// Plays one seed of \p World, which is Soak or AgentSoak.
+/// \returns whether all promises were kept.
+template <typename World, typename WorldSettings>
+bool playSeed(WorldSettings Settings, const std::string &Folder) {
   const std::filesystem::path Own = std::filesystem::path(Folder) /
                                     ("seed-" + std::to_string(Settings.m_Seed));
   std::filesystem::remove_all(Own);
   std::filesystem::create_directories(Own);
   Settings.m_Folder = Own.string();
-  Soak Run(Settings);
+  World Run(Settings);
   Run.run();
   std::cout << Run.summary() << '\n';
   for (const std::string &Each : Run.violations())
@@ -47,11 +54,16 @@
   std::uint64_t Seeds = 1;
   std::int64_t Seconds = 12;
   std::string Program;
+  std::string AgentProgram;
+  std::uint32_t Ranks = 6;
   std::string Folder = "soak-logs";
   std::string Planted;
   po::options_description Options("corneldeck-soak options");
-  Options.add_options()("entry", po::value(&Program)->required(),
+  Options.add_options()("entry", po::value(&Program),
                         "the program of an entry")(
+      "agent", po::value(&AgentProgram),
+      "the program of an agent; plays a rank group instead of entries")(
+      "ranks", po::value(&Ranks), "how many ranks the group has")(
       "seed", po::value(&First), "the first seed")("seeds", po::value(&Seeds),
                                                    "how many seeds to play")(
       "seconds", po::value(&Seconds),
@@ -60,6 +72,7 @@
       "plant", po::value(&Planted),
       "a mistake that must be found")("help", "print this text and exit");
   SoakSettings Settings;
+  AgentSoakSettings AgentSettings;
   try {
     po::variables_map Values;
     po::store(po::parse_command_line(Count, Words, Options), Values);
@@ -68,8 +81,12 @@
       return 0;
     }
     po::notify(Values);
-    if (!Planted.empty())
+    if (Program.empty() == AgentProgram.empty())
+      throw std::invalid_argument("either --entry or --agent is required");
+    if (!Planted.empty() && !Program.empty())
       Settings.m_Plant = Plants.at(Planted);
+    if (!Planted.empty() && !AgentProgram.empty())
+      AgentSettings.m_Plant = AgentPlants.at(Planted);
   } catch (const std::exception &Problem) {
     std::cerr << "corneldeck-soak: " << Problem.what() << "; see --help\n";
     return 2;
@@ -77,10 +94,17 @@
   std::signal(SIGPIPE, SIG_IGN);
   Settings.m_EntryProgram = Program;
   Settings.m_Length = base::seconds(Seconds);
+  AgentSettings.m_AgentProgram = AgentProgram;
+  AgentSettings.m_Length = base::seconds(Seconds);
+  AgentSettings.m_Ranks = Ranks;
   std::uint64_t Broken = 0;
   for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
     Settings.m_Seed = Seed;
-    Broken += playSeed(Settings, Folder) ? 0 : 1;
+    AgentSettings.m_Seed = Seed;
+    const bool IsKept = AgentProgram.empty()
+                            ? playSeed<Soak>(Settings, Folder)
+                            : playSeed<AgentSoak>(AgentSettings, Folder);
+    Broken += IsKept ? 0 : 1;
   }
   std::cout << Seeds << " seeds, " << Broken << " broken\n";
   return Broken == 0 ? 0 : 1;
