Bench: fault matrix and fuzz of a log that returns with an older copy

LogEraFuzzTest had the only schedules of such a log, and no row or shrunk schedule said which case breaks.

--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -35,6 +35,7 @@
   All.push_back(feedSpreadPromise());
   All.push_back(leasesPromise());
   All.push_back(limitsPromise());
+  All.push_back(logEraPromise());
   All.push_back(serverLimitsPromise());
   All.push_back(serverNoticesPromise());
   All.push_back(mapSwitchPromise());
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -24,6 +24,7 @@
 Promise feedSpreadPromise();
 Scenario controlCostScenario();
 Promise limitsPromise();
+Promise logEraPromise();
 Promise retriesPromise();
 Scenario pathScenario();
 Scenario retriesScenario();
