--- a/Source/Direct/AdmissionQueue.h
+++ b/Source/Direct/AdmissionQueue.h
@@ -65,9 +65,10 @@
 
   enum class Decision { Admit, Wait, Refuse };
 
-  /// Admits, queues or refuses a request. One whose expected wait is longer
-  /// than it may wait is refused at once. \param Usage the capacity of the
-  /// service and its requests in flight, over all entries.
+  /// Admits, queues or refuses a request. It is refused at once if its expected
+  /// wait is longer than it may wait.
+  /// \param Usage the capacity of the service and its requests in flight, over
+  /// all entries.
   Decision admit(const std::string &Service, const Arrival &Request,
                  const ServerPool::ServiceUsage &Usage, base::Millis Now);
 
--- a/Tests/Direct/AdmissionTest.cpp
+++ b/Tests/Direct/AdmissionTest.cpp
@@ -125,8 +125,8 @@
 }
 
 // Failure: callers that were refused while the queue was long, or while all
-// servers had a low rate limit, were all told the longest time and returned
-// together.
+// servers had a low rate limit, all got the longest retry-after time and
+// returned together.
 TEST(AdmissionQueue, RandomizesTheLongestRetryAfterTimes) {
   AdmissionQueue Queue;
   for (int Second = 1; Second <= 3; ++Second)
