--- a/Tests/Soak/AgentSoak.cpp
+++ b/Tests/Soak/AgentSoak.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr Millis FaultInterval{300};
-/// Time after which a successor of a planner that is lost has to have released
-/// a held step, and the time in which maps have to follow the popularity.
+/// The users' bound of the recovery of a large deployment; maps have to follow
+/// the popularity in this time.
 constexpr Millis RecoveryBound = base::seconds(15);
 /// Longest time between two passes of a group without faults.
 constexpr Millis PassBound = base::seconds(2);
@@ -123,7 +123,6 @@
   switch (m_Draw.below(5)) {
   case 0:
   case 1:
-    // Overlapping faults of several agents are the rule.
     for (std::uint64_t Count = 1 + m_Draw.below(2); Count > 0; --Count)
       faultOfAgent(m_Agents[m_Draw.below(m_Agents.size())]);
     return;
