Tests/Platform: give requests to endless servers time under the sanitizers

Cause: 20 requests read up to 8 MiB each from servers that send without end, all in one thread with these servers; instrumented, that takes 2.6 to 6 s, and the routes of the fixture end after 4 s. The test timed the machine.

Change: routes and callers of this test have 30 s. Its checks and the bound of 24 MiB are as before; bytes that are read until the deadline still exceed the bound.

Ruled out: load alone, since it failed on a quiet machine too.

--- a/Tests/Platform/EndlessResponseTest.cpp
+++ b/Tests/Platform/EndlessResponseTest.cpp
@@ -9,6 +9,12 @@
 /// Entries before servers that send bytes without end.
 class EndlessResponse : public PlatformEntry {
 protected:
+  /// Reading up to the bounds takes some seconds under the sanitizers.
+  EndlessResponse() {
+    m_RouteTimeout = base::seconds(30);
+    m_CallerDeadline = base::seconds(30);
+  }
+
   std::size_t endlessBytes() {
     std::size_t Sum = 0;
     for (const auto &Each : m_Servers)
--- a/Tests/Platform/EntryFixture.cpp
+++ b/Tests/Platform/EntryFixture.cpp
@@ -114,6 +114,8 @@
       Prefix += std::to_string(Names.below(std::uint64_t{1} << 62U));
     Routes.push_back(route(Prefix + "/", "idempotent", "svc"));
   }
+  for (json &Each : Routes)
+    Each["timeout-ms"] = m_RouteTimeout.count();
   json Service = {{"name", "svc"}, {"max-connections", 50}};
   if (m_HasEngines) {
     Service["engine"] = {{"capacity", 8},     {"step_ms", 1.0},
@@ -155,12 +157,13 @@
   Call.m_Host = "x.example";
   Call.m_Headers = std::move(Extra);
   Call.m_Headers.push_back({"Attempt-Id", Id});
-  Call.m_Headers.push_back({"Deadline-Ms", "8000"});
+  Call.m_Headers.push_back(
+      {"Deadline-Ms", std::to_string(m_CallerDeadline.count())});
   if (!Key.empty())
     Call.m_Headers.push_back({"Authorization", "Token " + Key});
   if (Method == "POST")
     Call.m_Body = "request " + Id;
-  Call.m_Timeout = base::seconds(20);
+  Call.m_Timeout = m_CallerDeadline + base::seconds(12);
   auto Got = std::make_shared<Answer>();
   net::HttpCallbacks Hooks;
   Hooks.m_OnHead = [Got](const net::HttpResponseHead &Head) {
--- a/Tests/Platform/EntryFixture.h
+++ b/Tests/Platform/EntryFixture.h
@@ -86,6 +86,9 @@
   bool m_HasEngines = false;
   /// Whether the first version is published before the entries start.
   bool m_IsPublishedAtStart = true;
+  /// Timeout of the routes, and the deadline that callers set.
+  base::Millis m_RouteTimeout{4000};
+  base::Millis m_CallerDeadline{8000};
   /// Bandwidth of the entries' links in bytes per second; unlimited if zero.
   double m_LinkRate = 0;
   boost::asio::io_context m_Loop{1};
