RankAgent: get the properties of engines from entries, not from the whole configuration

Seen: in a rank group whose planner was elected beside a large configuration, or whose log failed right after the election, no agent planned: maps stayed as they were and streams late.

Cause: an elected agent read the whole configuration from the log for six numbers of its engines, over a link of 8 Mbit/s, and only then made itself known. The others wait 1.2 s for a planner and then claim the group themselves, whatever the size of the configuration. A read that failed was not repeated at all.

Change: entries respond to /engines?service=NAME with these numbers alone. EngineProfileReader asks one of its own zone, then others, and reads the log as well if no entry is known or three have failed, until one of them succeeds or a later term is known. event=1427 engine-profile-read names the source. EngineServers moved from Tests/Soak to Tests/Platform, unchanged.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -106,6 +106,8 @@
               "some time, or this has ended."},
     EventInfo{EventId::LogEraChanged, "log-era-changed",
               "The log has returned with an older copy of its records."},
+    EventInfo{EventId::EngineProfileRead, "engine-profile-read",
+              "An elected planner has the properties of its engines."},
     EventInfo{EventId::DependencyLost, "dependency-lost",
               "A dependency of the process does not respond."},
     EventInfo{EventId::DependencyBack, "dependency-back",
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -63,6 +63,7 @@
   FeedFetched = 1424,
   ServerNoticed = 1425,
   LogEraChanged = 1426,
+  EngineProfileRead = 1427,
   DependencyLost = 1430,
   DependencyBack = 1431,
   // Leases: 1500.
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/GatewayNode.h"
 
+#include "Net/RequestTarget.h"
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <chrono>
@@ -18,6 +20,10 @@
 /// entries.
 constexpr base::Millis MinStopDuration{5000};
 constexpr std::string_view FeedsPath = "/feeds/";
+constexpr std::string_view EnginesPath = "/engines?";
+constexpr int Ok = 200;
+constexpr int NotFound = 404;
+constexpr int Unavailable = 503;
 /// Number of entries to which an entry announces a state that it has fetched.
 constexpr std::size_t NewsFanout = 16;
 
@@ -362,8 +368,6 @@
 
 void GatewayNode::handlePeerRequest(
     const std::shared_ptr<net::HttpExchange> &Exchange) {
-  constexpr int Ok = 200;
-  constexpr int NotFound = 404;
   const std::string_view Target = Exchange->target();
   if (Target.starts_with(FeedsPath)) {
     const std::string_view Name =
@@ -374,6 +378,10 @@
         return;
       }
   }
+  if (Target.starts_with(EnginesPath)) {
+    sendEngineProfile(Exchange);
+    return;
+  }
   if (Target == "/metrics") {
     Exchange->respond(Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                       m_Metrics.expose());
@@ -382,6 +390,36 @@
   Exchange->respond(NotFound, {}, "not found; see /metrics\n");
 }
 
+void GatewayNode::sendEngineProfile(
+    const std::shared_ptr<net::HttpExchange> &Exchange) const {
+  const direct::RouteTable *Routes = m_Forwarder.routes();
+  if (!Routes) {
+    Exchange->respond(Unavailable, {}, "no configuration yet\n");
+    return;
+  }
+  const std::string Name = net::RequestTarget(Exchange->target())
+                               .text("service")
+                               .value_or(std::string());
+  const direct::Service *Service = Routes->configuration().findService(Name);
+  if (!Service || !Service->m_Engine || Service->m_Engine->m_LayerSets == 0) {
+    Exchange->respond(NotFound, {},
+                      "service \"" + Name +
+                          "\" is unknown or has no engine with experts\n");
+    return;
+  }
+  const direct::EngineProfile &Profile = *Service->m_Engine;
+  wire::EngineNews News;
+  News.set_layer_sets(Profile.m_LayerSets);
+  News.set_experts(Profile.m_Experts);
+  News.set_slots_per_set(Profile.m_SlotsPerSet);
+  News.set_max_new_experts(Profile.m_MaxNewExperts);
+  News.set_expert_megabytes(Profile.m_ExpertMegabytes);
+  News.set_copy_megabits_per_second(Profile.m_CopyMegabitsPerSecond);
+  News.set_version(Routes->configuration().m_Version);
+  Exchange->respond(Ok, {{"Content-Type", "application/x-protobuf"}},
+                    News.SerializeAsString());
+}
+
 void GatewayNode::beginStop(std::function<void()> Done) {
   if (m_Stopping)
     return;
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -93,6 +93,9 @@
   [[nodiscard]] SharedFeed::Hooks feedHooks(std::function<void()> Changed);
   void serversChanged();
   void handlePeerRequest(const std::shared_ptr<net::HttpExchange> &Exchange);
+  /// Responds with what the planner of a rank group has to know of its engines.
+  void
+  sendEngineProfile(const std::shared_ptr<net::HttpExchange> &Exchange) const;
   void fillHeartbeat(wire::FleetBeat &Beat) const;
   void handleHeartbeat(const wire::FleetBeat &Beat);
   void handleAgentHeartbeat(const wire::FleetBeat &Beat);
--- a/Source/RankAgent/RankAgentNode.cpp
+++ b/Source/RankAgent/RankAgentNode.cpp
@@ -14,16 +14,33 @@
 constexpr base::Millis AnnounceInterval{500};
 constexpr int HttpOk = 200;
 
+net::HttpClientOptions entryClientOptions() {
+  net::HttpClientOptions Options;
+  Options.m_ConnectTimeout = base::Millis(300);
+  // The next request is that of another election.
+  Options.m_MaxIdleConnectionsPerAddress = 0;
+  return Options;
+}
+
+EngineProfileReaderSettings
+profileReaderSettings(const RankAgentSettings &Settings) {
+  EngineProfileReaderSettings Reader;
+  Reader.m_Service = Settings.m_Service;
+  Reader.m_Zone = Settings.m_Fleet.m_Zone;
+  Reader.m_Seed = Settings.m_Fleet.m_Incarnation ^
+                  std::hash<std::string>()(Settings.m_Fleet.m_Node);
+  return Reader;
+}
+
 } // namespace
 
 RankAgentNode::RankAgentNode(boost::asio::io_context &Context,
                              RankAgentSettings Settings,
                              const feed::KeyedLogClient &Log,
                              rankgroup::EnginePort Engine,
-                             ReadConfiguration Reader, base::Timeline &Events,
-                             metrics::Registry &Metrics)
-    : m_Settings(std::move(Settings)), m_ReadConfiguration(std::move(Reader)),
-      m_Events(Events), m_Metrics(Metrics),
+                             EngineProfileReader::ReadConfiguration Reader,
+                             base::Timeline &Events, metrics::Registry &Metrics)
+    : m_Settings(std::move(Settings)), m_Events(Events), m_Metrics(Metrics),
       m_Agent({.m_Address = m_Settings.m_Fleet.m_PeerAddress,
                .m_Zone = m_Settings.m_Fleet.m_Zone,
                .m_Collector = {}},
@@ -42,6 +59,13 @@
                {},
                {},
                {}}),
+      m_EntryClient(Context, entryClientOptions()),
+      m_ProfileReader(
+          Context, m_EntryClient, profileReaderSettings(m_Settings), Events,
+          {[this] { return m_Fleet.liveEntries(); }, std::move(Reader),
+           [this](const direct::EngineProfile &Profile) {
+             startPlanner(Profile);
+           }}),
       m_MetricsServer(
           Context, {},
           [this](const std::shared_ptr<net::HttpExchange> &Exchange) {
@@ -97,6 +121,8 @@
   m_Agent.tick();
   const base::Millis Now = m_Clock.now();
   const rankgroup::RankDriver &Driver = m_Agent.driver();
+  if (m_ProfileReader.isActive() && Driver.term() > m_ElectedTerm)
+    m_ProfileReader.cancel();
   if (!m_Agent.planner()) {
     if (const auto &Engine = Driver.engineState();
         Engine && !Engine->m_Group.empty())
@@ -141,26 +167,11 @@
 }
 
 void RankAgentNode::onElected(std::uint64_t Term) {
-  m_ReadConfiguration(
-      [this, Term](const base::Result<direct::Configuration> &Published) {
-        startPlanner(Term, Published);
-      });
+  m_ElectedTerm = Term;
+  m_ProfileReader.start();
 }
 
-void RankAgentNode::startPlanner(
-    std::uint64_t Term, const base::Result<direct::Configuration> &Published) {
-  const direct::Service *Service =
-      Published ? Published->findService(m_Settings.m_Service) : nullptr;
-  if (!Service || !Service->m_Engine || Service->m_Engine->m_LayerSets == 0) {
-    m_Events.record(
-        base::EventId::RecordUnreadable,
-        {{"feed", "configuration"},
-         {"service", m_Settings.m_Service},
-         {"why", Published ? "the service has no engine with experts"
-                           : Published.error().m_Message}});
-    return;
-  }
-  const direct::EngineProfile &Profile = *Service->m_Engine;
+void RankAgentNode::startPlanner(const direct::EngineProfile &Profile) {
   rankgroup::PlannerSettings Settings;
   Settings.m_LayerSets = Profile.m_LayerSets;
   Settings.m_Experts = Profile.m_Experts;
@@ -168,7 +179,7 @@
   Settings.m_Placement.m_MaxNewPerRank = Profile.m_MaxNewExperts;
   Settings.m_CopyTime = Profile.copyTime();
   Settings.m_Traffic = m_Settings.m_Traffic;
-  m_Agent.startPlanner(Term, Settings);
+  m_Agent.startPlanner(m_ElectedTerm, Settings);
 }
 
 void RankAgentNode::announcePlanner() {
--- a/Source/RankAgent/RankAgentNode.h
+++ b/Source/RankAgent/RankAgentNode.h
@@ -1,10 +1,10 @@
 #ifndef CORNELDECK_RANKAGENT_RANKAGENTNODE_H
 #define CORNELDECK_RANKAGENT_RANKAGENTNODE_H
 
-#include "Direct/Configuration.h"
 #include "Fleet/FleetNode.h"
 #include "Metrics/Registry.h"
 #include "Net/HttpServer.h"
+#include "RankAgent/EngineProfileReader.h"
 #include "RankAgent/GroupAgent.h"
 #include "RankAgent/PlannerElection.h"
 
@@ -25,15 +25,10 @@
 /// the election of the planner.
 class RankAgentNode {
 public:
-  /// Reads the published configuration, which contains the numbers of layer
-  /// sets, experts and slots.
-  using ReadConfiguration = std::function<void(
-      std::function<void(base::Result<direct::Configuration>)>)>;
-
   RankAgentNode(boost::asio::io_context &Context, RankAgentSettings Settings,
                 const feed::KeyedLogClient &Log, rankgroup::EnginePort Engine,
-                ReadConfiguration Reader, base::Timeline &Events,
-                metrics::Registry &Metrics);
+                EngineProfileReader::ReadConfiguration Reader,
+                base::Timeline &Events, metrics::Registry &Metrics);
 
   base::Result<void> start();
   void beginStop(const std::function<void()> &Done);
@@ -44,18 +39,21 @@
   void wakeAt(base::Millis Time);
   void fillBeat(wire::FleetBeat &Beat) const;
   void onElected(std::uint64_t Term);
-  void startPlanner(std::uint64_t Term,
-                    const base::Result<direct::Configuration> &Published);
+  /// Starts the planner for which this node was elected.
+  void startPlanner(const direct::EngineProfile &Profile);
   void announcePlanner();
 
   const RankAgentSettings m_Settings;
-  const ReadConfiguration m_ReadConfiguration;
   base::Timeline &m_Events;
   metrics::Registry &m_Metrics;
   const base::Clock m_Clock = base::steadyClock();
   GroupAgent m_Agent;
   PlannerElection m_Election;
+  /// Term of the last election of this node.
+  std::uint64_t m_ElectedTerm = 0;
   fleet::FleetNode m_Fleet;
+  net::HttpClient m_EntryClient;
+  EngineProfileReader m_ProfileReader;
   net::HttpServer m_MetricsServer;
   boost::asio::steady_timer m_Timer;
   /// Expires when the agent has a report to send.
--- a/Tests/Platform/EntryFixture.cpp
+++ b/Tests/Platform/EntryFixture.cpp
@@ -121,6 +121,13 @@
     Service["engine"] = {{"capacity", 8},     {"step_ms", 1.0},
                          {"per_seq_ms", 0.1}, {"stride", 4},
                          {"form_ms", 2000},   {"read_per_s", 100000}};
+    if (m_Group.m_Ranks > 0)
+      Service["engine"].update({{"layer-sets", m_Group.m_Sets},
+                                {"experts", m_Group.m_Experts},
+                                {"placements", m_Group.m_SlotsPerRank},
+                                {"reserve", m_Group.m_MaxNewPerRank},
+                                {"expert-mb", 300.0},
+                                {"bandwidth-mbps", 180000.0}});
     for (json &Each : Routes)
       if (Each["type"] == "streaming")
         Each["itl-target-ms"] = 150;
--- a/Tests/Platform/EntryFixture.h
+++ b/Tests/Platform/EntryFixture.h
@@ -1,6 +1,7 @@
 #ifndef CORNELDECK_TESTS_PLATFORM_ENTRYFIXTURE_H
 #define CORNELDECK_TESTS_PLATFORM_ENTRYFIXTURE_H
 
+#include "EngineServers.h"
 #include "LinkNetwork.h"
 #include "StandinServer.h"
 #include "StandinStore.h"
@@ -84,6 +85,8 @@
   /// Whether the service runs on engines, whose servers are the ranks of a
   /// group.
   bool m_HasEngines = false;
+  /// Dimensions of that group; without a rank, its engines have no experts.
+  GroupShape m_Group;
   /// Whether the first version is published before the entries start.
   bool m_IsPublishedAtStart = true;
   /// Timeout of the routes, and the deadline that callers set.
--- a/Tests/Soak/AgentSoak.h
+++ b/Tests/Soak/AgentSoak.h
@@ -4,7 +4,7 @@
 #include "Base/Clock.h"
 #include "Base/Random.h"
 #include "ChildProcess.h"
-#include "EngineServers.h"
+#include "Platform/EngineServers.h"
 #include "Platform/StandinStore.h"
 
 #include <memory>
