Net: do not reuse idle connections that are likely silent

Seen: in a test, after three open connections had gone silent, each of three requests timed out although new connections worked.

Cause: a request that timed out closed its own connection only; the next one took another idle connection of the same age.

Change: if a request times out on a reused connection without any byte, connections to its address that have been idle since before it was sent are closed.

Evidence: HttpClientTest.OneTimeoutShowsThatIdleConnectionsAreSilent failed before and passes now. Ruled out: doing the same when a caller cancels a request, which says nothing about the connection.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -71,6 +71,18 @@
   Connections.push_back(Connection);
 }
 
+void HttpConnectionPool::closeIdle(const std::string &Address,
+                                   base::Millis Time) {
+  const auto Found = m_Idle.find(Address);
+  if (Found == m_Idle.end())
+    return;
+  // Closing a connection removes it from the map.
+  const auto Connections = Found->second;
+  for (const auto &Each : Connections)
+    if (Each->m_IdleSince < Time)
+      Each->close();
+}
+
 void HttpConnectionPool::remove(
     const std::shared_ptr<HttpClientConnection> &Connection) {
   m_Connections.erase(Connection);
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -100,7 +100,9 @@
 /// it uses one io_context that a single thread runs.
 ///
 /// A request is never sent twice. It is moved to a new connection only if the
-/// reused one turns out to be closed before any byte was written.
+/// reused one turns out to be closed before any byte was written. If a request
+/// times out on a reused connection without any byte, other connections to its
+/// address that have been idle since before are not reused either.
 class HttpClient {
 public:
   /// A complete response.
--- a/Source/Net/HttpClientConnection.cpp
+++ b/Source/Net/HttpClientConnection.cpp
@@ -377,6 +377,10 @@
     armTimer();
     return;
   }
+  // A connection may go silent without being closed. Those that were not used
+  // since may be silent too, and each would cost another timeout.
+  if (const auto Pool = m_Pool.lock(); Pool && isSilent())
+    Pool->closeIdle(m_Address, m_StartedAt);
   fail(base::ResultCode::Timeout,
        Late ? m_Address + " did not respond before the request timeout"
             : m_Address + " sent no data within the read timeout");
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -39,6 +39,9 @@
   void startOnNewConnection(const std::shared_ptr<InFlightCall> &Call);
   /// Keeps a connection for reuse; closes it if there are enough idle ones.
   void addIdle(const std::shared_ptr<HttpClientConnection> &Connection);
+  /// Closes the connections to \p Address that have been idle since before
+  /// \p Time.
+  void closeIdle(const std::string &Address, base::Millis Time);
   void remove(const std::shared_ptr<HttpClientConnection> &Connection);
   void stop();
 
@@ -100,6 +103,11 @@
   void onPeerClosed(const boost::system::error_code &Why);
   void armTimer();
   void onTimer();
+  /// Returns whether nothing was received since the request was sent on a
+  /// connection that had been used before.
+  [[nodiscard]] bool isSilent() const {
+    return m_Reused && m_LastReadAt == m_StartedAt;
+  }
   void succeed();
   void fail(base::ResultCode Code, const std::string &Message);
   void failAfterSending(const std::string &Message);
--- a/Tests/Net/HttpClientTest.cpp
+++ b/Tests/Net/HttpClientTest.cpp
@@ -1,5 +1,9 @@
 #include "Net/HttpFixture.h"
 
+#include <chrono>
+#include <set>
+#include <vector>
+
 namespace corneldeck::net {
 
 namespace {
@@ -143,6 +147,37 @@
   EXPECT_EQ(m_Requests, 2);
 }
 
+// Failure: open connections had gone silent, and each of them cost a timeout
+// although new ones worked.
+TEST_F(HttpClientTest, OneTimeoutShowsThatIdleConnectionsAreSilent) {
+  constexpr int Connections = 3;
+  std::vector<std::shared_ptr<HttpExchange>> Exchanges;
+  std::set<std::string> SilentCallers;
+  serve([&](const std::shared_ptr<HttpExchange> &Exchange) {
+    Exchanges.push_back(Exchange);
+    if (SilentCallers.contains(Exchange->remoteAddress()))
+      return;
+    if (Exchanges.size() > Connections)
+      Exchange->respond(200, {}, "ok");
+  });
+  int Responses = 0;
+  for (int Count = 0; Count < Connections; ++Count)
+    m_Client.get(m_Address, "/", base::seconds(10),
+                 [&Responses](const auto &) { ++Responses; });
+  runUntil([&] { return Exchanges.size() == Connections; });
+  for (const auto &Each : Exchanges) {
+    Each->respond(200, {}, "ok");
+    SilentCallers.insert(Each->remoteAddress());
+  }
+  runUntil([&] { return Responses == Connections; });
+  // Idle times are in milliseconds.
+  m_Context.run_for(std::chrono::milliseconds(5));
+  HttpCall Call;
+  Call.m_ReadTimeout = base::Millis(50);
+  EXPECT_EQ(codeOf(Call), base::ResultCode::Timeout);
+  EXPECT_EQ(codeOf(Call), base::ResultCode::Ok);
+}
+
 TEST_F(HttpClientTest, SkipsInterimResponses) {
   listenRaw();
   respondOnce("HTTP/1.1 103 Early Hints\r\n\r\n"
