--- a/Tests/Platform/FeedSpreadTest.cpp
+++ b/Tests/Platform/FeedSpreadTest.cpp
@@ -90,6 +90,20 @@
         << Entry;
 }
 
+// Failure: entries sent requests on open connections that had gone silent, and
+// waited for the timeout at one source after the other.
+TEST_F(FeedSpread, AVersionIsNotRequestedOnSilentConnections) {
+  constexpr int Versions = 8;
+  for (int Version = 2; Version < 2 + Versions; ++Version) {
+    publish(Version);
+    runUntilInForce(Version);
+  }
+  m_Links->silenceOpenConnections();
+  publish(2 + Versions);
+  runUntilInForce(2 + Versions);
+  EXPECT_EQ(m_Links->silencedBytes(), 0U);
+}
+
 // Failure: a read of the log ended after a fixed time and was repeated in full,
 // so that no entry got a large version from a slow log.
 TEST_F(FeedSpread, AVersionIsReadFromASlowLog) {
--- a/Tests/Platform/LinkNetwork.cpp
+++ b/Tests/Platform/LinkNetwork.cpp
@@ -104,6 +104,10 @@
   /// A piece occupies a link for a short time, so that transfers share it.
   using Buffer = std::array<char, 2048>;
 
+  [[nodiscard]] bool isSilent() const {
+    return m_SilencedBefore != m_Network.m_Silenced;
+  }
+
   void reset() {
     boost::system::error_code Ignored;
     for (tcp::socket *Each : {&m_Caller, &m_Node}) {
@@ -119,6 +123,8 @@
          Limited](const boost::system::error_code &Code, std::size_t Count) {
           if (Code)
             reset();
+          else if (isSilent())
+            discard(From, To, Bytes, Count, Limited);
           else if (Limited)
             sendLater(From, To, Bytes, Count);
           else
@@ -126,6 +132,13 @@
         });
   }
 
+  void discard(tcp::socket &From, tcp::socket &To, Buffer &Bytes,
+               std::size_t Count, bool Limited) {
+    if (&From == &m_Caller)
+      m_Network.m_SilencedBytes += Count;
+    pass(From, To, Bytes, Limited);
+  }
+
   void sendLater(tcp::socket &From, tcp::socket &To, Buffer &Bytes,
                  std::size_t Count) {
     m_Network.m_SentBytes += Count;
@@ -164,6 +177,8 @@
 
   LinkNetwork &m_Network;
   Link &m_Link;
+  /// Value of LinkNetwork::m_Silenced when the connection was opened.
+  const unsigned m_SilencedBefore = m_Network.m_Silenced;
   tcp::socket m_Caller;
   tcp::socket m_Node;
   asio::steady_timer m_Timer;
--- a/Tests/Platform/LinkNetwork.h
+++ b/Tests/Platform/LinkNetwork.h
@@ -34,6 +34,13 @@
   /// Stops (or resumes) the transfer of all bytes that a node sends over TCP.
   void stall(const std::string &Node, bool Stalled);
 
+  /// Stops all bytes of the connections that are open now, without closing
+  /// them. Later connections work.
+  void silenceOpenConnections() { ++m_Silenced; }
+  /// Returns the number of bytes of requests that were sent on connections
+  /// after these had been silenced.
+  [[nodiscard]] std::uint64_t silencedBytes() const { return m_SilencedBytes; }
+
 private:
   class Link;
   class Connection;
@@ -46,6 +53,9 @@
   const double m_BytesPerSecond;
   std::map<std::string, std::shared_ptr<Link>> m_Links;
   std::uint64_t m_SentBytes = 0;
+  /// Number of calls of silenceOpenConnections().
+  unsigned m_Silenced = 0;
+  std::uint64_t m_SilencedBytes = 0;
 };
 
 } // namespace corneldeck::tests
