Direct: repeat a request on a new connection if its server was silent

Seen: in a test, after the open connections to three servers had gone silent, a request that may be repeated got 504 after 4.0 s: its three attempts were sent on three silent connections, while new ones worked.

Cause: an attempt that is moved to another server took an idle connection there, of the same age as the first one. Only the connection that was used was closed.

Change: after a silent attempt, further ones of the request are sent on new connections, and idle connections to that server from before the attempt are closed; so they are at the deadline of a request.

Evidence: PlatformEntry.ARequestOnASilentConnectionIsRepeatedOnANewOne failed before, passes now in 0.8 s.

--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -117,6 +117,7 @@
   Call.m_Headers = m_Forwarder.m_Codec.m_EncodeRequest(*m_Exchange, Metadata);
   Call.m_Body = m_Body;
   Call.m_Timeout = base::Millis(0);
+  Call.m_NeedsNewConnection = m_WasSilent;
 
   const auto Self = shared_from_this();
   net::HttpCallbacks Hooks;
@@ -367,7 +368,7 @@
 }
 
 void ForwardedRequest::deadlineReached() {
-  m_Cancel.cancel();
+  m_Cancel.cancelOverdue();
   m_Forwarder.m_Dependencies.m_AdmissionQueue.remove(m_Parameters.m_Service,
                                                      m_Parameters.m_Token);
   const bool Active = m_AttemptActive;
@@ -439,7 +440,8 @@
        m_Forwarder.hasOtherProgress(m_Parameters.m_Service, m_Server));
   if (MayMove && m_Forwarder.m_Dependencies.m_RetryBudget.tryAcquire(
                      m_Parameters.m_Service, now())) {
-    m_Cancel.cancel();
+    m_Cancel.cancelOverdue();
+    m_WasSilent = true;
     m_LastFailure = "silent";
     releaseAttempt(AttemptOutcome::Silent);
     perform(m_Tracker.attemptEnded(AttemptOutcome::Silent, now(),
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -101,6 +101,9 @@
   bool m_Queued = true;
   base::Millis m_AdmittedAt{};
   std::string m_LastFailure;
+  /// Whether a server did not respond in time. Idle connections to the others
+  /// may have gone silent as well.
+  bool m_WasSilent = false;
 };
 
 } // namespace corneldeck::direct
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -24,7 +24,10 @@
 void HttpConnectionPool::start(const std::shared_ptr<InFlightCall> &Call) {
   if (Call->m_Ended || m_Stopped)
     return;
-  if (const auto Connection = takeIdle(Call->m_Request.m_Address))
+  const auto Connection = Call->m_Request.m_NeedsNewConnection
+                              ? nullptr
+                              : takeIdle(Call->m_Request.m_Address);
+  if (Connection)
     Connection->run(Call);
   else
     startOnNewConnection(Call);
@@ -115,6 +118,13 @@
     Connection->close();
 }
 
+void HttpCallHandle::cancelOverdue() {
+  if (const auto Call = m_Call.lock(); Call && !Call->m_Ended)
+    if (const auto Connection = Call->m_Connection.lock())
+      Connection->closeOthersIfSilent();
+  cancel();
+}
+
 HttpClient::HttpClient(asio::io_context &Context, HttpClientOptions Options)
     : m_Pool(std::make_shared<detail::HttpConnectionPool>(Context, Options)) {}
 
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -29,6 +29,8 @@
   base::Millis m_Timeout = base::seconds(10);
   /// Maximum time without a received byte; zero for no limit.
   base::Millis m_ReadTimeout{};
+  /// Whether the request must not be sent on an idle connection.
+  bool m_NeedsNewConnection = false;
   /// Called by fetch() with each piece of the body of a response with status
   /// 200; optional.
   std::function<void()> m_OnProgress;
@@ -92,6 +94,10 @@
   /// request has ended.
   void cancel();
 
+  /// The same for a request whose response takes too long. Has the effect of a
+  /// timeout on idle connections, see HttpClient.
+  void cancelOverdue();
+
 private:
   std::weak_ptr<detail::InFlightCall> m_Call;
 };
--- a/Source/Net/HttpClientConnection.cpp
+++ b/Source/Net/HttpClientConnection.cpp
@@ -122,6 +122,12 @@
   return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void HttpClientConnection::closeOthersIfSilent() {
+  const auto Pool = m_Pool.lock();
+  if (Pool && m_Reused && m_LastReadAt == m_StartedAt)
+    Pool->closeIdle(m_Address, m_StartedAt);
+}
+
 void HttpClientConnection::connect() {
   const auto Endpoint = parseEndpoint(m_Address);
   if (!Endpoint) {
@@ -377,10 +383,7 @@
     armTimer();
     return;
   }
-  // A connection may go silent without being closed. Those that were not used
-  // since may be silent too, and each would cost another timeout.
-  if (const auto Pool = m_Pool.lock(); Pool && isSilent())
-    Pool->closeIdle(m_Address, m_StartedAt);
+  closeOthersIfSilent();
   fail(base::ResultCode::Timeout,
        Late ? m_Address + " did not respond before the request timeout"
             : m_Address + " sent no data within the read timeout");
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -71,6 +71,10 @@
   /// \returns whether the idle connection can be reused: it is open and has no
   /// unread data.
   [[nodiscard]] bool isUsable();
+  /// If nothing was received since the request was sent on a connection that
+  /// had been used before, closes the connections to the same address that have
+  /// been idle since before: they may be silent too.
+  void closeOthersIfSilent();
 
   const std::string m_Address;
   base::Millis m_IdleSince{};
@@ -103,11 +107,6 @@
   void onPeerClosed(const boost::system::error_code &Why);
   void armTimer();
   void onTimer();
-  /// Returns whether nothing was received since the request was sent on a
-  /// connection that had been used before.
-  [[nodiscard]] bool isSilent() const {
-    return m_Reused && m_LastReadAt == m_StartedAt;
-  }
   void succeed();
   void fail(base::ResultCode Code, const std::string &Message);
   void failAfterSending(const std::string &Message);
--- a/Tests/Platform/EntryTest.cpp
+++ b/Tests/Platform/EntryTest.cpp
@@ -163,6 +163,22 @@
   EXPECT_EQ(Got->m_Body, events(1, 3));
 }
 
+// Failure: after open connections to servers had gone silent, each attempt of a
+// request was sent on another silent one although new connections worked.
+TEST_F(PlatformEntry, ARequestOnASilentConnectionIsRepeatedOnANewOne) {
+  std::vector<AnswerPtr> Answers;
+  for (int Count = 0; Count < 12; ++Count)
+    Answers.push_back(call("GET", "/plain/a", "w" + std::to_string(Count)));
+  for (const AnswerPtr &Each : Answers)
+    EXPECT_EQ(finish(Each)->m_Status, 200);
+  for (const auto &Each : m_Servers) {
+    EXPECT_GT(Each->m_Connections, 0);
+    Each->silenceOpenConnections();
+  }
+  EXPECT_EQ(finish(call("GET", "/plain/a", "r1"))->m_Status, 200);
+  EXPECT_EQ(runs("r1"), 1);
+}
+
 TEST_F(PlatformEntry, ADisconnectedCallerCancelsItsRequest) {
   setAll(Behavior::NoResponse);
   const auto Got = call("POST", "/once/a", "r1");
--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -22,8 +22,8 @@
     : public std::enable_shared_from_this<Connection> {
 public:
   Connection(StandinServer &Server, asio::ip::tcp::socket Socket)
-      : m_Server(Server), m_Socket(std::move(Socket)),
-        m_Timer(Server.m_Context) {}
+      : m_Server(Server), m_SilencedBefore(Server.m_Silenced),
+        m_Socket(std::move(Socket)), m_Timer(Server.m_Context) {}
 
   void readHead() {
     asio::async_read_until(
@@ -43,6 +43,11 @@
 
 private:
   void onHead(std::size_t Count) {
+    if (m_SilencedBefore != m_Server.m_Silenced) {
+      m_Buffer.consume(m_Buffer.size());
+      readHead();
+      return;
+    }
     std::string Head(asio::buffers_begin(m_Buffer.data()),
                      asio::buffers_begin(m_Buffer.data()) +
                          static_cast<std::ptrdiff_t>(Count));
@@ -331,6 +336,8 @@
   }
 
   StandinServer &m_Server;
+  /// Value of StandinServer::m_Silenced when the connection was opened.
+  const unsigned m_SilencedBefore;
   asio::ip::tcp::socket m_Socket;
   asio::steady_timer m_Timer;
   asio::streambuf m_Buffer;
--- a/Tests/Platform/StandinServer.h
+++ b/Tests/Platform/StandinServer.h
@@ -66,6 +66,9 @@
   /// Forgets all state and starts again under the same id.
   /// \param StartTime wall-clock time of the start in milliseconds.
   void restart(std::uint64_t StartTime);
+  /// Ignores requests on the connections that are open now, without closing
+  /// them. Later connections work.
+  void silenceOpenConnections() { ++m_Silenced; }
 
   [[nodiscard]] const std::string &id() const { return m_Id; }
   [[nodiscard]] const std::string &address() const { return m_Address; }
@@ -106,6 +109,8 @@
   const std::string m_Service;
   std::string m_Address;
   std::uint64_t m_StartTime = 1;
+  /// Number of calls of silenceOpenConnections().
+  unsigned m_Silenced = 0;
   boost::asio::ip::tcp::acceptor m_Acceptor;
   std::vector<std::weak_ptr<Connection>> m_Open;
 };
