--- a/Tests/Platform/EntryTest.cpp
+++ b/Tests/Platform/EntryTest.cpp
@@ -166,8 +166,10 @@
 // Failure: after open connections to servers had gone silent, each attempt of a
 // request was sent on another silent one although new connections worked.
 TEST_F(PlatformEntry, ARequestOnASilentConnectionIsRepeatedOnANewOne) {
+  constexpr int Requests = 12;
   std::vector<AnswerPtr> Answers;
-  for (int Count = 0; Count < 12; ++Count)
+  Answers.reserve(Requests);
+  for (int Count = 0; Count < Requests; ++Count)
     Answers.push_back(call("GET", "/plain/a", "w" + std::to_string(Count)));
   for (const AnswerPtr &Each : Answers)
     EXPECT_EQ(finish(Each)->m_Status, 200);
