Admission: forget the drain rate while the queue is empty

Cause: the drain rate is measured only while requests wait. The rate of the time with two thirds of the replicas was kept over 19 s without a queue, and the next burst was judged by it.

Change: while the queue is empty the measurement is forgotten with its own time constant, and the rate returns to the one that is assumed without a measurement.

Ruled out: the burst itself, since no second without the outage is below 100%; and requests that were late, of which there were none.

--- a/Source/Admission/AdmissionControl.cpp
+++ b/Source/Admission/AdmissionControl.cpp
@@ -71,7 +71,7 @@
   std::optional<QueuedRequest> Displaced =
       Lowest->second.m_Queue.removeLastOfLargest();
   if (Displaced)
-    onRemoved(*Displaced);
+    onRemoved(New.m_EnqueuedAt, *Displaced);
   return Displaced;
 }
 
@@ -100,7 +100,7 @@
   // load.
   if (Dequeued->m_EnqueuedAt < Now)
     m_DrainRate.onDequeued(Now, Dequeued->m_Work);
-  onRemoved(*Dequeued);
+  onRemoved(Now, *Dequeued);
   return Dequeued;
 }
 
@@ -113,14 +113,15 @@
   const std::optional<QueuedRequest> Removed =
       classQueue(Position.m_Class).m_Queue.remove(Request, Position.m_Customer);
   if (Removed)
-    onRemoved(*Removed);
+    onRemoved(Now, *Removed);
   return Removed.has_value();
 }
 
-void AdmissionControl::onRemoved(const QueuedRequest &Removed) {
+void AdmissionControl::onRemoved(base::Millis Now,
+                                 const QueuedRequest &Removed) {
   m_Positions.erase(Removed.m_Request);
   if (m_Positions.empty())
-    m_DrainRate.onQueueEmpty();
+    m_DrainRate.onQueueEmpty(Now);
 }
 
 std::vector<Refusal> AdmissionControl::expire(base::Millis Now) {
@@ -136,7 +137,7 @@
       return Now + Wait + Each.m_ExpectedRunTime > Each.m_Deadline;
     };
     for (const QueuedRequest &Removed : Queue.removeIf(MissesDeadline)) {
-      onRemoved(Removed);
+      onRemoved(Now, Removed);
       const base::Millis Wait =
           timeToDrain(Now, ClassNumber, WorkBefore + Queue.work());
       Refusals.push_back({Removed.m_Request, makeRefusal(Now, Removed, Wait)});
--- a/Source/Admission/AdmissionControl.h
+++ b/Source/Admission/AdmissionControl.h
@@ -96,7 +96,7 @@
                           base::Millis Wait);
   void decayRetryWork(base::Millis Now);
   std::optional<QueuedRequest> displace(const QueuedRequest &New);
-  void onRemoved(const QueuedRequest &Removed);
+  void onRemoved(base::Millis Now, const QueuedRequest &Removed);
 
   AdmissionSettings m_Settings;
   DrainRate m_DrainRate;
--- a/Source/Admission/DrainRate.cpp
+++ b/Source/Admission/DrainRate.cpp
@@ -14,13 +14,28 @@
 } // namespace
 
 DrainRate::DrainRate(base::Millis Window, double InitialPerSecond)
-    : m_Window(Window), m_DecayedWork(InitialPerSecond) {}
+    : m_Window(Window), m_InitialPerSecond(InitialPerSecond),
+      m_DecayedWork(InitialPerSecond) {}
+
+double DrainRate::keptPart(base::Millis Now) const {
+  return m_NonEmpty
+             ? 1
+             : std::exp(-toSeconds(Now - m_LastUpdate) / toSeconds(m_Window));
+}
 
 void DrainRate::onQueueNonEmpty(base::Millis Now) {
+  const double Kept = keptPart(Now);
+  m_DecayedWork = m_DecayedWork * Kept + m_InitialPerSecond * (1 - Kept);
+  m_DecayedSeconds = m_DecayedSeconds * Kept + (1 - Kept);
   m_NonEmpty = true;
   m_LastUpdate = Now;
 }
 
+void DrainRate::onQueueEmpty(base::Millis Now) {
+  m_NonEmpty = false;
+  m_LastUpdate = Now;
+}
+
 void DrainRate::onDequeued(base::Millis Now, double Work) {
   const double Elapsed = toSeconds(Now - m_LastUpdate);
   const double DecayFactor = std::exp(-Elapsed / toSeconds(m_Window));
@@ -31,7 +46,9 @@
 
 double DrainRate::perSecond(base::Millis Now) const {
   const double SinceLastUpdate = m_NonEmpty ? toSeconds(Now - m_LastUpdate) : 0;
-  return m_DecayedWork / (m_DecayedSeconds + SinceLastUpdate);
+  const double Kept = keptPart(Now);
+  return (m_DecayedWork * Kept + m_InitialPerSecond * (1 - Kept)) /
+         ((m_DecayedSeconds + SinceLastUpdate) * Kept + (1 - Kept));
 }
 
 void ArrivalRate::onArrival(base::Millis Now, double Work) {
--- a/Source/Admission/DrainRate.h
+++ b/Source/Admission/DrainRate.h
@@ -7,10 +7,15 @@
 
 /// Measures the drain rate of a queue, in work per second, over the time in
 /// which it is not empty.
+///
+/// While the queue is empty nothing limits the rate that can be seen, and the
+/// rate that was measured before is forgotten: replicas that were lost then may
+/// have returned.
 class DrainRate {
 public:
-  /// \param Window time constant of the exponential moving average.
-  /// \param InitialPerSecond rate assumed before the first measurement.
+  /// \param Window time constant of the exponential moving average, and of
+  /// forgetting.
+  /// \param InitialPerSecond rate assumed without a measurement.
   DrainRate(base::Millis Window, double InitialPerSecond);
 
   /// Starts measuring when the queue becomes non-empty.
@@ -20,17 +25,22 @@
   void onDequeued(base::Millis Now, double Work);
 
   /// Stops measuring when the queue becomes empty.
-  void onQueueEmpty() { m_NonEmpty = false; }
+  void onQueueEmpty(base::Millis Now);
 
   /// \returns the rate. It falls while the queue is not empty and no work
   /// leaves it.
   [[nodiscard]] double perSecond(base::Millis Now) const;
 
 private:
+  /// Returns the part of the measurement that is not forgotten yet.
+  [[nodiscard]] double keptPart(base::Millis Now) const;
+
   base::Millis m_Window;
+  double m_InitialPerSecond;
   double m_DecayedWork;
   double m_DecayedSeconds = 1;
   bool m_NonEmpty = false;
+  /// Time of the last update, or since when the queue is empty.
   base::Millis m_LastUpdate{};
 };
 
