Admission: count work that is dispatched at once while others wait

Cause: the rate left to a class is the drain rate less the arrivals of the higher classes. Requests of a higher class that were dispatched at once, while lower ones waited, were deducted as arrivals but not counted in the drain rate, so the lower class seemed to have next to nothing.

Change: a request that is dispatched at once is a sample if others wait meanwhile.

--- a/Source/Admission/AdmissionControl.cpp
+++ b/Source/Admission/AdmissionControl.cpp
@@ -96,9 +96,9 @@
           .m_Queue.dequeue(Request, Position.m_Customer);
   if (!Dequeued)
     return std::nullopt;
-  // A request dispatched without waiting is no sample of the drain rate under
-  // load.
-  if (Dequeued->m_EnqueuedAt < Now)
+  // A request dispatched at once is a sample of the drain rate only if others
+  // wait meanwhile; rateFor() deducts the arrivals of higher classes.
+  if (Dequeued->m_EnqueuedAt < Now || m_Positions.size() > 1)
     m_DrainRate.onDequeued(Now, Dequeued->m_Work);
   onRemoved(Now, *Dequeued);
   return Dequeued;
--- a/Tests/Admission/AdmissionControlTest.cpp
+++ b/Tests/Admission/AdmissionControlTest.cpp
@@ -64,4 +64,24 @@
   EXPECT_TRUE(enqueue(0, base::seconds(5)));
 }
 
+// Failure: while a lower class waited, the work of a higher class that was
+// dispatched at once was deducted from the drain rate without being a part of
+// it, and requests of the lower class were refused although they were served.
+TEST_F(AdmissionControlTest, WorkThatIsDispatchedAtOnceCountsWhileOthersWait) {
+  constexpr int Rounds = 100;
+  for (int Count = 0; Count < 5; ++Count)
+    ASSERT_TRUE(enqueue(1, LongDeadline));
+  // Each second two requests of the higher class and one of the lower class are
+  // dispatched.
+  for (int Round = 0; Round < Rounds; ++Round) {
+    for (int Count = 0; Count < 2; ++Count) {
+      advance(Millis(500));
+      ASSERT_TRUE(enqueue(0, LongDeadline));
+      dispatch(0);
+    }
+    dispatch(1);
+    EXPECT_TRUE(enqueue(1, base::seconds(20))) << Round;
+  }
+}
+
 } // namespace corneldeck::admission
