--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -101,8 +101,8 @@
   bool m_Queued = true;
   base::Millis m_AdmittedAt{};
   std::string m_LastFailure;
-  /// Whether a server did not respond in time. Idle connections to the others
-  /// may have gone silent as well.
+  /// Whether an attempt ended because its server did not respond in time. Idle
+  /// connections to the other servers may be broken too.
   bool m_WasSilent = false;
 };
 
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -75,8 +75,8 @@
 net::HttpClientOptions peerClientOptions() {
   net::HttpClientOptions Options;
   Options.m_ConnectTimeout = base::Millis(500);
-  // Open connections may have gone silent, to many entries at once. A transfer
-  // would wait for the timeout at each of them.
+  // Idle connections to many entries may be broken without being closed. Each
+  // would cost a transfer its timeout.
   Options.m_MaxIdleConnectionsPerAddress = 0;
   return Options;
 }
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -94,8 +94,8 @@
   /// request has ended.
   void cancel();
 
-  /// The same for a request whose response takes too long. Has the effect of a
-  /// timeout on idle connections, see HttpClient.
+  /// Cancels a request that has no response in time. Idle connections to its
+  /// address are treated as after a timeout, see HttpClient.
   void cancelOverdue();
 
 private:
--- a/Source/RankAgent/EngineProfileReader.h
+++ b/Source/RankAgent/EngineProfileReader.h
@@ -19,7 +19,7 @@
 /// Settings of EngineProfileReader.
 struct EngineProfileReaderSettings {
   std::string m_Service;
-  /// Availability zone whose entries are asked first.
+  /// Availability zone whose entries are preferred.
   std::string m_Zone;
   std::uint64_t m_Seed = 0;
   /// Time for the response of an entry, which fits into one packet.
@@ -67,7 +67,7 @@
 
 private:
   void askNextEntry();
-  /// Lists the live entries in the order in which they are asked.
+  /// Fills m_Remaining with the live entries, in random order within a zone.
   void listEntries();
   void handleResponse(const wire::NodeNews &Entry,
                       const base::Result<net::HttpResponse> &Response);
