Direct, Platform: log the requests under which a server ended

The parts but the last are decoded now; lines of attempts name them. When a connection breaks before its server has written events for 250 ms, a new connection shows whether the server still listens, and a line 1428 names the request, how far it had come and the result. No decision uses it yet.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -108,6 +108,9 @@
               "The log has returned with an older copy of its records."},
     EventInfo{EventId::EngineProfileRead, "engine-profile-read",
               "An elected planner has the properties of its engines."},
+    EventInfo{EventId::ServerEnded, "server-ended",
+              "A backend server has ended while a request that it may have "
+              "ended under was in flight there."},
     EventInfo{EventId::DependencyLost, "dependency-lost",
               "A dependency of the process does not respond."},
     EventInfo{EventId::DependencyBack, "dependency-back",
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -64,6 +64,7 @@
   ServerNoticed = 1425,
   LogEraChanged = 1426,
   EngineProfileRead = 1427,
+  ServerEnded = 1428,
   DependencyLost = 1430,
   DependencyBack = 1431,
   // Leases: 1500.
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cctype>
 #include <chrono>
+#include <sstream>
 
 namespace corneldeck::direct {
 
@@ -26,6 +27,26 @@
 /// Shortest retry-after time when no server was available.
 constexpr base::Millis NoServerRetryAfter{600};
 
+/// A server that has written events for this long did not end because of the
+/// request.
+constexpr base::Millis MinServingTime{250};
+/// Maximum number of parts of a prompt in a line of the log.
+constexpr std::size_t MaxLoggedParts = 8;
+
+/// Formats parts of a prompt for the log.
+std::string formatParts(const std::vector<std::uint64_t> &Parts) {
+  std::ostringstream Out;
+  Out << std::hex;
+  for (std::size_t Index = 0; Index < Parts.size(); ++Index) {
+    if (Index == MaxLoggedParts) {
+      Out << ",...";
+      break;
+    }
+    Out << (Index == 0 ? "" : ",") << Parts[Index];
+  }
+  return Out.str();
+}
+
 std::string formatNumber(std::int64_t Value) { return std::to_string(Value); }
 
 bool isSuccess(int Status) {
@@ -110,6 +131,7 @@
     return;
   }
   m_Server = Chosen->m_Id;
+  m_ServerAddress = Chosen->m_Address;
   m_ServerStartTime = Pool.notices().startTime(m_Server);
   m_TriedServers.push_back(m_Server);
   m_Tracker.attemptSent();
@@ -117,6 +139,7 @@
   Pool.attemptStarted(m_Server, m_UnprocessedPromptTokens, Now);
   m_AttemptActive = true;
   m_HasHead = false;
+  m_FirstEventAt.reset();
   m_ResponseInfo = {};
   releaseBody();
   m_EventSplitter.beginAttempt();
@@ -223,6 +246,8 @@
 }
 
 void ForwardedRequest::forwardEvents(const std::string &Events) {
+  if (!m_FirstEventAt)
+    m_FirstEventAt = now();
   if (!m_HeadForwarded) {
     m_HeadForwarded = true;
     m_MediaType = mediaType(m_Head);
@@ -305,7 +330,16 @@
          {"status", formatNumber(m_HasHead ? m_Head.m_Status : 0)},
          {"ms", formatNumber((now() - m_SentAt).count())},
          {"last_event", m_EventSplitter.lastEventId()},
+         {"parts", formatParts(m_Parameters.m_Request.m_PromptParts)},
          {"why", m_LastFailure}});
+  if (mayHaveEndedServer(Outcome))
+    m_Forwarder.m_Dependencies.m_ServerEnds.connectionBroken(
+        {m_Server, m_ServerStartTime}, m_ServerAddress,
+        [Self = shared_from_this(), Server = m_Server,
+         StartTime = m_ServerStartTime, HasBegun = m_HasHead,
+         HasEvents = m_FirstEventAt.has_value()](ServerLife Life) {
+          Self->recordServerEnd({Server, StartTime}, Life, HasBegun, HasEvents);
+        });
   const NextAction Next = m_Tracker.attemptEnded(Outcome, now(), [this] {
     return m_Forwarder.m_Dependencies.m_RetryBudget.tryAcquire(
         m_Parameters.m_Service, now());
@@ -313,6 +347,28 @@
   perform(Next, Outcome);
 }
 
+bool ForwardedRequest::mayHaveEndedServer(AttemptOutcome Outcome) const {
+  return Outcome == AttemptOutcome::Broken &&
+         !m_Parameters.m_Request.m_PromptParts.empty() &&
+         !(m_FirstEventAt && now() - *m_FirstEventAt >= MinServingTime) &&
+         !m_Forwarder.m_Dependencies.m_Pool.isStopping(m_Server);
+}
+
+void ForwardedRequest::recordServerEnd(const ServerStart &Start,
+                                       ServerLife Life, bool HasBegun,
+                                       bool HasEvents) {
+  m_Forwarder.m_Dependencies.m_Events.record(
+      base::EventId::ServerEnded,
+      {{"request", m_Parameters.m_Request.m_Id},
+       {"service", m_Parameters.m_Service},
+       {"server", Start.m_Server},
+       {"start_time", std::to_string(Start.m_StartTime)},
+       {"life", std::string(name(Life))},
+       {"begun", HasBegun ? "yes" : "no"},
+       {"events", HasEvents ? "yes" : "no"},
+       {"parts", formatParts(m_Parameters.m_Request.m_PromptParts)}});
+}
+
 void ForwardedRequest::perform(NextAction Next, AttemptOutcome Outcome) {
   switch (Next) {
   case NextAction::ForwardResponse:
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -5,6 +5,7 @@
 #include "Direct/RequestForwarder.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,13 @@
   /// received a part of.
   [[nodiscard]] bool continuesStream() const;
   void attemptEnded(AttemptOutcome Outcome);
+  /// Returns whether the server of the attempt may have ended because of this
+  /// request: its connection broke, and the server had hardly begun to write
+  /// the response.
+  [[nodiscard]] bool mayHaveEndedServer(AttemptOutcome Outcome) const;
+  /// Logs that the server of an attempt was checked.
+  void recordServerEnd(const ServerStart &Start, ServerLife Life, bool HasBegun,
+                       bool HasEvents);
   void perform(NextAction Next, AttemptOutcome Outcome);
   void releaseAttempt(AttemptOutcome Outcome);
   /// Removes the buffered response.
@@ -84,6 +92,7 @@
 
   // State of the current attempt.
   std::string m_Server;
+  std::string m_ServerAddress;
   std::uint64_t m_ServerStartTime = 0;
   net::HttpCallHandle m_Cancel;
   net::HttpResponseHead m_Head;
@@ -94,6 +103,8 @@
   double m_UnprocessedPromptTokens = 0;
   base::Millis m_SentAt{};
   base::Millis m_LastByteAt{};
+  /// When the first event of this attempt arrived.
+  std::optional<base::Millis> m_FirstEventAt;
   /// When events were last forwarded to the caller.
   base::Millis m_LastForwardedAt{};
 
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -7,6 +7,7 @@
 #include "Direct/ConcurrencyLimiter.h"
 #include "Direct/GroupAvailability.h"
 #include "Direct/RouteTable.h"
+#include "Direct/ServerEnds.h"
 #include "Direct/ServerRateLimits.h"
 #include "Direct/SharedRetryBudget.h"
 #include "Direct/ShutdownPolicy.h"
@@ -20,6 +21,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace corneldeck::direct {
 
@@ -34,6 +36,9 @@
   /// Timeout that the caller set; zero if none.
   base::Millis m_Timeout{};
   double m_PromptTokens = 0;
+  /// Ids of the parts of its prompt that other requests may share, in order;
+  /// empty if unknown.
+  std::vector<std::uint64_t> m_PromptParts;
 };
 
 /// Values for the header fields that are added to the caller's for one attempt.
@@ -104,6 +109,7 @@
     base::Timeline &m_Events;
     metrics::Registry &m_Metrics;
     base::Random &m_Rng;
+    ServerEnds &m_ServerEnds;
   };
 
   RequestForwarder(Dependencies Objects, RequestCodec Codec);
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -84,6 +84,12 @@
   return HasToken ? ServerAvailability::Available : ServerAvailability::NoToken;
 }
 
+bool ServerPool::isStopping(const std::string &Id) const {
+  const auto Found = m_States.find(Id);
+  return (Found != m_States.end() && Found->second.m_Server.m_Draining) ||
+         m_Notices.isLeaving(Id);
+}
+
 const BackendServer *
 ServerPool::chooseServer(std::string_view Service,
                          const std::vector<std::string> &Excluded,
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -142,6 +142,10 @@
   [[nodiscard]] ServerAvailability availability(const std::string &Id,
                                                 base::Millis Now) const;
 
+  /// Returns whether the server \p Id drains or leaves, so that its end is
+  /// expected.
+  [[nodiscard]] bool isStopping(const std::string &Id) const;
+
   /// Returns the server for the next attempt, or null if none is left. The
   /// result is valid until the next call of replaceServers().
   /// \param Excluded ids of the servers that this request was already sent to.
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/GatewayNode.h"
 
 #include "Fleet/FleetSummary.h"
+#include "Net/PortCheck.h"
 #include "Net/RequestTarget.h"
 
 #include <algorithm>
@@ -24,6 +25,8 @@
 constexpr const char *AllEntries = "all entries";
 constexpr std::string_view FeedsPath = "/feeds/";
 constexpr std::string_view EnginesPath = "/engines?";
+/// Timeout of a check whether a server has ended.
+constexpr base::Millis ServerCheckTimeout{300};
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
@@ -88,6 +91,17 @@
   return Options;
 }
 
+void checkServer(boost::asio::io_context &Context, const std::string &Address,
+                 direct::ServerEnds::Callback Done) {
+  net::checkPort(
+      Context, Address, ServerCheckTimeout,
+      [Done = std::move(Done)](net::PortState State) {
+        Done(State == net::PortState::Closed ? direct::ServerLife::Ended
+             : State == net::PortState::Open ? direct::ServerLife::Alive
+                                             : direct::ServerLife::Unknown);
+      });
+}
+
 } // namespace
 
 GatewayNode::GatewayNode(boost::asio::io_context &Context,
@@ -103,9 +117,14 @@
       m_Pool(m_Settings.m_Fleet.m_Zone, {},
              firstTokenNumber(m_Settings.m_Fleet.m_Incarnation)),
       m_RetryBudget(m_Settings.m_RetryBudget),
+      m_ServerEnds(m_Clock,
+                   [&Context](const std::string &Address,
+                              direct::ServerEnds::Callback Done) {
+                     checkServer(Context, Address, std::move(Done));
+                   }),
       m_Forwarder({Context, m_ServerClient, m_Pool, m_AdmissionQueue,
                    m_RetryBudget, m_Limiter, m_GroupAvailability, Events,
-                   Metrics, m_Rng},
+                   Metrics, m_Rng, m_ServerEnds},
                   std::move(Requests)),
       m_Configuration(
           Context, m_Log, m_PeerClient, Events, Metrics,
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -131,6 +131,7 @@
   direct::SharedRetryBudget m_RetryBudget;
   direct::ConcurrencyLimiter m_Limiter;
   direct::GroupAvailability m_GroupAvailability;
+  direct::ServerEnds m_ServerEnds;
   direct::RequestForwarder m_Forwarder;
   SharedFeed m_Configuration;
   SharedFeed m_Servers;
--- a/Tests/Platform/CallerCodecTest.cpp
+++ b/Tests/Platform/CallerCodecTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/CallerCodec.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace corneldeck::platform {
@@ -99,6 +100,28 @@
   }
 }
 
+// Failure: the last part belongs to one request or session alone, so it cannot
+// be what several requests have in common; a malformed list says nothing.
+TEST(CallerCodec, DecodesThePromptPartsThatRequestsShare) {
+  EXPECT_THAT(parsePromptParts("5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+              testing::ElementsAre(0x5c1e07a2, 0x91bd3f06));
+  EXPECT_THAT(parsePromptParts("FFFFFFFFFFFFFFFF:1, 0:0,2:3"),
+              testing::ElementsAre(0xFFFFFFFFFFFFFFFF, 0));
+  std::string Many = "0:1";
+  for (int Part = 1; Part < 64; ++Part)
+    Many += "," + std::to_string(Part) + ":1";
+  EXPECT_EQ(parsePromptParts(Many).size(), 63U);
+  for (const std::string &Each :
+       {std::string(), std::string("1:2"), std::string("1:2,"),
+        std::string(",1:2,3:4"), std::string("1:2,,3:4"),
+        std::string("xyz:1,2:3,4:5"), std::string("1,2:3,4:5"),
+        std::string("1:,2:3,4:5"), std::string("1:-2,2:3,4:5"),
+        std::string("0x1:2,3:4"), std::string("1:2,1:2,3:4"),
+        std::string("11112222333344445:1,2:3"), Many + ",64:1",
+        std::string(5000, ',')})
+    EXPECT_TRUE(parsePromptParts(Each).empty()) << Each;
+}
+
 TEST(CallerCodec, DecodesServersThatLeave) {
   const auto IsLeaving = [](const std::vector<std::string> &Values) {
     return decodeResponse(200, "Server-Leaving", Values).m_IsLeaving;
