--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -41,6 +41,12 @@
     m_Socket.close(Ignored);
   }
 
+  void close() {
+    boost::system::error_code Ignored;
+    m_Timer.cancel();
+    m_Socket.close(Ignored);
+  }
+
 private:
   void onHead(std::size_t Count) {
     if (m_SilencedBefore != m_Server.m_Silenced) {
@@ -88,9 +94,45 @@
     m_Request.m_NamesPause =
         Mode == Behavior::NotRun && !m_Server.m_RetryAfter.empty();
     m_Server.m_Received.push_back(m_Request);
+    if (m_Request.m_Ran && isFatal()) {
+      end();
+      return;
+    }
     respond(Mode);
   }
 
+  /// Returns whether a part of the prompt other than the last ends the server.
+  [[nodiscard]] bool isFatal() const {
+    const auto Prompt = m_Request.m_Headers.find("Prefix-Hash");
+    if (Prompt == m_Request.m_Headers.end())
+      return false;
+    std::istringstream Parts(Prompt->second);
+    std::string Last;
+    bool IsFatal = false;
+    for (std::string Part; std::getline(Parts, Part, ',');) {
+      IsFatal |= m_Server.m_FatalParts.contains(Last);
+      Last = Part.substr(0, Part.find(':'));
+    }
+    return IsFatal;
+  }
+
+  /// Sends the head of a response and ends the server.
+  void end() {
+    m_Out = signedHead(200, "Content-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n");
+    asio::async_write(m_Socket, asio::buffer(m_Out),
+                      [Self = shared_from_this()](
+                          const boost::system::error_code &, std::size_t) {
+                        Self->m_Timer.expires_after(std::chrono::milliseconds(
+                            Self->m_Server.m_FatalDelay));
+                        Self->m_Timer.async_wait(
+                            [Self](const boost::system::error_code &Stopped) {
+                              if (!Stopped)
+                                Self->m_Server.crash();
+                            });
+                      });
+  }
+
   [[nodiscard]] std::string head(int Status, const std::string &Extra) const {
     std::string Head = "HTTP/1.1 " + std::to_string(Status) + " X\r\n";
     Head += "Attempt-Id: " + m_Request.m_Id + "\r\n";
@@ -468,6 +510,19 @@
       Open->reset();
 }
 
+void StandinServer::crash() {
+  if (hasEnded())
+    return;
+  boost::system::error_code Ignored;
+  m_Acceptor.close(Ignored);
+  for (const auto &Each : m_Open)
+    if (const auto Open = Each.lock())
+      Open->close();
+  m_Open.clear();
+  if (m_OnEnded)
+    m_OnEnded();
+}
+
 void StandinServer::restart(std::uint64_t StartTime) {
   for (const auto &Each : m_Open)
     if (const auto Open = Each.lock())
--- a/Tests/Platform/StandinServer.h
+++ b/Tests/Platform/StandinServer.h
@@ -4,8 +4,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +81,9 @@
 
   std::string listen();
   void stop();
+  /// Closes all connections in order, as a process that crashes.
+  void crash();
+  [[nodiscard]] bool hasEnded() const { return !m_Acceptor.is_open(); }
   /// Forgets all state and starts again under the same id.
   /// \param StartTime wall-clock time of the start in milliseconds.
   void restart(std::uint64_t StartTime);
@@ -105,6 +110,13 @@
   /// Seconds in which the server wants no requests after a refusal; empty for
   /// none.
   std::string m_RetryAfter;
+  /// The server ends when it begins to write the response to a request with one
+  /// of these parts in its prompt, other than the last; hexadecimal ids.
+  std::set<std::string> m_FatalParts;
+  /// Time from the arrival of such a request to the end, in milliseconds.
+  int m_FatalDelay = 5;
+  /// Called after the server has ended in this way.
+  std::function<void()> m_OnEnded;
   std::vector<ReceivedRequest> m_Received;
   /// Number of connections that the caller closed while its request was
   /// running.
