Direct, Gateway: quarantine the part of prompts that ends servers

Callers of the service saw 503, 502 and cut streams for as long as requests with one part in their prompts came: each ended the server that began to answer it, and with it the whole rank group for seconds. Cause: each entry decided by one request alone, sent it to another server after its server had ended, and nothing related the ends that different entries saw.

An entry that finds that a server ended now records the parts of the requests that it had there and tells all entries. A part is quarantined if two servers ended under it and none has served it; requests with it are refused without being sent, those that wait or have not begun are withdrawn. A request that may have ended its server is not sent to another one. A release by a served request, by another part that explains the ends, or by one trial at a time brings a part back.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -115,6 +115,17 @@
               "A dependency of the process does not respond."},
     EventInfo{EventId::DependencyBack, "dependency-back",
               "A dependency of the process responds again."},
+    EventInfo{
+        EventId::PartQuarantined, "part-quarantined",
+        "Requests with a part in their prompts are refused, since several "
+        "backend servers ended under such requests."},
+    EventInfo{EventId::PartConfirmed, "part-confirmed",
+              "A quarantined part alone explains ends at several times."},
+    EventInfo{EventId::PartOnTrial, "part-on-trial",
+              "An entry tries one request with a quarantined part."},
+    EventInfo{EventId::PartReleased, "part-released",
+              "A request with a quarantined part was served, or another part "
+              "explains the ends; such requests are served again."},
     EventInfo{EventId::LeaseAcquired, "lease-acquired",
               "This node acquired the lease."},
     EventInfo{EventId::LeaseRenewed, "lease-renewed", "The lease was renewed."},
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -67,6 +67,10 @@
   ServerEnded = 1428,
   DependencyLost = 1430,
   DependencyBack = 1431,
+  PartQuarantined = 1440,
+  PartConfirmed = 1441,
+  PartOnTrial = 1442,
+  PartReleased = 1443,
   // Leases: 1500.
   LeaseAcquired = 1500,
   LeaseRenewed = 1501,
--- a/Source/Base/ResultCode.cpp
+++ b/Source/Base/ResultCode.cpp
@@ -39,6 +39,12 @@
                    "The first replica refused the request, and the retry "
                    "budget is used up.",
                    "Retry after the time in Retry-After."},
+    ResultCodeInfo{ResultCode::RequestQuarantined, "request-quarantined", 503,
+                   Ran::No,
+                   "Several backend servers ended under requests with a part "
+                   "of this prompt.",
+                   "Do not send the same prompt again before the time in "
+                   "Retry-After."},
     ResultCodeInfo{ResultCode::NoReplica, "no-replica", 503, Ran::No,
                    "No backend server of the entry can be reached.",
                    "Retry after the time in Retry-After."},
--- a/Source/Base/ResultCode.h
+++ b/Source/Base/ResultCode.h
@@ -30,6 +30,7 @@
   Overloaded = 111,
   DeadlineTooShort = 112,
   RetryBudgetSpent = 113,
+  RequestQuarantined = 114,
   NoReplica = 120,
   NotReady = 121,
   Stopping = 122,
--- a/Source/Direct/AttemptTracker.cpp
+++ b/Source/Direct/AttemptTracker.cpp
@@ -34,6 +34,10 @@
     return "garbled";
   case AttemptOutcome::Silent:
     return "silent";
+  case AttemptOutcome::ServerEnded:
+    return "server-ended";
+  case AttemptOutcome::Withdrawn:
+    return "withdrawn";
   }
   return "unknown";
 }
@@ -70,6 +74,8 @@
   case AttemptOutcome::ServerError:
   case AttemptOutcome::Broken:
   case AttemptOutcome::Garbled:
+  case AttemptOutcome::ServerEnded:
+  case AttemptOutcome::Withdrawn:
     return ServerOutcome::Failed;
   }
   return ServerOutcome::Failed;
@@ -99,6 +105,9 @@
 NextAction AttemptTracker::noServerAvailable() const { return finalAction(); }
 
 bool AttemptTracker::isRepeatable(AttemptOutcome Outcome) const {
+  if (Outcome == AttemptOutcome::ServerEnded ||
+      Outcome == AttemptOutcome::Withdrawn)
+    return false;
   if (m_ResponseStarted)
     return m_Limits.m_RetryPolicy == RetryPolicy::Resumable &&
            Outcome != AttemptOutcome::ServerError;
--- a/Source/Direct/AttemptTracker.h
+++ b/Source/Direct/AttemptTracker.h
@@ -19,7 +19,9 @@
   NotConnected, ///< No byte of the request was sent.
   Broken,       ///< The connection ended early.
   Garbled,      ///< A malformed response, or one to another request.
-  Silent        ///< No byte within the timeout.
+  Silent,       ///< No byte within the timeout.
+  ServerEnded,  ///< The server ended, possibly because of the request.
+  Withdrawn     ///< Cancelled, since the request may end the server.
 };
 
 /// Returns the name of \p Outcome, such as "not-run".
@@ -46,7 +48,8 @@
 /// Guarantees: a request that must not run twice is retried only if its server
 /// reported "not run" or received no byte; "not run" is reported to the caller
 /// only if every server that received the request reported it; the request is
-/// sent to no more servers than the route allows, and not after its deadline.
+/// sent to no more servers than the route allows, and not after its deadline;
+/// a request that may have ended its server is not sent to another one.
 class AttemptTracker {
 public:
   /// Retry policy and limits of the request.
@@ -66,6 +69,10 @@
   /// be resumed, not restarted.
   void responseStarted() { m_ResponseStarted = true; }
 
+  /// Records that a server may have run the request, before its outcome is
+  /// known.
+  void recordPossibleRun() { m_MayHaveRun = true; }
+
   /// Returns the action after an attempt with \p Outcome.
   /// \param AcquireRetry charges the retry budget and returns whether it allows
   /// a retry; called once, only if all other conditions for a retry are met.
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -30,6 +30,10 @@
 /// A server that has written events for this long did not end because of the
 /// request.
 constexpr base::Millis MinServingTime{250};
+/// Time in which the other entries learn of a trial before it is sent.
+constexpr base::Millis TrialAnnouncementTime{800};
+/// Retry-after time if another entry makes the trial.
+constexpr base::Millis OtherTrialRetryAfter{3000};
 /// Maximum number of parts of a prompt in a line of the log.
 constexpr std::size_t MaxLoggedParts = 8;
 
@@ -82,7 +86,8 @@
         return Limits;
       }()),
       m_Body(m_Exchange->takeBody()),
-      m_Timer(Forwarder.m_Dependencies.m_Context) {}
+      m_Timer(Forwarder.m_Dependencies.m_Context),
+      m_TrialTimer(Forwarder.m_Dependencies.m_Context) {}
 
 void ForwardedRequest::watchCaller() {
   m_Exchange->onClosed([Self = weak_from_this()] {
@@ -119,9 +124,73 @@
             m_Forwarder.retryAfter(m_Parameters.m_Service));
 }
 
+void ForwardedRequest::refuseQuarantined(std::uint64_t Part,
+                                         base::Millis RetryAfter) {
+  m_Forwarder.m_Quarantined.add();
+  m_LastFailure =
+      "part " + formatParts({Part}) + " of the prompt is in quarantine";
+  sendError(base::ResultCode::RequestQuarantined,
+            "several backend servers ended under requests with part " +
+                formatParts({Part}) + " of this prompt",
+            RetryAfter);
+}
+
+void ForwardedRequest::beginTrial(std::uint64_t Part) {
+  m_TriedPart = Part;
+  m_TrialTimer.expires_after(
+      std::chrono::milliseconds(TrialAnnouncementTime.count()));
+  m_TrialTimer.async_wait(
+      [Self = shared_from_this(), Part](const boost::system::error_code &Code) {
+        if (Code || Self->m_Finished)
+          return;
+        const std::string &Service = Self->m_Parameters.m_Service;
+        PromptQuarantine &Quarantine =
+            Self->m_Forwarder.m_Dependencies.m_Quarantine;
+        if (Quarantine.confirmTrial(Service, Part))
+          Self->m_Forwarder.admit(*Self);
+        else
+          Self->refuseQuarantined(Part, OtherTrialRetryAfter);
+      });
+}
+
+void ForwardedRequest::stopQuarantined(std::uint64_t Part) {
+  if (m_Finished || m_TriedPart == Part)
+    return;
+  if (m_AttemptActive) {
+    if (m_HasHead)
+      return;
+    m_Cancel.cancel();
+    m_LastFailure =
+        "part " + formatParts({Part}) + " of the prompt is in quarantine";
+    attemptEnded(AttemptOutcome::Withdrawn);
+    return;
+  }
+  if (!m_Queued)
+    return;
+  m_Forwarder.m_Dependencies.m_AdmissionQueue.remove(m_Parameters.m_Service,
+                                                     m_Parameters.m_Token);
+  const auto Decision = m_Forwarder.m_Dependencies.m_Quarantine.check(
+      m_Parameters.m_Service, m_Parameters.m_Request.m_PromptParts, now(),
+      false);
+  refuseQuarantined(Part, Decision.m_RetryAfter);
+}
+
 void ForwardedRequest::startAttempt() {
   const base::Millis Now = now();
   ServerPool &Pool = m_Forwarder.m_Dependencies.m_Pool;
+  const auto Decision = m_Forwarder.m_Dependencies.m_Quarantine.check(
+      m_Parameters.m_Service, m_Parameters.m_Request.m_PromptParts, Now, false);
+  if (Decision.m_Verdict == PromptQuarantine::Verdict::Refused &&
+      m_TriedPart != Decision.m_Part) {
+    if (!m_Tracker.mayHaveRun()) {
+      refuseQuarantined(Decision.m_Part, Decision.m_RetryAfter);
+      return;
+    }
+    m_LastFailure = "part " + formatParts({Decision.m_Part}) +
+                    " of the prompt is in quarantine";
+    perform(m_Tracker.noServerAvailable(), AttemptOutcome::Withdrawn);
+    return;
+  }
   const BackendServer *Chosen =
       Pool.chooseServer(m_Parameters.m_Service, m_TriedServers, Now,
                         m_Forwarder.m_Dependencies.m_Rng);
@@ -248,6 +317,8 @@
 void ForwardedRequest::forwardEvents(const std::string &Events) {
   if (!m_FirstEventAt)
     m_FirstEventAt = now();
+  else if (now() - *m_FirstEventAt >= MinServingTime)
+    recordServed();
   if (!m_HeadForwarded) {
     m_HeadForwarded = true;
     m_MediaType = mediaType(m_Head);
@@ -311,6 +382,8 @@
   ServerPool &Pool = m_Forwarder.m_Dependencies.m_Pool;
   Pool.attemptEnded(m_Server, m_UnprocessedPromptTokens);
   m_UnprocessedPromptTokens = 0;
+  if (Outcome == AttemptOutcome::Withdrawn)
+    return;
   const base::Millis Latency =
       m_Parameters.m_Route->m_Stream ? base::Millis(0) : now() - m_SentAt;
   Pool.recordOutcome(m_Server, serverOutcome(Outcome), Latency, now());
@@ -332,14 +405,22 @@
          {"last_event", m_EventSplitter.lastEventId()},
          {"parts", formatParts(m_Parameters.m_Request.m_PromptParts)},
          {"why", m_LastFailure}});
-  if (mayHaveEndedServer(Outcome))
-    m_Forwarder.m_Dependencies.m_ServerEnds.connectionBroken(
-        {m_Server, m_ServerStartTime}, m_ServerAddress,
-        [Self = shared_from_this(), Server = m_Server,
-         StartTime = m_ServerStartTime, HasBegun = m_HasHead,
-         HasEvents = m_FirstEventAt.has_value()](ServerLife Life) {
-          Self->recordServerEnd({Server, StartTime}, Life, HasBegun, HasEvents);
-        });
+  if (Outcome == AttemptOutcome::Complete && isSuccess(m_Head.m_Status))
+    recordServed();
+  if (!mayHaveEndedServer(Outcome)) {
+    decide(Outcome);
+    return;
+  }
+  // The request must not end another server while the check is under way.
+  m_Tracker.recordPossibleRun();
+  m_Forwarder.m_Dependencies.m_ServerEnds.connectionBroken(
+      {m_Server, m_ServerStartTime}, m_ServerAddress,
+      [Self = shared_from_this(), Outcome](ServerLife Life) {
+        Self->serverChecked(Outcome, Life);
+      });
+}
+
+void ForwardedRequest::decide(AttemptOutcome Outcome) {
   const NextAction Next = m_Tracker.attemptEnded(Outcome, now(), [this] {
     return m_Forwarder.m_Dependencies.m_RetryBudget.tryAcquire(
         m_Parameters.m_Service, now());
@@ -347,6 +428,14 @@
   perform(Next, Outcome);
 }
 
+void ForwardedRequest::recordServed() {
+  if (m_IsServedRecorded)
+    return;
+  m_IsServedRecorded = true;
+  m_Forwarder.m_Dependencies.m_Quarantine.recordServed(
+      m_Parameters.m_Service, m_Parameters.m_Request.m_PromptParts, now());
+}
+
 bool ForwardedRequest::mayHaveEndedServer(AttemptOutcome Outcome) const {
   return Outcome == AttemptOutcome::Broken &&
          !m_Parameters.m_Request.m_PromptParts.empty() &&
@@ -354,19 +443,30 @@
          !m_Forwarder.m_Dependencies.m_Pool.isStopping(m_Server);
 }
 
-void ForwardedRequest::recordServerEnd(const ServerStart &Start,
-                                       ServerLife Life, bool HasBegun,
-                                       bool HasEvents) {
+void ForwardedRequest::serverChecked(AttemptOutcome Outcome, ServerLife Life) {
+  const PromptParts &Parts = m_Parameters.m_Request.m_PromptParts;
+  PromptQuarantine &Quarantine = m_Forwarder.m_Dependencies.m_Quarantine;
+  const bool IsSuspect =
+      Quarantine.isSuspect(m_Parameters.m_Service, Parts, now());
   m_Forwarder.m_Dependencies.m_Events.record(
       base::EventId::ServerEnded,
       {{"request", m_Parameters.m_Request.m_Id},
        {"service", m_Parameters.m_Service},
-       {"server", Start.m_Server},
-       {"start_time", std::to_string(Start.m_StartTime)},
+       {"server", m_Server},
+       {"start_time", std::to_string(m_ServerStartTime)},
        {"life", std::string(name(Life))},
-       {"begun", HasBegun ? "yes" : "no"},
-       {"events", HasEvents ? "yes" : "no"},
-       {"parts", formatParts(m_Parameters.m_Request.m_PromptParts)}});
+       {"begun", m_HasHead ? "yes" : "no"},
+       {"events", m_FirstEventAt ? "yes" : "no"},
+       {"suspect", IsSuspect ? "yes" : "no"},
+       {"parts", formatParts(Parts)}});
+  if (Life == ServerLife::Ended)
+    Quarantine.recordEnd({m_Server, m_ServerStartTime}, m_Parameters.m_Service,
+                         Parts, now());
+  if (m_Finished)
+    return;
+  const bool MayBeCause =
+      Life == ServerLife::Ended && IsSuspect && !m_FirstEventAt;
+  decide(MayBeCause ? AttemptOutcome::ServerEnded : Outcome);
 }
 
 void ForwardedRequest::perform(NextAction Next, AttemptOutcome Outcome) {
@@ -544,6 +644,7 @@
                               std::string_view Outcome) {
   m_Finished = true;
   m_Timer.cancel();
+  m_TrialTimer.cancel();
   releaseBody();
   const base::Millis Now = now();
   const base::Millis Waited =
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -47,6 +47,15 @@
   /// a retry-after time.
   void refuseUnavailable();
 
+  /// Refuses the request because of a part of its prompt.
+  void refuseQuarantined(std::uint64_t Part, base::Millis RetryAfter);
+  /// Waits until the other entries know of the trial of a quarantined part, and
+  /// sends the request if this entry still makes the trial.
+  void beginTrial(std::uint64_t Part);
+  /// Refuses or withdraws the request, unless it has begun to run or is the
+  /// trial of the part.
+  void stopQuarantined(std::uint64_t Part);
+
   [[nodiscard]] const Parameters &parameters() const { return m_Parameters; }
 
 private:
@@ -60,13 +69,17 @@
   /// received a part of.
   [[nodiscard]] bool continuesStream() const;
   void attemptEnded(AttemptOutcome Outcome);
+  /// Decides what follows an attempt, once it is known whether its server has
+  /// ended.
+  void decide(AttemptOutcome Outcome);
+  /// Records that the server runs the request and has not ended.
+  void recordServed();
   /// Returns whether the server of the attempt may have ended because of this
   /// request: its connection broke, and the server had hardly begun to write
   /// the response.
   [[nodiscard]] bool mayHaveEndedServer(AttemptOutcome Outcome) const;
-  /// Logs that the server of an attempt was checked.
-  void recordServerEnd(const ServerStart &Start, ServerLife Life, bool HasBegun,
-                       bool HasEvents);
+  /// Records the result of the check of the server whose connection broke.
+  void serverChecked(AttemptOutcome Outcome, ServerLife Life);
   void perform(NextAction Next, AttemptOutcome Outcome);
   void releaseAttempt(AttemptOutcome Outcome);
   /// Removes the buffered response.
@@ -89,6 +102,7 @@
   AttemptTracker m_Tracker;
   const std::string m_Body;
   boost::asio::steady_timer m_Timer;
+  boost::asio::steady_timer m_TrialTimer;
 
   // State of the current attempt.
   std::string m_Server;
@@ -121,6 +135,9 @@
   bool m_Queued = true;
   base::Millis m_AdmittedAt{};
   std::string m_LastFailure;
+  /// The quarantined part that the request tries.
+  std::optional<std::uint64_t> m_TriedPart;
+  bool m_IsServedRecorded = false;
   /// Whether an attempt ended because its server did not respond in time. Idle
   /// connections to the other servers may be broken too.
   bool m_WasSilent = false;
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -53,6 +53,9 @@
       m_RetriesSent(Objects.m_Metrics.counter(
           "corneldeck_retries_total",
           "Attempts after the first attempt of a request.")),
+      m_Quarantined(Objects.m_Metrics.counter(
+          "corneldeck_quarantine_refused_total",
+          "Requests refused because of a quarantined part of their prompt.")),
       m_FirstByte(
           Objects.m_Metrics.histogram("corneldeck_first_byte_ms",
                                       "Time from the arrival of a request to "
@@ -148,31 +151,63 @@
       std::make_shared<ForwardedRequest>(*this, Exchange, Parameters);
   m_ActiveRequests.emplace(Parameters.m_Token, Forwarded);
   Forwarded->watchCaller();
-  if (m_Dependencies.m_GroupAvailability.outageDuration(Parameters.m_Service,
-                                                        Now)) {
-    Forwarded->refuseUnavailable();
+  const bool IsAvailable = !m_Dependencies.m_GroupAvailability.outageDuration(
+      Parameters.m_Service, Now);
+  const PromptQuarantine::Decision Decision = m_Dependencies.m_Quarantine.check(
+      Parameters.m_Service, Request.m_PromptParts, Now, IsAvailable);
+  switch (Decision.m_Verdict) {
+  case PromptQuarantine::Verdict::Permitted:
+    admit(*Forwarded);
+    return;
+  case PromptQuarantine::Verdict::Refused:
+    Forwarded->refuseQuarantined(Decision.m_Part, Decision.m_RetryAfter);
+    return;
+  case PromptQuarantine::Verdict::Trial:
+    Forwarded->beginTrial(Decision.m_Part);
+    return;
+  }
+}
+
+void RequestForwarder::admit(ForwardedRequest &Admitted) {
+  const ForwardedRequest::Parameters &Parameters = Admitted.parameters();
+  const std::string &Service = Parameters.m_Service;
+  const base::Millis Now = m_Clock.now();
+  if (m_Dependencies.m_GroupAvailability.outageDuration(Service, Now)) {
+    Admitted.refuseUnavailable();
     return;
   }
-  if (usage(Parameters.m_Service).isUnwanted()) {
-    Forwarded->refuseOverloaded();
+  if (usage(Service).isUnwanted()) {
+    Admitted.refuseOverloaded();
     return;
   }
   const auto Decision = m_Dependencies.m_AdmissionQueue.admit(
-      Parameters.m_Service,
-      {Parameters.m_Token, Parameters.m_Priority, Found->m_TargetLatency,
-       Parameters.m_Deadline},
-      usage(Parameters.m_Service), Now);
+      Service,
+      {Parameters.m_Token, Parameters.m_Priority,
+       Parameters.m_Route->m_TargetLatency, Parameters.m_Deadline},
+      usage(Service), Now);
   if (Decision == AdmissionQueue::Decision::Admit)
-    Forwarded->start();
+    Admitted.start();
   else
-    m_Dependencies.m_Pool.requestToken(Parameters.m_Service, Now,
-                                       m_Dependencies.m_Rng);
+    m_Dependencies.m_Pool.requestToken(Service, Now, m_Dependencies.m_Rng);
   if (Decision == AdmissionQueue::Decision::Refuse)
-    Forwarded->refuseOverloaded();
+    Admitted.refuseOverloaded();
   else if (Decision == AdmissionQueue::Decision::Wait)
     armQueueTimer();
 }
 
+void RequestForwarder::stopRequests(const std::string &Service,
+                                    std::uint64_t Part) {
+  std::vector<std::shared_ptr<ForwardedRequest>> Affected;
+  for (const auto &[Token, Each] : m_ActiveRequests) {
+    const PromptParts &Parts = Each->parameters().m_Request.m_PromptParts;
+    if (Each->parameters().m_Service == Service &&
+        std::find(Parts.begin(), Parts.end(), Part) != Parts.end())
+      Affected.push_back(Each);
+  }
+  for (const auto &Each : Affected)
+    Each->stopQuarantined(Part);
+}
+
 void RequestForwarder::refuse(net::HttpExchange &Exchange,
                               const base::Error &Cause, const std::string &Id) {
   m_Refused.add();
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -6,6 +6,7 @@
 #include "Direct/AttemptTracker.h"
 #include "Direct/ConcurrencyLimiter.h"
 #include "Direct/GroupAvailability.h"
+#include "Direct/PromptQuarantine.h"
 #include "Direct/RouteTable.h"
 #include "Direct/ServerEnds.h"
 #include "Direct/ServerRateLimits.h"
@@ -38,7 +39,7 @@
   double m_PromptTokens = 0;
   /// Ids of the parts of its prompt that other requests may share, in order;
   /// empty if unknown.
-  std::vector<std::uint64_t> m_PromptParts;
+  PromptParts m_PromptParts;
 };
 
 /// Values for the header fields that are added to the caller's for one attempt.
@@ -110,6 +111,7 @@
     metrics::Registry &m_Metrics;
     base::Random &m_Rng;
     ServerEnds &m_ServerEnds;
+    PromptQuarantine &m_Quarantine;
   };
 
   RequestForwarder(Dependencies Objects, RequestCodec Codec);
@@ -131,6 +133,10 @@
   /// availability of a rank group has changed.
   void processQueues();
 
+  /// Refuses or withdraws the requests of \p Service with a part in their
+  /// prompts that was quarantined, unless they have begun to run.
+  void stopRequests(const std::string &Service, std::uint64_t Part);
+
   /// Restricts which new requests are accepted while the entry stops.
   /// \param End when the process ends at the latest.
   void beginStop(base::Millis End) {
@@ -145,6 +151,8 @@
 
   void refuse(net::HttpExchange &Exchange, const base::Error &Cause,
               const std::string &Id);
+  /// Admits, queues or refuses a request, as the capacity allows.
+  void admit(ForwardedRequest &Admitted);
   void requestEnded(std::uint64_t Token, const std::string &Service);
   void recordProgress(const std::string &Service, const std::string &Server);
   /// Returns whether another server of the service has sent data recently.
@@ -181,6 +189,7 @@
   metrics::Counter &m_Refused;
   metrics::Counter &m_Failed;
   metrics::Counter &m_RetriesSent;
+  metrics::Counter &m_Quarantined;
   metrics::Histogram &m_FirstByte;
   metrics::Histogram &m_RequestDuration;
   metrics::Histogram &m_AdmissionWait;
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -32,6 +32,8 @@
   base::Millis m_WarmUpRemaining{};
   /// Wall-clock time of its start in milliseconds; 0 if unknown.
   std::uint64_t m_StartTime = 0;
+  /// Version of its software; 0 if unknown.
+  std::uint64_t m_Version = 0;
 
   bool operator==(const BackendServer &) const = default;
 };
--- a/Source/Fleet/FleetCore.cpp
+++ b/Source/Fleet/FleetCore.cpp
@@ -205,6 +205,8 @@
     m_Hooks.m_OnRateToken(Message.rate_token());
   else if (Message.has_feed_news())
     handleFeedNews(Message.feed_news());
+  else if (Message.has_quarantine() && m_Hooks.m_OnQuarantineNews)
+    m_Hooks.m_OnQuarantineNews(Message.quarantine());
   else if (Message.has_node_request())
     handleNodeRequest(Message.node_request(), From);
 }
--- a/Source/Fleet/FleetCore.h
+++ b/Source/Fleet/FleetCore.h
@@ -94,6 +94,7 @@
     /// Called with a summary and the own heartbeat that it includes, or null.
     std::function<void(const wire::FleetSummary &, const wire::FleetBeat *Own)>
         m_OnSummary;
+    std::function<void(const wire::QuarantineNews &)> m_OnQuarantineNews;
   };
 
   /// Sends a datagram.
--- a/Source/Fleet/FleetSummary.cpp
+++ b/Source/Fleet/FleetSummary.cpp
@@ -15,6 +15,9 @@
 /// Number of entries whose position is written for each feed and reason.
 constexpr std::size_t PositionsPerReason = 2;
 
+/// Maximum number of parts that are forwarded for the end of one server.
+constexpr int MaxPartsPerEnd = 64;
+
 std::uint32_t shortHash(std::string_view Text) {
   return static_cast<std::uint32_t>(base::hash64(Text, 0));
 }
@@ -57,6 +60,10 @@
   Positions.set_node(Beat.sender().node());
   *Positions.mutable_configuration() = Beat.configuration();
   *Positions.mutable_servers() = Beat.servers();
+  for (const wire::ServerEnd &Each : Beat.ends())
+    addEnd(Each, Age);
+  for (const wire::PartQuarantine &Each : Beat.parts())
+    addPart(Each, Age);
   if (Beat.rates_size() == 0 && Beat.leaving_size() == 0)
     return;
   wire::ForwardedNotices &Notices = m_Notices.emplace_back();
@@ -67,6 +74,37 @@
     Each.set_age_ms(Each.age_ms() + static_cast<std::uint32_t>(Age.count()));
 }
 
+void SummarySum::addEnd(const wire::ServerEnd &End, base::Millis Age) {
+  const auto [Found, IsNew] =
+      m_Ends.try_emplace({End.server(), End.start_time()}, End);
+  wire::ServerEnd &Sum = Found->second;
+  if (IsNew) {
+    Sum.set_age_ms(Sum.age_ms() + static_cast<std::uint32_t>(Age.count()));
+    return;
+  }
+  for (const std::uint64_t Each : End.parts())
+    if (Sum.parts_size() < MaxPartsPerEnd &&
+        std::find(Sum.parts().begin(), Sum.parts().end(), Each) ==
+            Sum.parts().end())
+      Sum.add_parts(Each);
+}
+
+void SummarySum::addPart(const wire::PartQuarantine &Part, base::Millis Age) {
+  const auto Order = [](const wire::PartQuarantine &Each) {
+    return std::tuple(Each.number(), Each.released(), Each.trials(),
+                      Each.confirmed(), Each.ends());
+  };
+  const auto [Found, IsNew] =
+      m_Parts.try_emplace({Part.service(), Part.part()}, Part);
+  wire::PartQuarantine &Newest = Found->second;
+  if (!IsNew && Order(Part) <= Order(Newest))
+    return;
+  Newest = Part;
+  const auto Added = static_cast<std::uint32_t>(Age.count());
+  Newest.set_age_ms(Part.age_ms() + Added);
+  Newest.set_first_end_age_ms(Part.first_end_age_ms() + Added);
+}
+
 void SummarySum::addAgent(const wire::GroupNews &Report) {
   wire::GroupTally Tally;
   Tally.set_service(Report.service());
@@ -117,6 +155,10 @@
   }
   for (const wire::GroupTally &Each : Summary.groups())
     addTally(Each);
+  for (const wire::ServerEnd &Each : Summary.ends())
+    addEnd(Each, Age);
+  for (const wire::PartQuarantine &Each : Summary.parts())
+    addPart(Each, Age);
 }
 
 void SummarySum::write(wire::FleetSummary &Target) const {
@@ -131,6 +173,10 @@
   }
   for (const wire::ForwardedNotices &Each : m_Notices)
     *Target.add_notices() = Each;
+  for (const auto &[Key, Each] : m_Ends)
+    *Target.add_ends() = Each;
+  for (const auto &[Key, Each] : m_Parts)
+    *Target.add_parts() = Each;
   for (const auto &[Key, Each] : m_Tallies)
     *Target.add_groups() = Each;
   for (const auto &[Service, Each] : m_Stretches) {
--- a/Source/Fleet/FleetSummary.h
+++ b/Source/Fleet/FleetSummary.h
@@ -45,6 +45,8 @@
     std::uint32_t m_PromptTokens = 0;
   };
 
+  void addEnd(const wire::ServerEnd &End, base::Millis Age);
+  void addPart(const wire::PartQuarantine &Part, base::Millis Age);
   void addTally(const wire::GroupTally &Tally);
   void writePositions(wire::FleetSummary &Target) const;
 
@@ -55,6 +57,8 @@
   std::vector<wire::NodePositions> m_Positions;
   std::map<std::pair<std::string, std::string>, wire::GroupTally> m_Tallies;
   std::map<std::string, wire::StretchSum> m_Stretches;
+  std::map<std::pair<std::string, std::uint64_t>, wire::ServerEnd> m_Ends;
+  std::map<std::pair<std::string, std::uint64_t>, wire::PartQuarantine> m_Parts;
 };
 
 } // namespace corneldeck::fleet
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -122,9 +122,10 @@
                               direct::ServerEnds::Callback Done) {
                      checkServer(Context, Address, std::move(Done));
                    }),
+      m_Quarantine(m_Settings.m_Fleet.m_Node),
       m_Forwarder({Context, m_ServerClient, m_Pool, m_AdmissionQueue,
                    m_RetryBudget, m_Limiter, m_GroupAvailability, Events,
-                   Metrics, m_Rng, m_ServerEnds},
+                   Metrics, m_Rng, m_ServerEnds, m_Quarantine},
                   std::move(Requests)),
       m_Configuration(
           Context, m_Log, m_PeerClient, Events, Metrics,
@@ -173,12 +174,18 @@
              m_Servers.handlePosition(Sender, News.servers());
            },
            [this](const wire::FleetSummary &Summary,
-                  const wire::FleetBeat *Own) {
-             handleSummary(Summary, Own);
+                  const wire::FleetBeat *Own) { handleSummary(Summary, Own); },
+           [this](const wire::QuarantineNews &News) {
+             m_QuarantineExchange.handle(News, News.node());
            }}),
       m_RateLimits(Context, m_Pool, m_Fleet, Events, Metrics,
                    [this] { m_Forwarder.processQueues(); }),
       m_ServerNotices(m_Pool, Events, Metrics),
+      m_QuarantineExchange(
+          Context, m_Quarantine, m_Fleet, Events, Metrics, m_Rng,
+          [this](const std::string &Service, std::uint64_t Part) {
+            m_Forwarder.stopRequests(Service, Part);
+          }),
       m_Advisor({m_Settings.m_AddressLifetime, m_Settings.m_MaxAddresses}),
       m_PeerServer(Context, {},
                    [this](const std::shared_ptr<net::HttpExchange> &Exchange) {
@@ -340,11 +347,31 @@
        {"log_age_ms", std::to_string(m_Servers.staleness().count())}});
   recordUnreadable(std::move(Unreadable));
   m_Pool.replaceServers(Servers, m_Clock.now());
+  updateVersions(Servers);
   m_ServerByHash.clear();
   for (const direct::BackendServer &Each : Servers)
     m_ServerByHash[fleet::serverHash(Each.m_Id)] = Each.m_Id;
 }
 
+void GatewayNode::updateVersions(
+    const std::vector<direct::BackendServer> &Servers) {
+  std::map<std::string, std::set<std::uint64_t>> Versions;
+  for (const direct::BackendServer &Each : Servers)
+    Versions[Each.m_Service].insert(Each.m_Version);
+  for (auto &[Service, Listed] : Versions) {
+    std::set<std::uint64_t> &Before = m_ServerVersions[Service];
+    const bool IsReplaced =
+        !Before.empty() &&
+        std::none_of(Listed.begin(), Listed.end(),
+                     [&](std::uint64_t Each) { return Before.contains(Each); });
+    if (IsReplaced)
+      m_Quarantine.serviceReplaced(Service, m_Clock.now());
+    // Until all servers are replaced, the versions before count.
+    if (Before.empty() || IsReplaced)
+      Before = std::move(Listed);
+  }
+}
+
 void GatewayNode::recordUnreadable(std::map<std::string, std::string> Records) {
   std::size_t Recorded = 0;
   for (const auto &[Key, Why] : Records) {
@@ -376,6 +403,7 @@
   }
   m_RateLimits.fillHeartbeat(Beat);
   m_ServerNotices.fillHeartbeat(Beat);
+  m_QuarantineExchange.fillHeartbeat(Beat);
   for (const auto &[Service, Ratio] : m_Limiter.localRatios()) {
     wire::PassStretch &Stretch = *Beat.add_stretches();
     Stretch.set_service(Service);
@@ -393,6 +421,7 @@
   m_Servers.handlePosition(Beat.sender(), Beat.servers());
   m_RateLimits.handleHeartbeat(Beat);
   m_ServerNotices.handleHeartbeat(Beat);
+  m_QuarantineExchange.handle(Beat, Beat.sender().node());
   // The summaries include the loads.
   if (m_Fleet.role() == fleet::FleetCore::Role::Member)
     return;
@@ -447,6 +476,7 @@
     m_RateLimits.handleHeartbeat(Beat);
     m_ServerNotices.handleHeartbeat(Beat);
   }
+  m_QuarantineExchange.handle(Summary, Summary.relay().node());
   for (const wire::GroupTally &Each : Summary.groups()) {
     recordGroup(Peer + " open", {Each.service(), Each.group(), Each.epoch(),
                                  true, Each.open()});
@@ -519,12 +549,17 @@
     sendEngineProfile(Exchange);
     return;
   }
+  if (Target == "/quarantine") {
+    Exchange->respond(Ok, {{"Content-Type", "text/plain"}},
+                      m_QuarantineExchange.describe());
+    return;
+  }
   if (Target == "/metrics") {
     Exchange->respond(Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                       m_Metrics.expose());
     return;
   }
-  Exchange->respond(NotFound, {}, "not found; see /metrics\n");
+  Exchange->respond(NotFound, {}, "not found; see /metrics and /quarantine\n");
 }
 
 void GatewayNode::sendEngineProfile(
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -3,6 +3,7 @@
 
 #include "Direct/RequestForwarder.h"
 #include "Fleet/FleetNode.h"
+#include "Gateway/QuarantineExchange.h"
 #include "Gateway/RateLimitExchange.h"
 #include "Gateway/ServerNoticeExchange.h"
 #include "Gateway/SharedFeed.h"
@@ -12,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -93,6 +95,8 @@
   void announceFeeds(bool ToAll);
   [[nodiscard]] SharedFeed::Hooks feedHooks(std::function<void()> Changed);
   void serversChanged();
+  /// Notices services all of whose servers have another version than before.
+  void updateVersions(const std::vector<direct::BackendServer> &Servers);
   /// Logs the records of servers that cannot be decoded, each once.
   /// \param Records the reasons by key.
   void recordUnreadable(std::map<std::string, std::string> Records);
@@ -132,12 +136,14 @@
   direct::ConcurrencyLimiter m_Limiter;
   direct::GroupAvailability m_GroupAvailability;
   direct::ServerEnds m_ServerEnds;
+  direct::PromptQuarantine m_Quarantine;
   direct::RequestForwarder m_Forwarder;
   SharedFeed m_Configuration;
   SharedFeed m_Servers;
   fleet::FleetNode m_Fleet;
   RateLimitExchange m_RateLimits;
   ServerNoticeExchange m_ServerNotices;
+  QuarantineExchange m_QuarantineExchange;
   membership::AddressSelector m_Advisor;
   std::unique_ptr<net::HttpServer> m_CallerServer;
   net::HttpServer m_PeerServer;
@@ -146,6 +152,8 @@
   ConfigurationDecoding m_Decoding;
   base::Millis m_DecodingStartedAt{};
   bool m_ConfigurationChangedMeanwhile = false;
+  /// Versions of the servers that were listed last, by service.
+  std::map<std::string, std::set<std::uint64_t>> m_ServerVersions;
   /// Ids of the servers by the hashes by which summaries name them.
   std::unordered_map<std::uint32_t, std::string> m_ServerByHash;
   /// Records of servers that cannot be decoded: the reasons by key.
