Direct: do not take a stream that ends before its first event for complete

Another operator's callers got a 200 with an empty body, framed as whole, from a server that had stopped in the middle of its head. Tried here with real programs: heads cut at each byte, with and without a reset, with a length, chunks or neither, on first and later requests of a connection: none becomes a success, so that report is ruled out. Found beside it: a stream whose head names neither a length nor chunks and whose connection ends in order before any event was answered as a complete stream without events. It is taken for broken now, and resumed or failed.

Evidence: AStreamThatEndsBeforeItsFirstEventIsBroken failed before (200, expected 502). Streams and plain responses that end with their connection, whole and cut inside an event, are tested too and passed before. Ruled out for plain responses: an empty body after a complete head is a complete response.

--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -370,11 +370,18 @@
     return AttemptOutcome::ServerError;
   if (isSuccess(m_Head.m_Status) && !m_ResponseInfo.m_Signed)
     return AttemptOutcome::Garbled;
-  if (m_EventSplitter.hasPartialEvent())
+  if (m_EventSplitter.hasPartialEvent() || endedBeforeFirstEvent())
     return AttemptOutcome::Broken;
   return AttemptOutcome::Complete;
 }
 
+bool ForwardedRequest::endedBeforeFirstEvent() const {
+  return m_Parameters.m_Route->m_Stream && isSuccess(m_Head.m_Status) &&
+         !m_FirstEventAt &&
+         net::findHeader(m_Head.m_Headers, "Content-Length").empty() &&
+         net::findHeader(m_Head.m_Headers, "Transfer-Encoding").empty();
+}
+
 void ForwardedRequest::releaseAttempt(AttemptOutcome Outcome) {
   if (!m_AttemptActive)
     return;
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -68,6 +68,9 @@
   /// Returns whether the response may continue the stream that the caller has
   /// received a part of.
   [[nodiscard]] bool continuesStream() const;
+  /// Returns whether a response that ends with its connection has no event: it
+  /// cannot be told from one that was cut off.
+  [[nodiscard]] bool endedBeforeFirstEvent() const;
   void attemptEnded(AttemptOutcome Outcome);
   /// Decides what follows an attempt, once it is known whether its server has
   /// ended.
--- /dev/null
+++ b/Tests/Platform/BrokenResponseTest.cpp
@@ -0,0 +1,112 @@
+#include "EntryFixture.h"
+
+namespace corneldeck::tests {
+
+namespace {
+
+/// Entries whose backend servers end responses in the middle.
+class PlatformBrokenResponse : public PlatformEntry {
+protected:
+  static std::string events(int Count) {
+    std::string Text;
+    for (int Event = 1; Event <= Count; ++Event)
+      Text += "id: " + std::to_string(Event) +
+              "\ndata: " + std::to_string(Event * 7) + "\n\n";
+    return Text;
+  }
+
+  /// Starts requests that have their servers cut off the heads of the
+  /// responses, one for each number of bytes from \p First on.
+  std::vector<AnswerPtr> cutHeads(const std::string &Target, int First,
+                                  int Count, const std::string &How) {
+    std::vector<AnswerPtr> Answers;
+    for (int Bytes = First; Bytes < First + Count; ++Bytes)
+      Answers.push_back(
+          call("POST", Target, "c" + std::to_string(++m_Calls),
+               {{"X-Cut-Head", std::to_string(Bytes) + " " + How}}));
+    return Answers;
+  }
+
+  /// Opens idle connections to the servers.
+  void warmUp(int Count) {
+    std::vector<AnswerPtr> Answers;
+    for (int Index = 0; Index < Count; ++Index)
+      Answers.push_back(
+          call("GET", "/plain/w", "w" + std::to_string(++m_Calls)));
+    for (const AnswerPtr &Each : Answers)
+      EXPECT_EQ(finish(Each)->m_Status, 200);
+  }
+};
+
+} // namespace
+
+// Failure: a server stopped in the middle of the head of its response and
+// closed. Callers got a success with an empty or short body that looked
+// complete.
+TEST_F(PlatformBrokenResponse, AHeadCutAtAnyByteIsNoResponse) {
+  // Longer than the head of any response.
+  constexpr int MaxHead = 140;
+  constexpr int Batch = 20;
+  for (const std::string Target : {"/once/a", "/stream/once/a"})
+    for (const std::string Framing : {"length", "chunks", "close"})
+      for (const std::string Ending : {" fin", " reset"})
+        for (const bool IsFirst : {true, false})
+          for (int Bytes = 0; Bytes < MaxHead; Bytes += Batch) {
+            if (!IsFirst)
+              warmUp(Batch);
+            for (const AnswerPtr &Each :
+                 cutHeads(Target, Bytes, Batch, Framing + Ending)) {
+              finish(Each);
+              EXPECT_NE(Each->m_Status, 200)
+                  << Target << " " << Framing << Ending << " " << Bytes
+                  << (IsFirst ? " first" : " later");
+              EXPECT_FALSE(Each->m_Broken);
+            }
+          }
+}
+
+// Failure: a head without a length and chunks whose connection ended before any
+// event was taken for a complete stream without events.
+TEST_F(PlatformBrokenResponse, AStreamThatEndsBeforeItsFirstEventIsBroken) {
+  setAll(Behavior::UnframedEmptyStream);
+  const AnswerPtr Got = finish(call("GET", "/stream/once/a", "s1"));
+  EXPECT_EQ(Got->m_Status, 502);
+  m_Servers[0]->m_Behavior = Behavior::Serve;
+  for (int Count = 0; Count < 6; ++Count) {
+    const AnswerPtr Resumed =
+        finish(call("GET", "/stream/a", "r" + std::to_string(Count)));
+    EXPECT_EQ(Resumed->m_Status, 200);
+    EXPECT_EQ(Resumed->m_Body, events(5));
+  }
+}
+
+TEST_F(PlatformBrokenResponse, AnUnframedResponseEndsWithItsConnection) {
+  setAll(Behavior::UnframedStream);
+  const AnswerPtr Whole = finish(call("GET", "/stream/a", "s1"));
+  EXPECT_EQ(Whole->m_Status, 200);
+  EXPECT_FALSE(Whole->m_Broken);
+  EXPECT_EQ(Whole->m_Body, events(5));
+  setAll(Behavior::NoContentLength);
+  EXPECT_TRUE(
+      finish(call("POST", "/once/a", "p1"))->m_Body.starts_with("body of p1"));
+  setAll(Behavior::ResetNoContentLength);
+  EXPECT_EQ(finish(call("POST", "/once/a", "p2"))->m_Status, 502);
+}
+
+// Failure: a stream that ended inside an event looked complete.
+TEST_F(PlatformBrokenResponse, AnUnframedStreamThatEndsInsideAnEventIsBroken) {
+  setAll(Behavior::UnframedTruncatedStream);
+  const AnswerPtr Broken = finish(call("GET", "/stream/once/a", "s1"));
+  EXPECT_TRUE(Broken->m_Broken);
+  EXPECT_EQ(Broken->m_Body, events(2));
+  m_Servers[0]->m_Behavior = Behavior::UnframedStream;
+  m_Servers[1]->m_Behavior = Behavior::UnframedStream;
+  for (int Count = 0; Count < 6; ++Count) {
+    const AnswerPtr Resumed =
+        finish(call("GET", "/stream/a", "r" + std::to_string(Count)));
+    EXPECT_FALSE(Resumed->m_Broken);
+    EXPECT_EQ(Resumed->m_Body, events(5));
+  }
+}
+
+} // namespace corneldeck::tests
--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -199,7 +199,38 @@
     });
   }
 
+  /// Sends a part of the head of a response and ends the connection. The header
+  /// field X-Cut-Head of the request says how many bytes, how the response is
+  /// framed and how the connection ends: "BYTES length|chunks|close fin|reset".
+  /// At least one byte is missing.
+  void cutHead(const std::string &Order) {
+    std::istringstream Words(Order);
+    std::size_t Bytes = 0;
+    std::string Framing;
+    std::string Ending;
+    Words >> Bytes >> Framing >> Ending;
+    std::string Extra = isStream() ? "Content-Type: text/event-stream\r\n" : "";
+    if (Framing == "length")
+      Extra += "Content-Length: 20\r\n";
+    else if (Framing == "chunks")
+      Extra += "Transfer-Encoding: chunked\r\n";
+    const std::string Head = signedHead(200, Extra + "\r\n");
+    sendAndClose(Head.substr(0, std::min(Bytes, Head.size() - 1)),
+                 Ending == "reset");
+  }
+
   void respond(Behavior Mode) {
+    if (const std::string Order = m_Request.m_Headers["X-Cut-Head"];
+        !Order.empty()) {
+      cutHead(Order);
+      return;
+    }
+    if (Mode == Behavior::UnframedStream ||
+        Mode == Behavior::UnframedTruncatedStream ||
+        Mode == Behavior::UnframedEmptyStream) {
+      sendUnframed(Mode);
+      return;
+    }
     const bool Streams = (isStream() && Mode == Behavior::Serve) ||
                          Mode == Behavior::Restarted ||
                          Mode == Behavior::Skipping;
@@ -331,6 +362,26 @@
     }
   }
 
+  /// Sends a stream that ends with its connection.
+  void sendUnframed(Behavior Mode) {
+    const std::string Last = m_Request.m_Headers["Last-Event-Id"];
+    std::string Events;
+    if (Mode != Behavior::UnframedEmptyStream)
+      for (int Event = Last.empty() ? 1 : std::stoi(Last) + 1;
+           Event <= m_Server.m_Events; ++Event)
+        Events += eventText(Event);
+    if (Mode == Behavior::UnframedTruncatedStream)
+      Events.resize(Events.find("id: 3") + 10);
+    sendAndClose(signedHead(200, "Content-Type: text/event-stream\r\n\r\n") +
+                     Events,
+                 false);
+  }
+
+  static std::string eventText(int Event) {
+    return "id: " + std::to_string(Event) +
+           "\ndata: " + std::to_string(Event * 7) + "\n\n";
+  }
+
   void sendEndless() {
     constexpr std::size_t BlockBytes = 64UL * 1024;
     while (m_Out.size() < BlockBytes)
@@ -426,8 +477,7 @@
       send("0\r\n\r\n");
       return;
     }
-    std::string Event = "id: " + std::to_string(m_NextEvent) +
-                        "\ndata: " + std::to_string(m_NextEvent * 7) + "\n\n";
+    std::string Event = eventText(m_NextEvent);
     if (m_Server.m_Behavior == Behavior::Restarted)
       Event.insert(Event.find("data: ") + 6, "other ");
     constexpr int CutAt = 3;
--- a/Tests/Platform/StandinServer.h
+++ b/Tests/Platform/StandinServer.h
@@ -55,6 +55,12 @@
   ErrorEvents,  ///< A signed stream whose only event has no id.
   Restarted,    ///< A stream that starts anew at its first event.
   Skipping,     ///< A stream that continues two events too late.
+  /// A stream without a length and chunks that ends with its connection.
+  UnframedStream,
+  /// The same, but it ends within its third event.
+  UnframedTruncatedStream,
+  /// The same, but the connection ends after the head.
+  UnframedEmptyStream,
 };
 
 /// One request as the server received it.
