Direct, Gateway: answer all requests before a stopping entry exits

Another operator's callers lost requests in a planned stop, among them some that must not run twice: they came late in the grace period, were sent on and cut at its end without an answer. It happens here: of requests accepted in the first 2.5 s, those still at a server at the end had their connections closed. A request that has waited is not sent on for the first time unless its deadline is before the end of the process.

Evidence: PlatformLateStop.EveryRequestIsAnsweredBeforeTheProcessEnds and LateRequestsAreRefusedBeforeTheyAreSentOn failed before (9 of 9 and 2 of 148 requests had no answer) and pass now. Ruled out: requests that come after 2.5 s with a later deadline were refused before, too.

--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -178,6 +178,12 @@
 void ForwardedRequest::startAttempt() {
   const base::Millis Now = now();
   ServerPool &Pool = m_Forwarder.m_Dependencies.m_Pool;
+  const bool IsFirst = m_Tracker.attempts() == 0;
+  if (IsFirst &&
+      !m_Forwarder.m_ShutdownPolicy.accepts(Now, m_Parameters.m_Deadline)) {
+    refuseStopping();
+    return;
+  }
   const auto Decision = m_Forwarder.m_Dependencies.m_Quarantine.check(
       m_Parameters.m_Service, m_Parameters.m_Request.m_PromptParts, Now, false);
   if (Decision.m_Verdict == PromptQuarantine::Verdict::Refused &&
@@ -382,6 +388,28 @@
          net::findHeader(m_Head.m_Headers, "Transfer-Encoding").empty();
 }
 
+void ForwardedRequest::answerBeforeExit() {
+  if (m_Finished || m_HeadForwarded)
+    return;
+  m_Cancel.cancel();
+  if (m_AttemptActive) {
+    m_Tracker.recordPossibleRun();
+    releaseAttempt(AttemptOutcome::Withdrawn);
+  }
+  m_Forwarder.m_Dependencies.m_AdmissionQueue.remove(m_Parameters.m_Service,
+                                                     m_Parameters.m_Token);
+  refuseStopping();
+}
+
+void ForwardedRequest::refuseStopping() {
+  m_LastFailure = "this entry is stopping";
+  sendError(m_Tracker.mayHaveRun() ? base::ResultCode::BackendFailed
+                                   : base::ResultCode::NotReady,
+            "this entry is stopping; retry at another entry",
+            m_Tracker.mayHaveRun() ? base::Millis(0)
+                                   : m_Forwarder.stoppingRetryAfter());
+}
+
 void ForwardedRequest::releaseAttempt(AttemptOutcome Outcome) {
   if (!m_AttemptActive)
     return;
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -55,6 +55,8 @@
   /// Refuses or withdraws the request, unless it has begun to run or is the
   /// trial of the part.
   void stopQuarantined(std::uint64_t Part);
+  /// Answers the request as the process ends, unless its response has begun.
+  void answerBeforeExit();
 
   [[nodiscard]] const Parameters &parameters() const { return m_Parameters; }
 
@@ -71,6 +73,7 @@
   /// Returns whether a response that ends with its connection has no event: it
   /// cannot be told from one that was cut off.
   [[nodiscard]] bool endedBeforeFirstEvent() const;
+  void refuseStopping();
   void attemptEnded(AttemptOutcome Outcome);
   /// Decides what follows an attempt, once it is known whether its server has
   /// ended.
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -141,7 +141,7 @@
     refuse(*Exchange,
            {base::ResultCode::NotReady,
             "this entry is stopping; retry at another entry",
-            randomizedRetryAfter(StoppingRetryAfter, m_Dependencies.m_Rng)},
+            stoppingRetryAfter()},
            Request.m_Id);
     return;
   }
@@ -220,6 +220,18 @@
   Exchange.respond(m_Codec.m_EncodeError(Cause, base::Ran::No, Id));
 }
 
+base::Millis RequestForwarder::stoppingRetryAfter() const {
+  return randomizedRetryAfter(StoppingRetryAfter, m_Dependencies.m_Rng);
+}
+
+void RequestForwarder::answerBeforeExit() {
+  std::vector<std::shared_ptr<ForwardedRequest>> Remaining;
+  for (const auto &[Token, Each] : m_ActiveRequests)
+    Remaining.push_back(Each);
+  for (const auto &Each : Remaining)
+    Each->answerBeforeExit();
+}
+
 void RequestForwarder::requestEnded(std::uint64_t Token,
                                     const std::string &Service) {
   m_ActiveRequests.erase(Token);
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -143,6 +143,9 @@
     m_ShutdownPolicy.begin(m_Clock.now(), End);
   }
 
+  /// Answers all requests whose response has not begun, since the process ends.
+  void answerBeforeExit();
+
   /// Returns the number of queued and forwarded requests.
   [[nodiscard]] std::size_t inFlight() const { return m_ActiveRequests.size(); }
 
@@ -160,6 +163,8 @@
                                       const std::string &Server) const;
   /// Returns the retry-after time of a refused request of \p Service.
   [[nodiscard]] base::Millis retryAfter(const std::string &Service) const;
+  /// Returns the retry-after time of a request that is refused during a stop.
+  [[nodiscard]] base::Millis stoppingRetryAfter() const;
   void armQueueTimer();
   /// Returns whether a response of \p Size bytes may grow by \p Added bytes.
   /// A large one is cut off if all responses together need too much memory.
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -615,6 +615,11 @@
   if (Elapsed < m_Settings.m_StopTimeout &&
       !(IsIdle && Elapsed >= MinStopDuration))
     return;
+  // The answers are sent until the next call.
+  if (!std::exchange(m_IsAnsweredBeforeExit, true) && !IsIdle) {
+    m_Forwarder.answerBeforeExit();
+    return;
+  }
   m_Events.record(base::EventId::ProcessStopped,
                   {{"in_flight", std::to_string(m_Forwarder.inFlight())}});
   if (m_OnStopped)
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -163,6 +163,7 @@
       std::make_shared<const bool>(true);
   bool m_Stopping = false;
   base::Millis m_StopStartedAt{};
+  bool m_IsAnsweredBeforeExit = false;
   std::function<void()> m_OnStopped;
 };
 
--- a/Tests/Platform/BrokenResponseTest.cpp
+++ b/Tests/Platform/BrokenResponseTest.cpp
@@ -4,7 +4,10 @@
 
 namespace {
 
-/// Entries whose backend servers end responses in the middle.
+using std::chrono::milliseconds;
+
+/// Entries whose backend servers end responses in the middle, and entries that
+/// stop while requests are in flight.
 class PlatformBrokenResponse : public PlatformEntry {
 protected:
   static std::string events(int Count) {
@@ -38,6 +41,16 @@
   }
 };
 
+/// The same, with a grace period that is long enough for late requests.
+class PlatformLateStop : public PlatformBrokenResponse {
+protected:
+  void SetUp() override {
+    m_RouteTimeout = base::seconds(20);
+    m_CallerDeadline = base::seconds(20);
+    PlatformBrokenResponse::SetUp();
+  }
+};
+
 } // namespace
 
 // Failure: a server stopped in the middle of the head of its response and
@@ -109,4 +122,62 @@
   }
 }
 
+// Failure: requests that a stopping entry had sent on were cut off without an
+// answer when its process ended.
+TEST_F(PlatformLateStop, EveryRequestIsAnsweredBeforeTheProcessEnds) {
+  setAll(Behavior::NoResponse);
+  std::vector<AnswerPtr> Answers;
+  bool Stopped = false;
+  m_Entries[1]->beginStop([&Stopped] { Stopped = true; });
+  for (const std::string Target : {"/once/a", "/plain/a", "/stream/a"})
+    for (int Count = 0; Count < 3; ++Count)
+      Answers.push_back(call("POST", Target, "l" + std::to_string(++m_Calls),
+                             {}, "key-1", 1));
+  runUntil([&Stopped] { return Stopped; });
+  m_Entries[1].reset();
+  for (const AnswerPtr &Each : Answers) {
+    finish(Each);
+    EXPECT_FALSE(Each->m_Broken);
+    EXPECT_EQ(Each->m_Status, 502);
+  }
+}
+
+// Failure: requests that came late in the grace period were sent on, and cut
+// off at its end, among them requests that must not run twice.
+TEST_F(PlatformLateStop, LateRequestsAreRefusedBeforeTheyAreSentOn) {
+  m_Settings[1].m_GracePeriod = base::seconds(8);
+  m_Entries[1].reset();
+  startEntry(1);
+  runUntil([this] { return isReady(1); });
+  bool Stopped = false;
+  m_Entries[1]->beginStop([&Stopped] { Stopped = true; });
+  // Keeps the process until the end of its grace period.
+  m_Servers[0]->m_Behavior = Behavior::NoResponse;
+  std::vector<AnswerPtr> Answers;
+  const auto Begin = std::chrono::steady_clock::now();
+  int Sent = 0;
+  runUntil([&] {
+    const auto Elapsed = std::chrono::steady_clock::now() - Begin;
+    for (; Sent * milliseconds(50) <= Elapsed && !Stopped; ++Sent)
+      Answers.push_back(call("POST", "/once/a", "l" + std::to_string(++m_Calls),
+                             {}, "key-1", 1));
+    return Stopped;
+  });
+  m_Entries[1].reset();
+  for (std::size_t Index = 0; Index < Answers.size(); ++Index) {
+    const AnswerPtr &Each = finish(Answers[Index]);
+    if (Each->m_Status == 0) {
+      // Not read before the process ended.
+      EXPECT_GE(Index + 8, Answers.size());
+      continue;
+    }
+    EXPECT_FALSE(Each->m_Broken) << Index;
+    EXPECT_TRUE(Each->m_Status == 200 || Each->m_Status == 502 ||
+                Each->m_Status == 503)
+        << Each->m_Status;
+    if (Each->m_Status == 503)
+      EXPECT_EQ(runs("l" + std::to_string(Index + 1)), 0);
+  }
+}
+
 } // namespace corneldeck::tests
