Direct, Bench: let a trial decide on parts that were served before

The model of the quarantine, new here, found two faults of it. Callers of a common part would have been refused for a minute or more: while a group forms again and again, hardly anything is served between two ends, so a part of most requests had ends at three times; entries that had just started blamed it at two, and the others followed. A part that any entry has served before is tried after 2 s now, and only an end under a trial makes it certain; a trial without a result does not.

PromptQuarantineTest covers the return of a part that was served.

--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -20,6 +20,7 @@
   All.push_back(serverNoticesScenario());
   All.push_back(mapSwitchScenario());
   All.push_back(pathScenario());
+  All.push_back(quarantineScenario());
   All.push_back(rebalanceScenario());
   All.push_back(recoveryScenario());
   All.push_back(retriesScenario());
@@ -42,6 +43,7 @@
   All.push_back(mapSwitchPromise());
   All.push_back(mapSwitchExplorationPromise());
   All.push_back(outcomePromise());
+  All.push_back(quarantinePromise());
   All.push_back(retriesPromise());
   return All;
 }
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -23,6 +23,8 @@
 Scenario feedSpreadScenario();
 Promise feedSpreadPromise();
 Scenario fleetScenario();
+Scenario quarantineScenario();
+Promise quarantinePromise();
 Scenario controlCostScenario();
 Promise limitsPromise();
 Promise logEraPromise();
--- a/Source/Direct/PromptQuarantine.cpp
+++ b/Source/Direct/PromptQuarantine.cpp
@@ -162,6 +162,7 @@
   }
   Own.m_Ends = std::max(Own.m_Ends, Statement.m_Ends);
   Own.m_EndTimes = std::max(Own.m_EndTimes, Statement.m_EndTimes);
+  Own.m_HasTrialFailed |= Statement.m_HasTrialFailed;
   if (Statement.m_Trials > Own.m_Trials) {
     Own.m_Trials = Statement.m_Trials;
     Own.m_TrialEntry = Statement.m_TrialEntry;
@@ -175,6 +176,11 @@
   }
   if (Statement.m_IsConfirmed && !Own.m_IsConfirmed)
     confirm(Known, Now, From);
+  if (!Own.m_WasServed &&
+      (Statement.m_WasServed || lastServed(Own.m_Service, Own.m_Part, Now))) {
+    doubt(Known);
+    announce();
+  }
 }
 
 void PromptQuarantine::adopt(const PartStatement &Statement,
@@ -203,6 +209,10 @@
     announce();
     return;
   }
+  if (lastServed(Key.m_Service, Key.m_Part, Now) && !Statement.m_WasServed) {
+    doubt(Known);
+    announce();
+  }
   if (!WasActive)
     report(Change::Type::Quarantined, Known, From, Now);
 }
@@ -214,7 +224,8 @@
     return false;
   const bool IsLater =
       *Served > Now - Statement.m_FirstEndAge + m_Settings.m_SimultaneousEnds;
-  return IsLater || Statement.m_EndTimes < m_Settings.m_MinEndsOfServed;
+  return IsLater || (Statement.m_Trials == 0 &&
+                     Statement.m_EndTimes < m_Settings.m_MinEndsOfServed);
 }
 
 std::vector<ServerEndStatement>
@@ -371,10 +382,16 @@
                              std::includes(Each.first.begin(), Each.first.end(),
                                            Ends.begin(), Ends.end());
                     });
+    State *Known = findActive(Service, Part);
+    // While a group forms again and again, hardly anything is served: a part
+    // that was served before needs a trial.
+    const bool IsTried =
+        Known && (Known->m_Statement.m_HasTrialFailed ||
+                  (Known->m_Statement.m_Trials > 0 &&
+                   Found.m_Ends.size() > Known->m_Statement.m_Ends));
     const bool IsConfirmed =
-        !IsAmbiguous &&
+        !IsAmbiguous && (IsTried || !lastServed(Service, Part, Now)) &&
         (Found.m_Times > 1 || Found.m_Ends.size() > m_Settings.m_MinEnds);
-    State *Known = findActive(Service, Part);
     if (!Known) {
       if (!IsExplained)
         beginQuarantine({Service, Part}, Found, IsConfirmed, Now);
@@ -385,6 +402,7 @@
       release(*Known, Now, {});
       continue;
     }
+    Statement.m_HasTrialFailed = IsTried;
     if (Found.m_Ends.size() > Statement.m_Ends) {
       Statement.m_Ends = static_cast<std::uint32_t>(Found.m_Ends.size());
       Statement.m_EndTimes = static_cast<std::uint32_t>(Found.m_Times);
@@ -418,6 +436,8 @@
   Statement.m_Part = Key.m_Part;
   Statement.m_Number = Number;
   Statement.m_IsConfirmed = IsConfirmed;
+  Statement.m_WasServed =
+      lastServed(Key.m_Service, Key.m_Part, Now).has_value();
   Statement.m_Ends = static_cast<std::uint32_t>(Found.m_Ends.size());
   Statement.m_EndTimes = static_cast<std::uint32_t>(Found.m_Times);
   Statement.m_Reporter = m_Entry;
@@ -440,6 +460,12 @@
   report(Change::Type::Confirmed, Known, From, Now);
 }
 
+void PromptQuarantine::doubt(State &Known) {
+  Known.m_Statement.m_WasServed = true;
+  if (Known.m_Statement.m_Trials == 0)
+    Known.m_NextTrialAt = Known.m_Since + trialDelay(Known.m_Statement);
+}
+
 void PromptQuarantine::release(State &Known, base::Millis Now,
                                const std::string &From) {
   PartStatement &Statement = Known.m_Statement;
@@ -468,14 +494,16 @@
 
 base::Millis
 PromptQuarantine::trialDelay(const PartStatement &Statement) const {
-  const base::Millis Max = Statement.m_IsConfirmed ? m_Settings.m_MaxTrialDelay
-                                                   : m_Settings.m_TrialDelay;
-  base::Millis Delay = Statement.m_IsConfirmed
-                           ? m_Settings.m_TrialDelay
-                           : m_Settings.m_UnconfirmedTrialDelay;
+  const bool IsCertain = Statement.m_IsConfirmed &&
+                         (!Statement.m_WasServed || Statement.m_HasTrialFailed);
+  const base::Millis Max =
+      IsCertain ? m_Settings.m_MaxTrialDelay : m_Settings.m_TrialDelay;
+  base::Millis Delay =
+      IsCertain ? m_Settings.m_TrialDelay : m_Settings.m_UnconfirmedTrialDelay;
   for (std::uint32_t Trial = 0; Trial < Statement.m_Trials && Delay < Max;
        ++Trial)
-    Delay = Delay * m_Settings.m_TrialFactor;
+    Delay = Delay * (IsCertain ? m_Settings.m_TrialFactor
+                               : m_Settings.m_UnconfirmedTrialFactor);
   return std::min(Delay, Max);
 }
 
--- a/Source/Direct/PromptQuarantine.h
+++ b/Source/Direct/PromptQuarantine.h
@@ -40,9 +40,14 @@
   bool m_IsReleased = false;
   /// Whether the part alone explains ends at several times.
   bool m_IsConfirmed = false;
+  /// Whether an entry knows that requests with the part were served before the
+  /// ends, so that a trial has to decide.
+  bool m_WasServed = false;
   /// Number of trials so far, and the entry that makes or made the last one.
   std::uint32_t m_Trials = 0;
   std::string m_TrialEntry;
+  /// Whether a server ended under a trial.
+  bool m_HasTrialFailed = false;
   /// Time since the last trial or, without one, the begin.
   base::Millis m_Age{};
   base::Millis m_FirstEndAge{};
@@ -61,7 +66,7 @@
   std::size_t m_MinEnds = 2;
   /// The same for a part with which requests were served, in ends at different
   /// times since.
-  std::size_t m_MinEndsOfServed = 3;
+  std::size_t m_MinEndsOfServed = 4;
   /// Ends within this time count as one time: servers can have a common cause
   /// outside of requests.
   base::Millis m_SimultaneousEnds = base::Millis(250);
@@ -74,6 +79,7 @@
   /// The same for a part that is not confirmed, up to m_TrialDelay.
   base::Millis m_UnconfirmedTrialDelay = base::seconds(2);
   std::int64_t m_TrialFactor = 4;
+  std::int64_t m_UnconfirmedTrialFactor = 2;
   /// Time in which an end or a quarantine is in every heartbeat; afterwards in
   /// each m_StatementInterval.
   base::Millis m_NewStatements = base::seconds(3);
@@ -244,6 +250,8 @@
   void beginQuarantine(const PartKey &Key, const Evidence &Found,
                        bool IsConfirmed, base::Millis Now);
   void confirm(State &Known, base::Millis Now, const std::string &From);
+  /// Makes the first trial of a part due soon, since it was served before.
+  void doubt(State &Known);
   void release(State &Known, base::Millis Now, const std::string &From);
   void adopt(const PartStatement &Statement, const std::string &From,
              base::Millis Now);
--- a/Source/Fleet/FleetSummary.cpp
+++ b/Source/Fleet/FleetSummary.cpp
@@ -92,7 +92,8 @@
 void SummarySum::addPart(const wire::PartQuarantine &Part, base::Millis Age) {
   const auto Order = [](const wire::PartQuarantine &Each) {
     return std::tuple(Each.number(), Each.released(), Each.trials(),
-                      Each.confirmed(), Each.ends());
+                      Each.trial_failed(), Each.confirmed(), Each.was_served(),
+                      Each.ends());
   };
   const auto [Found, IsNew] =
       m_Parts.try_emplace({Part.service(), Part.part()}, Part);
--- a/Source/Gateway/QuarantineExchange.cpp
+++ b/Source/Gateway/QuarantineExchange.cpp
@@ -39,6 +39,8 @@
   Part.set_number(Statement.m_Number);
   Part.set_released(Statement.m_IsReleased);
   Part.set_confirmed(Statement.m_IsConfirmed);
+  Part.set_was_served(Statement.m_WasServed);
+  Part.set_trial_failed(Statement.m_HasTrialFailed);
   Part.set_trials(Statement.m_Trials);
   Part.set_trial_entry(Statement.m_TrialEntry);
   Part.set_age_ms(encodeAge(Statement.m_Age));
@@ -58,6 +60,8 @@
   Statement.m_Number = Part.number();
   Statement.m_IsReleased = Part.released();
   Statement.m_IsConfirmed = Part.confirmed();
+  Statement.m_WasServed = Part.was_served();
+  Statement.m_HasTrialFailed = Part.trial_failed();
   Statement.m_Trials = Part.trials();
   Statement.m_TrialEntry = Part.trial_entry();
   Statement.m_Age = base::Millis(Part.age_ms());
--- a/Tests/Direct/PromptQuarantineTest.cpp
+++ b/Tests/Direct/PromptQuarantineTest.cpp
@@ -272,14 +272,23 @@
 TEST_F(PromptQuarantineTest, AServedPartThatBecomesFatalIsQuarantined) {
   for (std::size_t Entry = 0; Entry < 3; ++Entry)
     entry(Entry).recordServed(Service, {Fatal}, m_Now);
-  for (std::size_t End = 0; End < 3; ++End) {
+  for (std::size_t End = 0; End < 4; ++End) {
     pass(base::seconds(4));
     EXPECT_EQ(check(0, {Fatal}), Verdict::Permitted);
-    endServer(End, {{Fatal}});
+    endServer(End % 3, {{Fatal}});
   }
   exchange();
   for (std::size_t Entry = 0; Entry < 3; ++Entry)
     EXPECT_EQ(check(Entry, {Fatal}), Verdict::Refused) << Entry;
+  // Since it was served before, a trial decides.
+  EXPECT_FALSE(entry(0).quarantined(m_Now)[0].first.m_IsConfirmed);
+  pass(base::seconds(2));
+  EXPECT_EQ(check(0, {Fatal}), Verdict::Trial);
+  pass(base::Millis(800));
+  endServer(0, {{Fatal}});
+  exchange();
+  for (std::size_t Entry = 0; Entry < 3; ++Entry)
+    EXPECT_TRUE(entry(Entry).quarantined(m_Now)[0].first.m_IsConfirmed);
 }
 
 TEST_F(PromptQuarantineTest, AReleasedPartIsReleasedEverywhereForGood) {
