Tests/Soak: streams that end their servers

A tenth of the streams has a part in its prompt under which its server ends; the server starts again 1.5 s later under its id. The users' bound is checked: at most three such requests reach servers later than 3 s after the fifth end, from entries without a fault.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -52,7 +52,7 @@
 Soak::Soak(SoakSettings Settings)
     : m_Settings(std::move(Settings)), m_Draw(m_Settings.m_Seed),
       m_LimitDraw(m_Settings.m_Seed), m_NoticeDraw(m_Settings.m_Seed),
-      m_StoreDraw(m_Settings.m_Seed) {
+      m_StoreDraw(m_Settings.m_Seed), m_PromptDraw(m_Settings.m_Seed) {
   m_Store.m_NamesEra = m_Settings.m_Plant != Plant::EraIgnored;
   m_StoreAddress = m_Store.listen();
   for (int Index = 0; Index < Servers; ++Index)
@@ -74,6 +74,10 @@
   Added.m_Proxy =
       std::make_unique<LoopbackProxy>(m_Loop, Added.m_Server->listen());
   Added.m_Address = Added.m_Proxy->listen();
+  Added.m_Server->m_FatalParts = {FatalPart};
+  Added.m_Server->m_OnEnded = [this, Id = Added.m_Server->id()] {
+    endServer(Id);
+  };
   registerServer(Added, "ready");
 }
 
@@ -178,6 +182,7 @@
   });
   every(base::Millis(50), [this] {
     heal();
+    reviveServers();
     checkServers();
   });
   while (now() < End)
@@ -200,6 +205,7 @@
   Request->m_Entry = static_cast<std::size_t>(&Of - m_Entries.data());
   Request->m_Start = Of.m_Starts;
   Request->m_SentAt = now();
+  std::string Prompt;
   switch (m_Draw.below(4)) {
   case 0:
     Request->m_Path = "/once/";
@@ -207,6 +213,7 @@
     break;
   case 1:
     Request->m_Path = "/stream/";
+    Prompt = drawPrompt();
     break;
   case 2:
     Request->m_Path = "/plain/";
@@ -227,6 +234,8 @@
                     {"Authorization", "Token k"},
                     {"Deadline-Ms", "4000"},
                     {"X-Entry", std::to_string(Request->m_Entry)}};
+  if (!Prompt.empty())
+    Call.m_Headers.push_back({"Prefix-Hash", Prompt});
   Call.m_Body = Request->m_Id;
   Call.m_Timeout = base::seconds(5);
   net::HttpCallbacks Hooks;
@@ -335,6 +344,7 @@
         for (int Copy = 0; Copy < Count; ++Copy)
           Of.m_Oracle.requestArrived(now(), From.m_Name);
       checkNotices(Of, Each);
+      checkFatal(Each, From);
       if (Leaving && now() > From.m_ExcusedUntil)
         violate(Of.m_Server->id() + " got " + Each.m_Id + " from " +
                 From.m_Name + " " +
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -20,6 +20,9 @@
 
 namespace corneldeck::tests {
 
+/// Id of the part of prompts that ends servers, hexadecimal.
+inline constexpr const char *FatalPart = "fa7a1";
+
 /// A mistake that is played from outside; the soak must report it.
 enum class Plant {
   None,
@@ -28,9 +31,10 @@
   LeavingStillUsed,  ///< A server that leaves goes on getting work.
   AnswerOfAnother,   ///< A caller gets the answer to another request.
   LimitExceeded,     ///< A server with a rate limit gets requests 30 times.
-  NoticeIgnored, ///< A server gets requests after it has said that it leaves.
-  PauseIgnored,  ///< A server gets three requests before its pause is over.
-  EraIgnored     ///< An older copy of the log counts as newer than itself.
+  NoticeIgnored,  ///< A server gets requests after it has said that it leaves.
+  PauseIgnored,   ///< A server gets three requests before its pause is over.
+  EraIgnored,     ///< An older copy of the log counts as newer than itself.
+  FatalPartHidden ///< Entries cannot see the part of prompts that ends servers.
 };
 
 struct SoakSettings {
@@ -87,6 +91,8 @@
     /// When the server starts again after it has said that it leaves; zero if
     /// it has not.
     base::Millis m_StartsAgainAt{};
+    /// When it starts again after a request has ended it; zero if it runs.
+    base::Millis m_RevivesAt{};
     /// What the server has said to each entry, by index.
     std::map<std::size_t, Notice> m_Leaving;
     std::map<std::size_t, Notice> m_Pauses;
@@ -152,6 +158,15 @@
   void recordLeaving(const Asked &Request);
   /// Checks a request that a server received against its notices.
   void checkNotices(Server &Of, const ReceivedRequest &Received);
+  /// Returns the parts of the prompt of a stream. Some have a part that ends
+  /// the server.
+  std::string drawPrompt();
+  /// Ends a server under a request.
+  void endServer(const std::string &Id);
+  /// Starts servers again that requests have ended.
+  void reviveServers();
+  /// Counts a request with the part that ends servers.
+  void checkFatal(const ReceivedRequest &Received, const Entry &From);
   void heal();
   void checkServers();
   void checkPromises();
@@ -167,6 +182,11 @@
   base::Random m_LimitDraw;
   base::Random m_NoticeDraw;
   base::Random m_StoreDraw;
+  base::Random m_PromptDraw;
+  /// When servers ended under requests, and the requests with the part that
+  /// arrived when all entries had to know it.
+  std::vector<base::Millis> m_FatalEnds;
+  int m_LateFatal = 0;
   boost::asio::io_context m_Loop{1};
   StandinStore m_Store{m_Loop};
   std::string m_StoreAddress;
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -21,7 +21,8 @@
     {"limit-exceeded", Plant::LimitExceeded},
     {"notice-ignored", Plant::NoticeIgnored},
     {"pause-ignored", Plant::PauseIgnored},
-    {"era-ignored", Plant::EraIgnored}};
+    {"era-ignored", Plant::EraIgnored},
+    {"fatal-part-hidden", Plant::FatalPartHidden}};
 
 const std::map<std::string, AgentPlant> AgentPlants = {
     {"mixed-maps", AgentPlant::MixedMaps},
