--- a/Source/Direct/PromptQuarantine.h
+++ b/Source/Direct/PromptQuarantine.h
@@ -4,13 +4,13 @@
 #include "Base/Millis.h"
 #include "Direct/ServerEnds.h"
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -75,7 +75,7 @@
   /// Time until the first trial of a part. Grows by m_TrialFactor with each
   /// trial, up to m_MaxTrialDelay.
   base::Millis m_TrialDelay = base::seconds(60);
-  base::Millis m_MaxTrialDelay = base::minutes(24 * 60);
+  base::Millis m_MaxTrialDelay = base::minutes(1440);
   /// The same for a part that is not confirmed, up to m_TrialDelay.
   base::Millis m_UnconfirmedTrialDelay = base::seconds(2);
   std::int64_t m_TrialFactor = 4;
@@ -203,7 +203,10 @@
     std::string m_Service;
     std::uint64_t m_Part = 0;
 
-    auto operator<=>(const PartKey &) const = default;
+    bool operator<(const PartKey &Other) const {
+      return std::tie(m_Service, m_Part) <
+             std::tie(Other.m_Service, Other.m_Part);
+    }
   };
   struct End {
     ServerStart m_Start;
--- a/Source/Direct/ServerEnds.h
+++ b/Source/Direct/ServerEnds.h
@@ -3,13 +3,13 @@
 
 #include "Base/Clock.h"
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace corneldeck::direct {
@@ -20,7 +20,11 @@
   /// Wall-clock time of the start in milliseconds; 0 if unknown.
   std::uint64_t m_StartTime = 0;
 
-  auto operator<=>(const ServerStart &) const = default;
+  bool operator==(const ServerStart &) const = default;
+  bool operator<(const ServerStart &Other) const {
+    return std::tie(m_Server, m_StartTime) <
+           std::tie(Other.m_Server, Other.m_StartTime);
+  }
 };
 
 /// State of one start of a backend server.
--- a/Tests/Direct/PromptQuarantineTest.cpp
+++ b/Tests/Direct/PromptQuarantineTest.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using Verdict = PromptQuarantine::Verdict;
-using testing::ElementsAre;
 using testing::IsEmpty;
 
 const std::string Service = "llm";
@@ -208,7 +207,7 @@
 TEST_F(PromptQuarantineTest, TrialsOfAFatalPartAreFewOverADay) {
   quarantineFatal();
   int Trials = 0;
-  for (base::Millis End = m_Now + base::minutes(24 * 60); m_Now < End;
+  for (base::Millis End = m_Now + base::minutes(1440); m_Now < End;
        m_Now += base::seconds(10)) {
     exchange();
     for (std::size_t Entry = 0; Entry < 3; ++Entry) {
--- a/Tests/Platform/BrokenResponseTest.cpp
+++ b/Tests/Platform/BrokenResponseTest.cpp
@@ -23,6 +23,7 @@
   std::vector<AnswerPtr> cutHeads(const std::string &Target, int First,
                                   int Count, const std::string &How) {
     std::vector<AnswerPtr> Answers;
+    Answers.reserve(static_cast<std::size_t>(Count));
     for (int Bytes = First; Bytes < First + Count; ++Bytes)
       Answers.push_back(
           call("POST", Target, "c" + std::to_string(++m_Calls),
@@ -33,6 +34,7 @@
   /// Opens idle connections to the servers.
   void warmUp(int Count) {
     std::vector<AnswerPtr> Answers;
+    Answers.reserve(static_cast<std::size_t>(Count));
     for (int Index = 0; Index < Count; ++Index)
       Answers.push_back(
           call("GET", "/plain/w", "w" + std::to_string(++m_Calls)));
