Tests/Platform, Tests/Fleet: refusals by the quarantine, and its statements over relays

Real programs: all entries refuse the part with a retry-after time of over 30 s, also one that has started since, and name it on /quarantine; connections that break at servers that live blame no part. Summaries contain each end and part once, the newest statement of a part. All pass on the code as it is; none was seen to fail, since they were written after it.

--- a/Tests/Fleet/FleetSummaryTest.cpp
+++ b/Tests/Fleet/FleetSummaryTest.cpp
@@ -84,4 +84,39 @@
   EXPECT_EQ(Summary.groups(0).closed(), 0U);
 }
 
+// Failure: with relays, each entry's statement on the same end or part would
+// have been forwarded to all, and an older one could have replaced a newer one.
+TEST(SummarySum, ForwardsEachEndAndPartOnce) {
+  SummarySum Sum;
+  for (std::uint32_t Entry = 0; Entry < 100; ++Entry) {
+    wire::FleetBeat Beat = beat("e" + std::to_string(Entry), 1, 1);
+    wire::ServerEnd &End = *Beat.add_ends();
+    End.set_server("s1");
+    End.set_service("llm");
+    End.set_age_ms(1000);
+    End.add_parts(7);
+    End.add_parts(100 + Entry % 4);
+    wire::PartQuarantine &Part = *Beat.add_parts();
+    Part.set_service("llm");
+    Part.set_part(7);
+    Part.set_number(1);
+    Part.set_released(Entry == 50);
+    Part.set_age_ms(10 * Entry);
+    Sum.addEntry(Beat, base::Millis(40));
+  }
+  wire::FleetSummary Zone;
+  Sum.write(Zone);
+  SummarySum All;
+  All.addSummary(Zone, base::Millis(60));
+  All.addSummary(Zone, base::Millis(60));
+  wire::FleetSummary Total;
+  All.write(Total);
+  ASSERT_EQ(Total.ends_size(), 1);
+  EXPECT_EQ(Total.ends(0).parts_size(), 5);
+  EXPECT_EQ(Total.ends(0).age_ms(), 1100U);
+  ASSERT_EQ(Total.parts_size(), 1);
+  EXPECT_TRUE(Total.parts(0).released());
+  EXPECT_EQ(Total.parts(0).age_ms(), 600U);
+}
+
 } // namespace corneldeck::fleet
--- a/Tests/Platform/PromptQuarantineTest.cpp
+++ b/Tests/Platform/PromptQuarantineTest.cpp
@@ -109,6 +109,20 @@
     return Sum;
   }
 
+  /// Returns what the page of an entry says of quarantined parts.
+  std::string quarantinePage(int Entry) {
+    std::string Text;
+    bool Done = false;
+    m_Http.get(m_Settings[Entry].m_PeerAddress, "/quarantine",
+               base::seconds(30),
+               [&](const base::Result<net::HttpResponse> &Reply) {
+                 Done = true;
+                 Text = Reply ? Reply->m_Body : std::string();
+               });
+    runUntil([&Done] { return Done; });
+    return Text;
+  }
+
   std::set<std::string> m_FatalParts = {FatalPart};
   milliseconds m_RestartTime{300};
   std::vector<steady_clock::time_point> m_EndedAt;
@@ -140,4 +154,51 @@
     EXPECT_NE(Each->m_Status, 200);
 }
 
+// Failure: an entry that started later, or that had seen no end, sent requests
+// with the part on; the caller was told to return at once.
+TEST_F(PlatformPromptQuarantine, AllEntriesRefuseAndNameTheQuarantinedPart) {
+  warmUp();
+  for (int Server = 0; Server < 2; ++Server) {
+    const std::size_t Before = m_EndedAt.size();
+    finish(stream({"a1", FatalPart}, 0));
+    EXPECT_EQ(m_EndedAt.size(), Before + 1);
+    const auto Begin = steady_clock::now();
+    runUntil([&] { return steady_clock::now() > Begin + milliseconds(600); });
+  }
+  m_Entries[2].reset();
+  startEntry(2);
+  runUntil([this] {
+    return isReady(2) && metric(2, "corneldeck_quarantined_parts") == 1;
+  });
+  const std::size_t Ends = m_EndedAt.size();
+  for (int Entry = 0; Entry < m_EntryCount; ++Entry) {
+    const AnswerPtr Refused = finish(stream({"a1", FatalPart}, Entry));
+    EXPECT_EQ(Refused->m_Status, 503);
+    EXPECT_GT(std::stod(std::string(
+                  net::findHeader(Refused->m_Headers, "Retry-After"))),
+              30);
+    EXPECT_EQ(finish(stream({"a1"}, Entry))->m_Status, 200);
+    EXPECT_EQ(metric(Entry, "corneldeck_quarantine_refused_total"), 1);
+    EXPECT_NE(quarantinePage(Entry).find("part=dead service=svc confirmed=yes"),
+              std::string::npos)
+        << quarantinePage(Entry);
+  }
+  EXPECT_EQ(m_EndedAt.size(), Ends);
+}
+
+// Failure: connections that were reset, or closed by a server that lives, were
+// taken for ends of servers, and blamed what their requests had in common.
+TEST_F(PlatformPromptQuarantine, BrokenConnectionsToLiveServersBlameNoPart) {
+  for (const Behavior Mode : {Behavior::Reset, Behavior::NoContentLength}) {
+    setAll(Mode);
+    for (int Count = 0; Count < 12; ++Count)
+      finish(stream({"a1", "b2"}, Count % m_EntryCount));
+  }
+  setAll(Behavior::Serve);
+  for (int Entry = 0; Entry < m_EntryCount; ++Entry) {
+    EXPECT_EQ(metric(Entry, "corneldeck_quarantined_parts"), 0);
+    EXPECT_EQ(finish(stream({"a1", "b2"}, Entry))->m_Status, 200);
+  }
+}
+
 } // namespace corneldeck::tests
