Direct: let go of a request that waits for a trial when its entry ends

The timer of the announcement held the request, and would have used the entry's objects if they are destroyed within the 800 ms; in production the process ends with them. Found by reading; no run showed it.

--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -140,8 +140,9 @@
   m_TrialTimer.expires_after(
       std::chrono::milliseconds(TrialAnnouncementTime.count()));
   m_TrialTimer.async_wait(
-      [Self = shared_from_this(), Part](const boost::system::error_code &Code) {
-        if (Code || Self->m_Finished)
+      [Weak = weak_from_this(), Part](const boost::system::error_code &Code) {
+        const auto Self = Weak.lock();
+        if (Code || !Self || Self->m_Finished)
           return;
         const std::string &Service = Self->m_Parameters.m_Service;
         PromptQuarantine &Quarantine =
