Tests/Soak: no fatal streams beside other planted mistakes

Streams end servers only without a plant or with the one that is about them; the other planted runs are again as before.

--- a/Tests/Soak/SoakQuarantine.cpp
+++ b/Tests/Soak/SoakQuarantine.cpp
@@ -14,8 +14,10 @@
 } // namespace
 
 std::string Soak::drawPrompt() {
-  const double FatalRate =
-      m_Settings.m_Plant == Plant::FatalPartHidden ? 0.3 : 0.1;
+  // Other planted mistakes must show in one run, at servers that stay.
+  const double FatalRate = m_Settings.m_Plant == Plant::FatalPartHidden ? 0.3
+                           : m_Settings.m_Plant == Plant::None          ? 0.1
+                                                                        : 0;
   std::string Prompt = "a" + std::to_string(m_PromptDraw.below(5)) + ":40,b" +
                        std::to_string(m_PromptDraw.below(5)) + ":60,";
   if (m_PromptDraw.chance(FatalRate))
