--- a/Source/Bench/QuarantineModel.cpp
+++ b/Source/Bench/QuarantineModel.cpp
@@ -21,8 +21,8 @@
 constexpr double MessageLoss = 0.02;
 constexpr base::Millis MinQueueTime{20};
 constexpr base::Millis MaxQueueTime{200};
-/// Time from the first event until the entry takes the request for served, and
-/// until its end.
+/// Time from the first event until the entry records the request as served,
+/// and until its end.
 constexpr base::Millis ServingTime{300};
 constexpr base::Millis StreamTime{1200};
 constexpr base::Millis CheckTime{3};
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -70,8 +70,8 @@
   /// Returns whether the response may continue the stream that the caller has
   /// received a part of.
   [[nodiscard]] bool continuesStream() const;
-  /// Returns whether a response that ends with its connection has no event: it
-  /// cannot be told from one that was cut off.
+  /// Returns whether a response that ends with its connection has no event. It
+  /// may have been cut off.
   [[nodiscard]] bool endedBeforeFirstEvent() const;
   void refuseStopping();
   void attemptEnded(AttemptOutcome Outcome);
--- a/Source/Direct/PromptQuarantine.h
+++ b/Source/Direct/PromptQuarantine.h
@@ -141,8 +141,8 @@
   void onChange(std::function<void(const Change &)> OnChange) {
     m_OnChange = std::move(OnChange);
   }
-  /// Sets the function that is called when the other entries have to be told at
-  /// once.
+  /// Sets the function that is called when statements must be sent to the other
+  /// entries at once.
   void onNews(std::function<void()> OnNews) { m_OnNews = std::move(OnNews); }
 
   /// Decides on a new request.
--- a/Source/Direct/ServerEnds.h
+++ b/Source/Direct/ServerEnds.h
@@ -46,8 +46,8 @@
   std::size_t m_MaxStarts = 256;
 };
 
-/// Tells backend servers that have ended from servers that only closed or reset
-/// connections.
+/// Distinguishes backend servers that have ended from servers that only closed
+/// or reset connections.
 ///
 /// A connection breaks also if it is reset on the way, or if a live server cuts
 /// off its work, such as the other ranks of a group that has lost one. So each
--- a/Tests/Platform/PromptQuarantineTest.cpp
+++ b/Tests/Platform/PromptQuarantineTest.cpp
@@ -155,7 +155,7 @@
 }
 
 // Failure: an entry that started later, or that had seen no end, sent requests
-// with the part on; the caller was told to return at once.
+// with the part on, or responded with a short retry-after time.
 TEST_F(PlatformPromptQuarantine, AllEntriesRefuseAndNameTheQuarantinedPart) {
   warmUp();
   for (int Server = 0; Server < 2; ++Server) {
