Platform, Gateway: apply a version whose numbers or parts cannot be used

Cause: the decoder had upper bounds of its own, a number over one was an error of the whole document, and an entry that cannot decode the newest version keeps the one before. Nothing but one log line showed it.

Metrics show versions that are rejected, for how long the newest one is not in force, and unreadable parts.

Ruled out: the feeds and the store; the entries had the newest record and logged that it was unreadable. Found beside it: the same bound on the capacity in a server's record removed the server from use.

--- a/Source/Base/ResultCode.cpp
+++ b/Source/Base/ResultCode.cpp
@@ -60,6 +60,11 @@
     ResultCodeInfo{ResultCode::NotStarted, "not-started", 503, Ran::No,
                    "The message was lost before it reached a backend server.",
                    "Retry after the time in Retry-After."},
+    ResultCodeInfo{ResultCode::RouteUnusable, "route-unusable", 503, Ran::No,
+                   "The route of the request is invalid in the configuration "
+                   "in force.",
+                   "Ask the operators to correct the route; retry after the "
+                   "time in Retry-After."},
     ResultCodeInfo{ResultCode::ClaimHomeUnavailable, "claim-home-unavailable",
                    503, Ran::Unknown,
                    "The only backend server with the record of this key is "
--- a/Source/Base/ResultCode.h
+++ b/Source/Base/ResultCode.h
@@ -36,6 +36,7 @@
   Stopping = 122,
   CatalogueTooOld = 123,
   NotStarted = 124,
+  RouteUnusable = 125,
   ClaimHomeUnavailable = 130,
   ClaimWindow = 131,
   KeyReused = 132,
--- a/Source/Direct/Configuration.cpp
+++ b/Source/Direct/Configuration.cpp
@@ -33,4 +33,12 @@
   return nullptr;
 }
 
+std::vector<std::string> Configuration::unreadableParts() const {
+  std::vector<std::string> Parts = m_Errors;
+  for (const std::shared_ptr<const Route> &Each : m_Routes)
+    if (!Each->m_Error.empty())
+      Parts.push_back(Each->m_Error);
+  return Parts;
+}
+
 } // namespace corneldeck::direct
--- a/Source/Direct/Configuration.h
+++ b/Source/Direct/Configuration.h
@@ -3,6 +3,7 @@
 
 #include "Base/Millis.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -51,6 +52,9 @@
   std::vector<ServiceShare> m_Services;
   /// The result of routeLookupKey() for the host and the path prefix.
   std::string m_LookupKey;
+  /// Why the route cannot be used; empty if it can. Its requests are refused:
+  /// neither a shorter path prefix nor an older version applies to them.
+  std::string m_Error;
 };
 
 /// Returns the key by which RouteTable finds a route: the host in lower case, a
@@ -84,11 +88,12 @@
   [[nodiscard]] base::Millis copyTime() const {
     constexpr double BitsPerByte = 8;
     constexpr double MillisPerSecond = 1000;
+    constexpr double MaxMillis = 1e12;
     if (m_CopyMegabitsPerSecond <= 0)
       return base::Millis(0);
-    return base::Millis(
-        static_cast<std::int64_t>(MillisPerSecond * BitsPerByte *
-                                  m_ExpertMegabytes / m_CopyMegabitsPerSecond));
+    return base::Millis(static_cast<std::int64_t>(
+        std::min(MaxMillis, MillisPerSecond * BitsPerByte * m_ExpertMegabytes /
+                                m_CopyMegabitsPerSecond)));
   }
 };
 
@@ -124,9 +129,15 @@
   std::vector<Service> m_Services;
   std::vector<Customer> m_Customers;
   CallerLimits m_Limits;
+  /// Parts beside the routes that could not be decoded and are not in effect.
+  std::vector<std::string> m_Errors;
 
   /// Returns the service named \p Name, or null if there is none.
   [[nodiscard]] const Service *findService(std::string_view Name) const;
+
+  /// Returns why parts of the configuration are not in effect; empty if all of
+  /// it is.
+  [[nodiscard]] std::vector<std::string> unreadableParts() const;
 };
 
 } // namespace corneldeck::direct
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -18,6 +18,8 @@
 /// Shortest retry-after time while this entry stops; the caller retries at
 /// another entry.
 constexpr base::Millis StoppingRetryAfter{80};
+/// Shortest retry-after time for a route that operators have to correct.
+constexpr base::Millis UnusableRouteRetryAfter{2000};
 /// If no other server of a service has sent data for this long, the whole
 /// service is stalled, and a request is not moved to another server.
 constexpr base::Millis ProgressWindow{400};
@@ -121,6 +123,17 @@
            Request.m_Id);
     return;
   }
+  if (!Found->m_Error.empty()) {
+    refuse(
+        *Exchange,
+        {base::ResultCode::RouteUnusable,
+         "configuration version " +
+             std::to_string(m_Routes->configuration().m_Version) + ": " +
+             Found->m_Error,
+         randomizedRetryAfter(UnusableRouteRetryAfter, m_Dependencies.m_Rng)},
+        Request.m_Id);
+    return;
+  }
 
   ForwardedRequest::Parameters Parameters;
   Parameters.m_Token = m_NextToken++;
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -30,8 +30,9 @@
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
-/// Maximum number of unreadable records that are logged at a change of the list
-/// of servers, and the longest part of their text.
+/// Maximum number of unreadable records or parts that are logged at a change of
+/// the list of servers or the configuration, and the longest part of their
+/// text.
 constexpr std::size_t MaxUnreadableEvents = 16;
 constexpr std::size_t MaxLoggedText = 160;
 /// Number of entries to which an entry announces a state that it has fetched.
@@ -192,6 +193,14 @@
                      handlePeerRequest(Exchange);
                    }),
       m_Timer(Context) {
+  Metrics.gauge("corneldeck_configuration_pending_ms",
+                "Time for which the newest version received is not in force.",
+                [this] {
+                  return m_PendingSince == base::Millis(0)
+                             ? 0.0
+                             : static_cast<double>(
+                                   (m_Clock.now() - m_PendingSince).count());
+                });
   net::HttpServerOptions Options;
   Options.m_MaxConnections = m_Settings.m_MaxConnections;
   m_CallerServer = std::make_unique<net::HttpServer>(
@@ -260,6 +269,8 @@
 }
 
 void GatewayNode::configurationChanged() {
+  if (m_PendingSince == base::Millis(0))
+    m_PendingSince = m_Clock.now();
   if (m_Decoding) {
     m_ConfigurationChangedMeanwhile = true;
     return;
@@ -281,15 +292,23 @@
     return;
   }
   m_Decoding = nullptr;
-  if (*Decoded)
+  if (*Decoded) {
     applyConfiguration(std::move(**Decoded));
-  else
+    if (!m_ConfigurationChangedMeanwhile)
+      m_PendingSince = {};
+  } else {
+    m_Metrics
+        .counter("corneldeck_configuration_rejected_total",
+                 "Versions of the configuration that cannot be decoded at all; "
+                 "the version before stays in force.")
+        .add();
     m_Events.record(
         base::EventId::RecordUnreadable,
         {{"feed", "configuration"},
          {"offset",
           std::to_string(m_Configuration.state().contentPosition().m_Offset)},
          {"why", Decoded->error().m_Message}});
+  }
   if (std::exchange(m_ConfigurationChangedMeanwhile, false))
     configurationChanged();
 }
@@ -300,6 +319,7 @@
     return;
   const std::uint64_t Version = Decoded.m_Version;
   const std::size_t Routes = Decoded.m_Routes.size();
+  recordUnreadableParts(Decoded);
   net::HttpServerOptions ServerOptions;
   ServerOptions.m_MaxConnections = m_Settings.m_MaxConnections;
   ServerOptions.m_MaxHeadBytes = Decoded.m_Limits.m_MaxHeadBytes;
@@ -324,6 +344,22 @@
         std::to_string((m_Clock.now() - m_DecodingStartedAt).count())}});
 }
 
+void GatewayNode::recordUnreadableParts(const direct::Configuration &Decoded) {
+  const std::vector<std::string> Parts = Decoded.unreadableParts();
+  m_Metrics
+      .gauge("corneldeck_configuration_unreadable_parts",
+             "Parts of the version in force that cannot be decoded and are not "
+             "in effect.")
+      .set(static_cast<double>(Parts.size()));
+  for (std::size_t Index = 0;
+       Index < std::min(Parts.size(), MaxUnreadableEvents); ++Index)
+    m_Events.record(base::EventId::RecordUnreadable,
+                    {{"feed", "configuration"},
+                     {"version", std::to_string(Decoded.m_Version)},
+                     {"parts", std::to_string(Parts.size())},
+                     {"why", Parts[Index].substr(0, MaxLoggedText)}});
+}
+
 void GatewayNode::serversChanged() {
   std::vector<direct::BackendServer> Servers;
   std::map<std::string, std::string> Unreadable;
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -91,6 +91,8 @@
   /// Decodes a part of the newest configuration, and applies it if complete.
   void decodeConfiguration();
   void applyConfiguration(direct::Configuration Decoded);
+  /// Logs the parts of a version that are not in effect.
+  void recordUnreadableParts(const direct::Configuration &Decoded);
   /// Announces new positions in the feeds to other entries.
   void announceFeeds(bool ToAll);
   [[nodiscard]] SharedFeed::Hooks feedHooks(std::function<void()> Changed);
@@ -151,6 +153,8 @@
   /// The configuration that is being decoded.
   ConfigurationDecoding m_Decoding;
   base::Millis m_DecodingStartedAt{};
+  /// Since when the newest version received is not in force; zero if it is.
+  base::Millis m_PendingSince{};
   bool m_ConfigurationChangedMeanwhile = false;
   /// Versions of the servers that were listed last, by service.
   std::map<std::string, std::set<std::uint64_t>> m_ServerVersions;
--- a/Tests/Platform/EntryTest.cpp
+++ b/Tests/Platform/EntryTest.cpp
@@ -356,7 +356,7 @@
       {"odd-nested", withField(Valid, "extra", Nested)},
       {"odd-open", std::string(Depth, '{')},
       {"odd-large", withField(Valid, "warmup-remaining-ms", "1e400")},
-      {"odd-capacity", withCapacity(Valid, "18446744073709551616")},
+      {"odd-capacity", withCapacity(Valid, "-1")},
       {"odd-port", At("65536")},
       {"odd-zero", At("0")},
       {"odd\r\nX-Injected: 1", Valid},
