Direct, Platform: require keys when the last customer is removed

Cause: keys were required if there was a customer, not if the configuration contains `tenants`; the decoder gave the same result for a list that is missing, null or empty.

Change: the configuration says whether keys are required, yes by default; only a document without the field says no.

The latter compares absent, null, empty and one element for each field, decoded at once and in steps.

Ruled out: the relays between entries and a start without the store; they carry the operators' text unchanged (part of the test).

--- a/Source/Direct/Configuration.h
+++ b/Source/Direct/Configuration.h
@@ -127,6 +127,9 @@
   /// Versions share the routes that have not changed.
   std::vector<std::shared_ptr<const Route>> m_Routes;
   std::vector<Service> m_Services;
+  /// Whether requests need a customer's key unless their route is public, also
+  /// if there is no customer.
+  bool m_RequiresKey = true;
   std::vector<Customer> m_Customers;
   CallerLimits m_Limits;
   /// Parts beside the routes that could not be decoded and are not in effect.
--- a/Source/Direct/RouteTable.cpp
+++ b/Source/Direct/RouteTable.cpp
@@ -52,8 +52,7 @@
   for (const ServiceShare &Each : From.m_Services)
     Sum += Each.m_Weight;
   if (Sum == 0)
-    return From.m_Services.empty() ? std::string_view()
-                                   : From.m_Services.front().m_Service;
+    return {};
   std::uint64_t Drawn = Rng.below(Sum);
   for (const ServiceShare &Each : From.m_Services) {
     if (Drawn < Each.m_Weight)
--- a/Source/Direct/RouteTable.h
+++ b/Source/Direct/RouteTable.h
@@ -29,7 +29,7 @@
   [[nodiscard]] const Customer *findCustomer(std::string_view Key) const;
 
   /// Picks one of the route's services at random by weight.
-  /// \returns its name, or an empty string if the route has no service.
+  /// \returns its name, or an empty string if no service has a weight.
   static std::string_view pickService(const Route &From, base::Random &Rng);
 
   /// Returns the highest target for the time between two events among the
@@ -40,7 +40,7 @@
   /// Returns whether requests need a customer's key unless their route is
   /// public.
   [[nodiscard]] bool requiresKey() const {
-    return !m_Configuration.m_Customers.empty();
+    return m_Configuration.m_RequiresKey;
   }
 
   [[nodiscard]] const Configuration &configuration() const {
--- a/Tests/Direct/RouteTableTest.cpp
+++ b/Tests/Direct/RouteTableTest.cpp
@@ -65,6 +65,24 @@
   EXPECT_NEAR(Second, 1000, 150);
 }
 
+// Failure: a route all of whose services had the weight 0 was sent to the first
+// one.
+TEST(RouteTable, PicksNoServiceWithoutAWeight) {
+  base::Random Rng(1);
+  Route Split;
+  EXPECT_EQ(RouteTable::pickService(Split, Rng), "");
+  Split.m_Services = {{"s1", 0}, {"s2", 0}};
+  EXPECT_EQ(RouteTable::pickService(Split, Rng), "");
+}
+
+// Failure: a configuration without customers permitted all requests.
+TEST(RouteTable, RequiresKeysWithoutCustomers) {
+  Configuration Empty;
+  EXPECT_TRUE(RouteTable(Empty).requiresKey());
+  Empty.m_RequiresKey = false;
+  EXPECT_FALSE(RouteTable(Empty).requiresKey());
+}
+
 TEST(EventSplitter, ReturnsCompleteEventsForAnyPieceSize) {
   const std::string Stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
                              "id: 3\ndata: c\n\nid: 4\nda";
--- a/Tests/Platform/ConfigurationTest.cpp
+++ b/Tests/Platform/ConfigurationTest.cpp
@@ -114,6 +114,38 @@
   EXPECT_EQ(metric(0, "corneldeck_configuration_rejected_total"), -1);
 }
 
+// Failure: after a version that removed the last customer, anyone could run
+// requests.
+TEST_F(PlatformConfiguration, RequestsNeedAKeyAfterTheLastCustomerIsRemoved) {
+  json Document = nextVersion();
+  json Open = route("/open/");
+  Open["public"] = true;
+  Document["routes"].push_back(Open);
+  for (const json &Customers : {json::array(), json(nullptr)}) {
+    Document["version"] = Document["version"].get<int>() + 1;
+    Document["tenants"] = Customers;
+    apply(Document);
+    EXPECT_EQ(statusOf("/plain/", "key-1"), 401);
+    EXPECT_EQ(statusOf("/plain/", "never-valid"), 401);
+    EXPECT_EQ(statusOf("/plain/", ""), 401);
+    EXPECT_EQ(statusOf("/open/", ""), 200);
+  }
+  // An entry that starts without the store has the version from another one.
+  m_Store.m_Faults.m_Unavailable = true;
+  m_Entries[1].reset();
+  startEntry(1);
+  runUntil([this] { return isReady(1); });
+  EXPECT_EQ(
+      finish(call("POST", "/plain/a", "k1", {}, "never-valid", 1))->m_Status,
+      401);
+  EXPECT_EQ(receivedCount("k1"), 0U);
+  m_Store.m_Faults.m_Unavailable = false;
+  Document["version"] = Document["version"].get<int>() + 1;
+  Document.erase("tenants");
+  apply(Document);
+  EXPECT_EQ(statusOf("/plain/", ""), 200);
+}
+
 // Failure: nothing showed that an entry held an older version than the one that
 // was published and that it could not decode.
 TEST_F(PlatformConfiguration, AVersionThatIsNotInForceIsOnTheMetrics) {
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -1,4 +1,5 @@
 #include "Base/Random.h"
+#include "Direct/RouteTable.h"
 #include "platform/ConfigurationDecoder.h"
 #include "platform/EngineHttp.h"
 #include "platform/Json.h"
@@ -383,6 +384,100 @@
   }
 }
 
+namespace {
+
+/// What a configuration permits, as decoded at once and in steps.
+struct Permitted {
+  bool m_RequiresKey = false;
+  bool m_HasCustomer = false;
+  bool m_IsPublic = false;
+  /// Service of the only route; empty if its requests are refused.
+  std::string m_Service;
+
+  bool operator==(const Permitted &) const = default;
+};
+
+Permitted permittedBy(const direct::Configuration &Read) {
+  Permitted Result;
+  base::Random Rng(1);
+  const direct::RouteTable Table(Read);
+  Result.m_RequiresKey = Table.requiresKey();
+  Result.m_HasCustomer = Table.findCustomer("k") != nullptr;
+  const direct::Route *Found = Table.findRoute("h", "/a/b");
+  if (Found && Found->m_Error.empty()) {
+    Result.m_IsPublic = Found->m_Public;
+    Result.m_Service = direct::RouteTable::pickService(*Found, Rng);
+  }
+  return Result;
+}
+
+/// Decodes a configuration of one route.
+/// \param Document fields of the document, after a comma.
+/// \param Route fields of the route, after a comma.
+Permitted decodePermitted(const std::string &Document,
+                          const std::string &Route) {
+  const std::string Text =
+      R"({"version":8,"routes":[{"hostname":"h","path-prefix":"/a/",)"
+      R"("type":"idempotent")" +
+      Route + "}]" + Document + "}";
+  const auto AtOnce = decodeConfiguration(Text);
+  ConfigurationDecoder Decoder;
+  const auto InSteps = decodeInSteps(Decoder, Text);
+  EXPECT_TRUE(AtOnce.has_value() && InSteps.has_value()) << Text;
+  if (!AtOnce || !InSteps)
+    return {};
+  EXPECT_EQ(permittedBy(*AtOnce), permittedBy(*InSteps)) << Text;
+  return permittedBy(*AtOnce);
+}
+
+} // namespace
+
+// Failure: an optional field that was there and empty had the effect of one
+// that was missing, so that a configuration whose last customer was removed let
+// anyone run requests.
+TEST(Decoders, AbsentAndEmptyFieldsPermitNothingMore) {
+  const std::string Customer = R"({"name":"c","api-keys":["k"]})";
+  const std::string Backend = R"(,"backend":"s")";
+  const auto Keys = [&](const std::string &Field) {
+    return decodePermitted(Field, Backend);
+  };
+  EXPECT_EQ(Keys(""), (Permitted{false, false, false, "s"}));
+  for (const char *Empty :
+       {R"(,"tenants":null)", R"(,"tenants":[])", R"(,"tenants":{})",
+        R"(,"tenants":"c")", R"(,"tenants":[{}])", R"(,"tenants":[null])",
+        R"(,"tenants":[{"name":"c"}])",
+        R"(,"tenants":[{"name":"c","api-keys":null}])",
+        R"(,"tenants":[{"name":"c","api-keys":[]}])",
+        R"(,"tenants":[{"name":"c","api-keys":"k"}])",
+        R"(,"tenants":[{"name":"","api-keys":["k"]}])",
+        R"(,"tenants":[{"api-keys":["k"]}])"})
+    EXPECT_EQ(Keys(Empty), (Permitted{true, false, false, "s"})) << Empty;
+  EXPECT_EQ(Keys(",\"tenants\":[" + Customer + "]"),
+            (Permitted{true, true, false, "s"}));
+
+  const auto Services = [](const std::string &Fields) {
+    return decodePermitted("", Fields).m_Service;
+  };
+  for (const char *Split :
+       {"", R"(,"traffic-split":null)", R"(,"traffic-split":[])"}) {
+    EXPECT_EQ(Services(Backend + Split), "s") << Split;
+    EXPECT_EQ(Services(Split), "") << Split;
+    EXPECT_EQ(Services(R"(,"backend":null)" + std::string(Split)), "");
+    EXPECT_EQ(Services(R"(,"backend":"")" + std::string(Split)), "");
+  }
+  EXPECT_EQ(Services(R"(,"traffic-split":[{"backend":"t"}])"), "t");
+  EXPECT_EQ(Services(R"(,"traffic-split":[{"backend":"t","weight":0}])"), "");
+  EXPECT_EQ(Services(R"(,"traffic-split":[{"weight":1}])"), "");
+
+  for (const char *Attempts :
+       {"", R"(,"max-attempts":null)", R"(,"max-attempts":1)"})
+    EXPECT_EQ(Services(Backend + Attempts), "s") << Attempts;
+  EXPECT_EQ(Services(Backend + R"(,"max-attempts":0)"), "");
+  for (const char *Public : {"", R"(,"public":null)", R"(,"public":false)"})
+    EXPECT_FALSE(decodePermitted("", Backend + Public).m_IsPublic) << Public;
+  EXPECT_TRUE(decodePermitted("", Backend + R"(,"public":true)").m_IsPublic);
+}
+
 // Failure: the dimensions of an engine were multiplied without a limit.
 TEST(Decoders, AnEngineWithTooManyExpertsHasNoMaps) {
   std::string Text = Config;
