Tests/Soak: draw the plan before the run, judge what could be served

Causes: requests, faults and their ends drew from one generator in the order in which timers ended, so a seed did not fix a run. A planted mistake had to show beside faults that could hide it, and any broken promise counted as found, such as too few requests served. "200 served" counted times in which the drawn limits left no server that may serve.

Change, each stricter than before: - A plan is drawn before the run, with a generator for each kind of fault and for each request. Of the 250 requests that follow, nine in ten must be served: more than 200, without chance.

--- a/Tests/Soak/AgentSoak.cpp
+++ b/Tests/Soak/AgentSoak.cpp
@@ -1,5 +1,8 @@
 #include "AgentSoak.h"
 
+#include "Base/RendezvousHash.h"
+
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -39,8 +42,7 @@
 } // namespace
 
 AgentSoak::AgentSoak(AgentSoakSettings Settings)
-    : m_Settings(std::move(Settings)), m_Draw(m_Settings.m_Seed),
-      m_StoreAddress(m_Store.listen()),
+    : m_Settings(std::move(Settings)), m_StoreAddress(m_Store.listen()),
       m_Engines(m_Loop, shapeOf(m_Settings.m_Ranks), m_Settings.m_Seed) {
   publish();
   for (std::uint32_t Rank = 0; Rank < m_Settings.m_Ranks; ++Rank)
@@ -101,7 +103,8 @@
   healAll();
   checkRecovery();
   if (m_Engines.engines().hasMixedMaps())
-    violate("a pass started while ranks had different maps");
+    violate(AgentPromise::SameMaps,
+            "a pass started while ranks had different maps");
 }
 
 void AgentSoak::runFor(Millis Duration, Millis Interval) {
@@ -119,31 +122,35 @@
 }
 
 void AgentSoak::injectFault() {
-  ++m_Faults;
-  switch (m_Draw.below(5)) {
+  // Each fault has draws of its own, whatever those before it have met.
+  base::Random Draw(base::hash64(
+      std::to_string(m_Settings.m_Seed) + ":" + std::to_string(++m_Faults), 0));
+  switch (Draw.below(5)) {
   case 0:
   case 1:
-    for (std::uint64_t Count = 1 + m_Draw.below(2); Count > 0; --Count)
-      faultOfAgent(m_Agents[m_Draw.below(m_Agents.size())]);
+    for (std::uint64_t Count = 1 + Draw.below(2); Count > 0; --Count)
+      faultOfAgent(Draw);
     return;
   case 2:
-    faultOfStore();
+    faultOfStore(Draw);
     return;
   case 3:
     m_Engines.engines().shiftPopularity();
     return;
   default:
-    m_Engines.m_Faults.m_LateRate = m_Draw.chance(0.5) ? 0.1 : 0;
-    m_Engines.m_Faults.m_LostRate = m_Draw.chance(0.5) ? 0.2 : 0;
+    m_Engines.m_Faults.m_LateRate = Draw.chance(0.5) ? 0.1 : 0;
+    m_Engines.m_Faults.m_LostRate = Draw.chance(0.5) ? 0.2 : 0;
     return;
   }
 }
 
-void AgentSoak::faultOfAgent(Agent &Of) {
+void AgentSoak::faultOfAgent(base::Random &Draw) {
+  Agent &Of = m_Agents[Draw.below(m_Agents.size())];
+  const Millis Duration(200 + static_cast<std::int64_t>(Draw.below(2500)));
+  const std::uint64_t Way = Draw.below(4);
   if (Of.m_RestartAt > Millis(0) || Of.m_ContinueAt > Millis(0))
     return;
-  const Millis Duration(200 + static_cast<std::int64_t>(m_Draw.below(2500)));
-  switch (m_Draw.below(4)) {
+  switch (Way) {
   case 0:
     Of.m_Process->signal(SIGKILL);
     Of.m_RestartAt = now() + Duration;
@@ -162,8 +169,12 @@
   }
 }
 
-void AgentSoak::faultOfStore() {
-  switch (m_Draw.below(6)) {
+void AgentSoak::faultOfStore(base::Random &Draw) {
+  constexpr double MeanMillis = 1000;
+  const Millis Duration(
+      static_cast<std::int64_t>(Draw.exponential(MeanMillis)));
+  m_StoreHealsAt = std::max(m_StoreHealsAt, now() + Duration);
+  switch (Draw.below(6)) {
   case 0:
     m_Store.m_Faults.m_Unavailable = true;
     return;
@@ -201,11 +212,11 @@
         Each.m_Process->start();
       }
     } else if (Each.m_RestartAt == Millis(0) && !Each.m_Process->isRunning()) {
-      violate(Each.m_Name + " ended by itself");
+      violate(AgentPromise::Process, Each.m_Name + " ended by itself");
       Each.m_Process->start();
     }
   }
-  if (m_Draw.chance(0.01))
+  if (now() >= m_StoreHealsAt)
     m_Store.m_Faults = {};
 }
 
@@ -242,14 +253,29 @@
     LongestPause = std::max(LongestPause, now() - SteppedAt);
   }
   if (LongestPause > PassBound)
-    violate("no pass for " + std::to_string(LongestPause.count()) +
-            " ms although there were no faults");
+    violate(AgentPromise::Progress, "no pass for " +
+                                        std::to_string(LongestPause.count()) +
+                                        " ms although there were no faults");
   if (!HasSwitched())
-    violate("the maps did not follow a shift of popularity in " +
-            std::to_string(RecoveryBound.count()) + " ms");
+    violate(AgentPromise::Progress,
+            "the maps did not follow a shift of popularity in " +
+                std::to_string(RecoveryBound.count()) + " ms");
+}
+
+bool AgentSoak::isPlantFound() const {
+  switch (m_Settings.m_Plant) {
+  case AgentPlant::MixedMaps:
+    return m_Broken.contains(AgentPromise::SameMaps);
+  case AgentPlant::GroupStands:
+    return m_Broken.contains(AgentPromise::Progress);
+  case AgentPlant::None:
+    break;
+  }
+  return false;
 }
 
-void AgentSoak::violate(const std::string &What) {
+void AgentSoak::violate(AgentPromise Broken, const std::string &What) {
+  m_Broken.insert(Broken);
   m_Violations.push_back(What);
 }
 
--- a/Tests/Soak/AgentSoak.h
+++ b/Tests/Soak/AgentSoak.h
@@ -8,6 +8,7 @@
 #include "Platform/StandinStore.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,13 @@
   GroupStands ///< The engines ignore the release of a held step.
 };
 
+/// What the soak of agents checks.
+enum class AgentPromise {
+  SameMaps, ///< No pass starts while ranks have different maps.
+  Progress, ///< Passes go on, and maps follow the popularity.
+  Process   ///< No agent ends by itself.
+};
+
 struct AgentSoakSettings {
   std::uint64_t m_Seed = 1;
   /// Duration of the part with faults.
@@ -41,6 +49,9 @@
   /// Plays the whole run.
   void run();
 
+  /// \returns whether the promise that the planted mistake breaks is reported.
+  [[nodiscard]] bool isPlantFound() const;
+
   /// \returns the broken promises, one line each.
   [[nodiscard]] const std::vector<std::string> &violations() const {
     return m_Violations;
@@ -59,18 +70,19 @@
   void addAgent(std::uint32_t Rank);
   void runFor(base::Millis Duration, base::Millis FaultInterval);
   void injectFault();
-  void faultOfAgent(Agent &Of);
-  void faultOfStore();
+  void faultOfAgent(base::Random &Draw);
+  void faultOfStore(base::Random &Draw);
   void heal();
   void healAll();
   /// Checks the passes and the maps of a group without faults.
   void checkRecovery();
-  void violate(const std::string &What);
+  void violate(AgentPromise Broken, const std::string &What);
   [[nodiscard]] base::Millis now() const { return m_Clock.now(); }
 
   const AgentSoakSettings m_Settings;
   const base::Clock m_Clock = base::steadyClock();
-  base::Random m_Draw;
+  /// When the faults of the store end; zero if it has none.
+  base::Millis m_StoreHealsAt{};
   boost::asio::io_context m_Loop{1};
   StandinStore m_Store{m_Loop};
   std::string m_StoreAddress;
@@ -81,6 +93,7 @@
   std::size_t m_Faults = 0;
   std::uint64_t m_SwitchesWithFaults = 0;
   std::vector<std::string> m_Violations;
+  std::set<AgentPromise> m_Broken;
 };
 
 } // namespace corneldeck::tests
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -16,7 +16,14 @@
 
 /// A server that leaves must get no requests after this time.
 constexpr base::Millis DrainBound = base::seconds(2);
-constexpr int Servers = 4;
+constexpr std::size_t Servers = 4;
+constexpr base::Millis RequestInterval{6};
+/// Number of requests after the faults, and the longest time to send them.
+constexpr int RequestsAfterFaults = 250;
+constexpr base::Millis CalmTimeout = base::seconds(20);
+/// Time after which a process that has started, or a server whose faults have
+/// ended, has to serve.
+constexpr base::Millis SettleTime = base::seconds(1);
 
 json route(const std::string &Prefix, const std::string &Type) {
   return {
@@ -50,12 +57,12 @@
 } // namespace
 
 Soak::Soak(SoakSettings Settings)
-    : m_Settings(std::move(Settings)), m_Draw(m_Settings.m_Seed),
-      m_LimitDraw(m_Settings.m_Seed), m_NoticeDraw(m_Settings.m_Seed),
-      m_StoreDraw(m_Settings.m_Seed), m_PromptDraw(m_Settings.m_Seed) {
+    : m_Settings(std::move(Settings)),
+      m_Plan({m_Settings.m_Seed, m_Settings.m_Length, m_Settings.m_Plant,
+              static_cast<std::size_t>(m_Settings.m_Entries), Servers}) {
   m_Store.m_NamesEra = m_Settings.m_Plant != Plant::EraIgnored;
   m_StoreAddress = m_Store.listen();
-  for (int Index = 0; Index < Servers; ++Index)
+  for (std::size_t Index = 0; Index < Servers; ++Index)
     addServer();
   publish();
   m_PeerPort = portOf(freeAddress(m_Loop));
@@ -81,10 +88,12 @@
   registerServer(Added, "ready");
 }
 
-void Soak::registerServer(const Server &Of, const std::string &State) {
+void Soak::registerServer(Server &Of, const std::string &State) {
   json Record = json::parse(Of.m_Server->record(State, ++m_Records));
   Record["address"] = Of.m_Address;
   m_Store.put("keyed.servers", Of.m_Server->id(), Record.dump());
+  Of.m_FreeSince = {};
+  Of.m_IsHidden = isStoreFaulty();
 }
 
 void Soak::publish() {
@@ -144,6 +153,7 @@
   Of.m_RestartAt = {};
   Of.m_ContinueAt = {};
   Of.m_ExcusedUntil = now() + Touch;
+  Of.m_DisturbedUntil = now() + SettleTime;
   Of.m_Process->start();
 }
 
@@ -164,62 +174,101 @@
 }
 
 void Soak::run() {
-  const base::Millis End = now() + m_Settings.m_Length;
-  every(base::Millis(6), [this] {
+  m_StartedAt = now();
+  every(RequestInterval, [this] {
     if (m_Asking)
       ask();
   });
-  every(base::Millis(350), [this] {
-    if (m_Asking)
-      injectFault();
-  });
-  every(base::Millis(500), [this] {
-    if (m_Asking) {
-      changeLimits();
-      changeNotices();
-      changeStore();
-    }
+  every(base::Millis(10), [this] {
+    if (m_HasFaults)
+      performSteps();
   });
   every(base::Millis(50), [this] {
     heal();
+    if (m_WriteAgainAt > base::Millis(0) && now() >= m_WriteAgainAt)
+      writeAgain();
+    endLimits();
+    endNotices();
     reviveServers();
+    updateFreeServers();
     checkServers();
   });
-  while (now() < End)
-    m_Loop.run_one_for(std::chrono::milliseconds(50));
-  m_Asking = false;
-  // What was refused must not run later, so the answers are looked at after all
-  // orders on their way have arrived.
-  const base::Millis Quiet = now() + base::seconds(4);
-  while (now() < Quiet)
-    m_Loop.run_one_for(std::chrono::milliseconds(50));
+  runUntil(m_StartedAt + m_Settings.m_Length);
+  if (m_Settings.m_Plant == Plant::None) {
+    endFaults();
+    runUntil(now() + Touch);
+    m_IsAfterFaults = true;
+    runUntil(now() + CalmTimeout);
+    m_Asking = false;
+    // What was refused must not run later, so the answers are looked at after
+    // all orders on their way have arrived.
+    const base::Millis Quiet = now() + base::seconds(4);
+    while (now() < Quiet)
+      m_Loop.run_one_for(std::chrono::milliseconds(50));
+    checkServed();
+  }
   checkServers();
   checkPromises();
   checkLimits();
 }
 
+void Soak::runUntil(base::Millis End) {
+  while (now() < End && !isPlantFound() && !m_Planted &&
+         m_SentAfterFaults < RequestsAfterFaults)
+    m_Loop.run_one_for(std::chrono::milliseconds(50));
+}
+
+bool Soak::isPlantFound() const {
+  static const std::map<Plant, Promise> Broken = {
+      {Plant::RetryAfterSilence, Promise::AtMostOnce},
+      {Plant::VersionGoesBack, Promise::VersionOrder},
+      {Plant::LeavingStillUsed, Promise::Draining},
+      {Plant::AnswerOfAnother, Promise::OwnResponse},
+      {Plant::LimitExceeded, Promise::RateLimit},
+      {Plant::NoticeIgnored, Promise::LeavingNotice},
+      {Plant::PauseIgnored, Promise::PauseNotice},
+      {Plant::EraIgnored, Promise::VersionInForce},
+      {Plant::FatalPartHidden, Promise::FatalPart}};
+  const auto Found = Broken.find(m_Settings.m_Plant);
+  return Found != Broken.end() && m_Broken.contains(Found->second);
+}
+
 void Soak::ask() {
-  Entry &Of = m_Entries[m_Draw.below(m_Entries.size())];
+  const PlannedRequest Planned =
+      m_Plan.request(static_cast<std::uint64_t>(++m_NextRequest));
+  Entry &Of = m_Entries[Planned.m_Entry];
   auto Request = std::make_shared<Asked>();
-  Request->m_Id = "q" + std::to_string(++m_NextRequest);
-  Request->m_Entry = static_cast<std::size_t>(&Of - m_Entries.data());
+  Request->m_Id = "q" + std::to_string(m_NextRequest);
+  Request->m_Entry = Planned.m_Entry;
   Request->m_Start = Of.m_Starts;
   Request->m_SentAt = now();
+  Request->m_EntryFaults = Of.m_Faults;
+  Request->m_IsAfterFaults = m_IsAfterFaults;
+  m_SentAfterFaults += m_IsAfterFaults ? 1 : 0;
+  for (std::size_t Index = 0; Index < m_Servers.size(); ++Index)
+    if (const base::Millis Since = m_Servers[Index].m_FreeSince;
+        Since > base::Millis(0) && now() >= Since + SettleTime &&
+        now() > Of.m_DisturbedUntil && !Planned.m_HasFatalPart) {
+      Request->m_FreeServer = Index;
+      Request->m_FreeSince = Since;
+    }
   std::string Prompt;
-  switch (m_Draw.below(4)) {
-  case 0:
+  switch (Planned.m_Kind) {
+  case RequestKind::Once:
     Request->m_Path = "/once/";
     m_RunOnce.insert(Request->m_Id);
     break;
-  case 1:
+  case RequestKind::Stream:
     Request->m_Path = "/stream/";
-    Prompt = drawPrompt();
+    Prompt = prompt(Planned);
     break;
-  case 2:
+  case RequestKind::Plain:
     Request->m_Path = "/plain/";
     break;
-  default:
-    Request->m_Version = 1 + static_cast<int>(m_Draw.below(m_Version));
+  case RequestKind::Versioned:
+    Request->m_Version =
+        1 + static_cast<int>(Planned.m_VersionDraw %
+                             static_cast<std::uint64_t>(m_Version));
     Request->m_Path = Request->m_Version == 1
                           ? "/plain/"
                           : "/v" + std::to_string(Request->m_Version) + "/";
@@ -251,15 +300,16 @@
     answered(Request);
   };
   auto Cancel = m_Http.request(std::move(Call), std::move(Hooks));
-  if (m_Draw.chance(0.02)) {
+  if (Planned.m_IsCancelled) {
     m_Cancelled.insert(Request->m_Id);
     Cancel.cancel();
   }
 }
 
 void Soak::answered(const AskedPtr &Request) {
+  constexpr int PlantedResponse = 50;
   if (m_Settings.m_Plant == Plant::AnswerOfAnother && Request->m_Whole &&
-      Request->m_Status == 200 && m_Draw.chance(0.01))
+      Request->m_Status == 200 && ++m_Answered % PlantedResponse == 0)
     for (net::HttpHeader &Each : Request->m_Headers)
       if (Each.m_Name == "Attempt-Id")
         Each.m_Value = "q0";
@@ -269,6 +319,7 @@
       Request->m_Version > 1 && Request->m_Version <= Of.m_SeenVersion)
     Request->m_Status = 404;
   ++m_Statuses[Request->m_Whole ? std::to_string(Request->m_Status) : "cut"];
+  countServed(*Request, Of);
   if (!Request->m_Whole)
     return;
   if (isPromise(Request->m_Status)) {
@@ -277,12 +328,13 @@
   }
   if (Request->m_Status == 401 ||
       (Request->m_Status == 404 && Request->m_Version <= 1))
-    violate(Request->m_Id + " was denied with " +
-            std::to_string(Request->m_Status));
+    violate(Promise::Permitted, Request->m_Id + " was denied with " +
+                                    std::to_string(Request->m_Status));
   if (Request->m_Status == 404 && SameProcess &&
       Request->m_Version <= Of.m_SeenVersion)
-    violate(Request->m_Id + ": " + Of.m_Name + " went back behind version " +
-            std::to_string(Of.m_SeenVersion));
+    violate(Promise::VersionOrder, Request->m_Id + ": " + Of.m_Name +
+                                       " went back behind version " +
+                                       std::to_string(Of.m_SeenVersion));
   if (Request->m_Status == 404 && SameProcess)
     checkInForce(*Request, Of);
   if (Request->m_Status != 200)
@@ -294,13 +346,67 @@
   checkBody(*Request);
 }
 
+void Soak::countServed(const Asked &Request, const Entry &Of) {
+  const bool IsServed = Request.m_Whole && Request.m_Status == 200;
+  if (Request.m_IsAfterFaults) {
+    m_ServedAfterFaults += IsServed ? 1 : 0;
+    return;
+  }
+  // checkInForce() judges versions that are not in force.
+  const bool IsServable =
+      Request.m_FreeSince > base::Millis(0) &&
+      m_Servers[Request.m_FreeServer].m_FreeSince == Request.m_FreeSince &&
+      Of.m_Faults == Request.m_EntryFaults &&
+      !(Request.m_Whole && Request.m_Status == 404);
+  if (!IsServable)
+    return;
+  ++m_Servable;
+  m_ServedOfServable += IsServed ? 1 : 0;
+}
+
+void Soak::checkServed() {
+  // The users' gate: refused and failed requests are at most 60% of those owed.
+  constexpr double LeastServed = 0.4;
+  // All servers are free and all entries in order.
+  constexpr double LeastServedAfterFaults = 0.9;
+  if (m_ServedOfServable < LeastServed * m_Servable)
+    violate(Promise::Served,
+            "only " + std::to_string(m_ServedOfServable) + " of " +
+                std::to_string(m_Servable) +
+                " requests that a server could serve were served");
+  if (m_ServedAfterFaults < LeastServedAfterFaults * RequestsAfterFaults)
+    violate(Promise::Served, "only " + std::to_string(m_ServedAfterFaults) +
+                                 " of " + std::to_string(RequestsAfterFaults) +
+                                 " requests after the faults were served");
+}
+
+void Soak::updateFreeServers() {
+  const bool IsStoreFaulty = isStoreFaulty();
+  for (Server &Each : m_Servers) {
+    Each.m_IsHidden = Each.m_IsHidden && IsStoreFaulty;
+    const StandinServer &Of = *Each.m_Server;
+    const bool IsFree = Of.m_Behavior == Behavior::Serve &&
+                        Of.m_NamedLimit.empty() && !Of.m_IsLeaving &&
+                        Each.m_Proxy->m_Fault == LinkFault::None &&
+                        Each.m_StartsAgainAt == base::Millis(0) &&
+                        Each.m_RevivesAt == base::Millis(0) &&
+                        Each.m_LeftAt == base::Millis(0) && !Each.m_IsHidden;
+    if (!IsFree)
+      Each.m_FreeSince = {};
+    else if (Each.m_FreeSince == base::Millis(0))
+      Each.m_FreeSince = now();
+  }
+}
+
 void Soak::checkBody(const Asked &Request) {
   if (net::findHeader(Request.m_Headers, "Attempt-Id") != Request.m_Id ||
       net::findHeader(Request.m_Headers, "Response-Signature").empty())
-    violate(Request.m_Id + " got another answer or one without a signature");
+    violate(Promise::OwnResponse,
+            Request.m_Id + " got another answer or one without a signature");
   if (Request.m_Body.starts_with("body of ")) {
     if (!Request.m_Body.starts_with("body of " + Request.m_Id + " "))
-      violate(Request.m_Id + " got the body: " + Request.m_Body);
+      violate(Promise::OwnResponse,
+              Request.m_Id + " got the body: " + Request.m_Body);
     return;
   }
   std::string Events;
@@ -311,10 +417,12 @@
         .append(std::to_string(Index * 7))
         .append("\n\n");
   if (Request.m_Path == "/stream/" && Request.m_Body != Events)
-    violate(Request.m_Id + " got a stream of " +
-            std::to_string(Request.m_Body.size()) + " bytes as complete");
+    violate(Promise::OwnResponse, Request.m_Id + " got a stream of " +
+                                      std::to_string(Request.m_Body.size()) +
+                                      " bytes as complete");
   if (Request.m_Path != "/stream/" && Request.m_Body != "body")
-    violate(Request.m_Id + " got no body of its own: " + Request.m_Body);
+    violate(Promise::OwnResponse,
+            Request.m_Id + " got no body of its own: " + Request.m_Body);
 }
 
 void Soak::excuseAll(base::Millis For) {
@@ -323,10 +431,7 @@
 }
 
 void Soak::checkServers() {
-  const bool Faulty = m_Store.m_Faults.m_Unavailable ||
-                      m_Store.m_Faults.m_Busy ||
-                      m_Store.m_Faults.m_Delay > base::Millis(0);
-  if (Faulty)
+  if (isStoreDown())
     excuseAll({});
   for (Server &Of : m_Servers) {
     const std::vector<ReceivedRequest> &Seen = Of.m_Server->m_Received;
@@ -346,10 +451,11 @@
       checkNotices(Of, Each);
       checkFatal(Each, From);
       if (Leaving && now() > From.m_ExcusedUntil)
-        violate(Of.m_Server->id() + " got " + Each.m_Id + " from " +
-                From.m_Name + " " +
-                std::to_string((now() - Of.m_LeftAt).count()) +
-                " ms after it left");
+        violate(Promise::Draining,
+                Of.m_Server->id() + " got " + Each.m_Id + " from " +
+                    From.m_Name + " " +
+                    std::to_string((now() - Of.m_LeftAt).count()) +
+                    " ms after it left");
     }
   }
   if (m_Settings.m_Plant != Plant::RetryAfterSilence || m_Planted)
@@ -371,26 +477,30 @@
         ++Runs[Each.m_Id];
   for (const std::string &Id : m_RunOnce)
     if (Runs[Id] > 1)
-      violate(Id + " ran " + std::to_string(Runs[Id]) + " times");
+      violate(Promise::AtMostOnce,
+              Id + " ran " + std::to_string(Runs[Id]) + " times");
   for (const AskedPtr &Each : m_Promised)
     if (m_RunOnce.contains(Each->m_Id) && Runs[Each->m_Id] > 0)
-      violate(Each->m_Id + " was answered " + std::to_string(Each->m_Status) +
-              " and ran");
-  constexpr int LeastServed = 200;
-  if (m_Statuses["200"] < LeastServed)
-    violate("only " + std::to_string(m_Statuses["200"]) + " were served");
+      violate(Promise::TrueRefusal, Each->m_Id + " was answered " +
+                                        std::to_string(Each->m_Status) +
+                                        " and ran");
 }
 
-void Soak::violate(const std::string &What) {
-  const std::string Last = m_Faults.empty() ? "none" : m_Faults.back();
-  m_Violations.push_back(What + " (last fault: " + Last + ")");
+void Soak::violate(Promise Broken, const std::string &What) {
+  m_Broken.insert(Broken);
+  m_Violations.push_back(What + " (last fault: " + m_LastFault + ")");
 }
 
 std::string Soak::summary() const {
-  std::string Text = "seed " + std::to_string(m_Settings.m_Seed) + ": " +
-                     std::to_string(m_NextRequest) + " requests, " +
-                     std::to_string(m_Faults.size()) + " faults, " +
-                     std::to_string(m_Version) + " versions;";
+  std::string Text =
+      "seed " + std::to_string(m_Settings.m_Seed) + ": plan " +
+      m_Plan.digest() + " with " + std::to_string(m_Plan.steps().size()) +
+      " steps, " + std::to_string(m_NextRequest) + " requests, " +
+      std::to_string(m_Version) + " versions, " +
+      std::to_string(m_FatalEnds.size()) + " ends of servers; served " +
+      std::to_string(m_ServedOfServable) + " of " + std::to_string(m_Servable) +
+      " that a server could serve, and " + std::to_string(m_ServedAfterFaults) +
+      " of " + std::to_string(m_SentAfterFaults) + " after the faults;";
   for (const auto &[Status, Count] : m_Statuses)
     Text += " " + Status + ": " + std::to_string(Count);
   return Text;
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -2,13 +2,13 @@
 #define CORNELDECK_TESTS_SOAK_SOAK_H
 
 #include "Base/Clock.h"
-#include "Base/Random.h"
 #include "ChildProcess.h"
 #include "Fakes/RateLimitOracle.h"
 #include "LoopbackProxy.h"
 #include "Net/HttpClient.h"
 #include "Platform/StandinServer.h"
 #include "Platform/StandinStore.h"
+#include "SoakPlan.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -20,21 +20,21 @@
 
 namespace corneldeck::tests {
 
-/// Id of the part of prompts that ends servers, hexadecimal.
-inline constexpr const char *FatalPart = "fa7a1";
-
-/// A mistake that is played from outside; the soak must report it.
-enum class Plant {
-  None,
-  RetryAfterSilence, ///< A request that may run once reaches a second server.
-  VersionGoesBack,   ///< An entry answers as before a version that it served.
-  LeavingStillUsed,  ///< A server that leaves goes on getting work.
-  AnswerOfAnother,   ///< A caller gets the answer to another request.
-  LimitExceeded,     ///< A server with a rate limit gets requests 30 times.
-  NoticeIgnored,  ///< A server gets requests after it has said that it leaves.
-  PauseIgnored,   ///< A server gets three requests before its pause is over.
-  EraIgnored,     ///< An older copy of the log counts as newer than itself.
-  FatalPartHidden ///< Entries cannot see the part of prompts that ends servers.
+/// What the soak checks.
+enum class Promise {
+  AtMostOnce,     ///< A request that may run once runs at most once.
+  TrueRefusal,    ///< A request that was refused has not run.
+  OwnResponse,    ///< A caller gets the complete response to its request.
+  Permitted,      ///< No request of a known customer and route is denied.
+  VersionOrder,   ///< An entry does not go back behind a version.
+  VersionInForce, ///< Versions come into force in time.
+  Draining,       ///< A server that has left gets no requests.
+  RateLimit,      ///< All entries together keep to a server's rate limit.
+  LeavingNotice,  ///< A server gets no requests once it says that it leaves.
+  PauseNotice,    ///< A server gets no requests in a pause that it names.
+  FatalPart,      ///< Requests with a part that ends servers are refused.
+  Served,         ///< Requests are served where a server can serve them.
+  Process         ///< No entry ends by itself.
 };
 
 struct SoakSettings {
@@ -46,16 +46,20 @@
   int m_Entries = 3;
 };
 
-/// Runs entries as processes before stand-ins, with callers and random faults
-/// from outside, and checks what callers and servers see against the promises.
+/// Runs entries as processes before stand-ins, with the callers and faults of a
+/// plan, and checks what callers and servers see against the promises. The
+/// faults end before the run does, and all requests have to be served then.
 class Soak {
 public:
   explicit Soak(SoakSettings Settings);
   ~Soak();
 
-  /// Plays the whole run.
+  /// Plays the whole run, or until the planted mistake has shown.
   void run();
 
+  /// \returns whether the promise that the planted mistake breaks is reported.
+  [[nodiscard]] bool isPlantFound() const;
+
   /// \returns the broken promises, one line each.
   [[nodiscard]] const std::vector<std::string> &violations() const {
     return m_Violations;
@@ -93,6 +97,10 @@
     base::Millis m_StartsAgainAt{};
     /// When it starts again after a request has ended it; zero if it runs.
     base::Millis m_RevivesAt{};
+    /// Since when it can serve any request; zero if it cannot.
+    base::Millis m_FreeSince{};
+    /// Whether the store may not show its latest record.
+    bool m_IsHidden = false;
     /// What the server has said to each entry, by index.
     std::map<std::size_t, Notice> m_Leaving;
     std::map<std::size_t, Notice> m_Pauses;
@@ -109,6 +117,9 @@
     std::uint64_t m_Starts = 0;
     base::Millis m_RestartAt{};
     base::Millis m_ContinueAt{};
+    /// Until when its own faults keep it from serving.
+    base::Millis m_DisturbedUntil{};
+    int m_Faults = 0;
   };
   struct Asked {
     std::string m_Id;
@@ -121,6 +132,14 @@
     bool m_Whole = false;
     net::HttpHeaders m_Headers;
     std::string m_Body;
+    /// A server that could serve it when it was sent, and since when it could;
+    /// zero if there was none.
+    std::size_t m_FreeServer = 0;
+    base::Millis m_FreeSince{};
+    /// Number of faults of the entry when it was sent.
+    int m_EntryFaults = 0;
+    /// Whether it was sent after all faults had ended.
+    bool m_IsAfterFaults = false;
   };
   using AskedPtr = std::shared_ptr<Asked>;
 
@@ -129,60 +148,82 @@
   void startEntry(Entry &Of);
   void publish();
   void writeConfiguration();
-  void registerServer(const Server &Of, const std::string &State);
+  void registerServer(Server &Of, const std::string &State);
   void ask();
   void answered(const AskedPtr &Request);
   void checkBody(const Asked &Request);
-  void injectFault();
-  /// Returns false if the planted mistake shows only at entries that are not
-  /// excused.
-  [[nodiscard]] bool mayDisturbEntries() const;
-  void faultOfEntry();
-  void faultOfServer();
+  /// Counts a response if a server could serve the request.
+  void countServed(const Asked &Request, const Entry &Of);
+  /// Performs the steps of the plan that are due.
+  void performSteps();
+  void perform(const Step &Due);
+  void disturbEntry(const Step &Due);
+  void disturbServer(const Step &Due);
   /// Lets a server leave. Invalidates references to servers.
   void startLeaving(Server &Of);
-  void faultOfStore();
-  /// Lets the store return with an older copy of its records.
-  void changeStore();
-  void returnStore();
+  void disturbStore(const Step &Due);
+  /// Returns whether the store does not answer, or answers late.
+  [[nodiscard]] bool isStoreDown() const;
+  /// Returns whether the store may not show what was written last.
+  [[nodiscard]] bool isStoreFaulty() const;
+  void healStore();
+  /// Lets the store return with its older copy of the records.
+  void returnStore(base::Millis WriteAgainAfter);
   /// Writes again what the operators and the servers have written.
   void writeAgain();
+  /// Ends all faults, limits and notices.
+  void endFaults();
+  /// Runs until \p End or until the planted mistake is found.
+  void runUntil(base::Millis End);
+  /// Updates since when each server can serve.
+  void updateFreeServers();
+  void checkServed();
   /// Checks that a version was in force when a request was sent.
   void checkInForce(const Asked &Request, const Entry &Of);
-  /// Lets servers name a rate limit for a while.
-  void changeLimits();
+  void nameLimit(Server &Of, std::uint64_t PerSecond, base::Millis Duration);
+  static void endLimit(Server &Of, base::Millis Now);
+  void endLimits();
   void checkLimits();
-  /// Lets servers say that they leave, and starts them again.
-  void changeNotices();
+  /// Starts servers again that have said that they leave.
+  void endNotices();
+  void startAgain(Server &Of);
   /// Records that a caller got an answer of a server that leaves.
   void recordLeaving(const Asked &Request);
   /// Checks a request that a server received against its notices.
   void checkNotices(Server &Of, const ReceivedRequest &Received);
-  /// Returns the parts of the prompt of a stream. Some have a part that ends
-  /// the server.
-  std::string drawPrompt();
+  /// Returns the prompt of a stream.
+  [[nodiscard]] std::string prompt(const PlannedRequest &Planned) const;
   /// Ends a server under a request.
   void endServer(const std::string &Id);
   /// Starts servers again that requests have ended.
   void reviveServers();
+  void revive(Server &Of);
   /// Counts a request with the part that ends servers.
   void checkFatal(const ReceivedRequest &Received, const Entry &From);
   void heal();
   void checkServers();
   void checkPromises();
   void excuseAll(base::Millis For);
-  void violate(const std::string &What);
+  void violate(Promise Broken, const std::string &What);
   void every(base::Millis Period, std::function<void()> Do);
   [[nodiscard]] base::Millis now() const { return m_Clock.now(); }
 
   const SoakSettings m_Settings;
   const base::Clock m_Clock = base::steadyClock();
-  base::Random m_Draw;
-  /// Draws of the rate limits, so that they do not change the other faults.
-  base::Random m_LimitDraw;
-  base::Random m_NoticeDraw;
-  base::Random m_StoreDraw;
-  base::Random m_PromptDraw;
+  const SoakPlan m_Plan;
+  std::size_t m_NextStep = 0;
+  base::Millis m_StartedAt{};
+  /// Whether the faults of the plan go on, and whether they have been over for
+  /// long enough that all requests are served.
+  bool m_HasFaults = true;
+  bool m_IsAfterFaults = false;
+  /// Requests that a server could serve during the faults, those after the
+  /// faults, and how many of each were served.
+  int m_Servable = 0;
+  int m_ServedOfServable = 0;
+  int m_SentAfterFaults = 0;
+  int m_ServedAfterFaults = 0;
+  int m_Answered = 0;
   /// When servers ended under requests, and the requests with the part that
   /// arrived when all entries had to know it.
   std::vector<base::Millis> m_FatalEnds;
@@ -199,12 +240,12 @@
   std::set<std::string> m_Cancelled;
   std::map<std::string, int> m_Statuses;
   std::vector<std::string> m_Violations;
-  std::vector<std::string> m_Faults;
+  std::set<Promise> m_Broken;
+  /// The last step or end of a server, for the reports of violations.
+  std::string m_LastFault = "none";
   int m_Version = 0;
   /// When each version was written, the first one at index 1.
   std::vector<base::Millis> m_PublishedAt{{}};
-  /// When the store kept its copy; zero if it has none.
-  base::Millis m_CopiedAt{};
   /// When everything is written again after a return; zero if that is done.
   base::Millis m_WriteAgainAt{};
   int m_Records = 0;
--- a/Tests/Soak/SoakFaults.cpp
+++ b/Tests/Soak/SoakFaults.cpp
@@ -5,61 +5,65 @@
 
 namespace corneldeck::tests {
 
-void Soak::injectFault() {
-  switch (m_Draw.below(4)) {
-  case 0:
-    if (mayDisturbEntries())
-      faultOfEntry();
+void Soak::performSteps() {
+  while (m_NextStep < m_Plan.steps().size() &&
+         now() >= m_StartedAt + m_Plan.steps()[m_NextStep].m_At)
+    perform(m_Plan.steps()[m_NextStep++]);
+}
+
+void Soak::perform(const Step &Due) {
+  m_LastFault = std::string(name(Due.m_Kind)) + " " +
+                std::to_string(Due.m_Target) + " " +
+                std::to_string(Due.m_Value);
+  switch (Due.m_Kind) {
+  case StepKind::KillEntry:
+  case StepKind::FreezeEntry:
+  case StepKind::StopEntry:
+  case StepKind::ReloadEntry:
+    disturbEntry(Due);
     return;
-  case 1:
-    // Every second seed leaves the store alone, since its faults excuse all
-    // entries from the bounds of time.
-    if (m_Settings.m_Seed % 2 == 0)
-      faultOfStore();
+  case StepKind::ResetLinks:
+  case StepKind::BreakLink:
+  case StepKind::ChangeBehavior:
+  case StepKind::HealServer:
+  case StepKind::LeaveServer:
+  case StepKind::PauseServer:
+  case StepKind::SayLeaving:
+  case StepKind::NameLimit:
+    disturbServer(Due);
     return;
-  case 2:
-    publish();
+  case StepKind::Publish:
+    for (std::uint64_t Count = 0; Count < Due.m_Value; ++Count)
+      publish();
     return;
-  default:
-    faultOfServer();
+  case StepKind::BreakStore:
+  case StepKind::HealStore:
+  case StepKind::CopyStore:
+  case StepKind::ReturnStore:
+    disturbStore(Due);
     return;
   }
 }
 
-bool Soak::mayDisturbEntries() const {
-  switch (m_Settings.m_Plant) {
-  case Plant::LeavingStillUsed:
-  case Plant::NoticeIgnored:
-  case Plant::PauseIgnored:
-  case Plant::EraIgnored:
-    return false;
-  default:
-    return true;
-  }
-}
-
-void Soak::faultOfEntry() {
-  Entry &Of = m_Entries[m_Draw.below(m_Entries.size())];
-  if (Of.m_RestartAt > base::Millis(0) || Of.m_ContinueAt > base::Millis(0))
-    return;
-  const base::Millis For(300 + static_cast<std::int64_t>(m_Draw.below(1500)));
-  const std::uint64_t Way = m_Draw.below(4);
-  m_Faults.push_back(Of.m_Name + " fault " + std::to_string(Way));
-  Of.m_ExcusedUntil = now() + For + Touch;
-  switch (Way) {
-  case 0:
+void Soak::disturbEntry(const Step &Due) {
+  Entry &Of = m_Entries[Due.m_Target];
+  ++Of.m_Faults;
+  Of.m_ExcusedUntil =
+      std::max(Of.m_ExcusedUntil, now() + Due.m_Duration + Touch);
+  Of.m_DisturbedUntil = Of.m_ExcusedUntil;
+  switch (Due.m_Kind) {
+  case StepKind::KillEntry:
     Of.m_Process->signal(SIGKILL);
-    Of.m_RestartAt = now() + For;
+    Of.m_RestartAt = now() + Due.m_Duration;
     return;
-  case 1:
+  case StepKind::FreezeEntry:
     Of.m_Process->signal(SIGSTOP);
-    Of.m_ContinueAt = now() + For;
+    Of.m_ContinueAt = now() + Due.m_Duration;
     return;
-  case 2:
+  case StepKind::StopEntry:
     Of.m_Process->signal(SIGTERM);
     // It serves on until its grace period is nearly over.
-    Of.m_RestartAt = now() + base::seconds(4);
-    Of.m_ExcusedUntil = now() + base::seconds(4) + Touch;
+    Of.m_RestartAt = now() + Due.m_Duration;
     return;
   default:
     Of.m_Process->signal(SIGHUP);
@@ -67,35 +71,40 @@
   }
 }
 
-void Soak::faultOfServer() {
-  Server &Of = m_Servers[m_Draw.below(m_Servers.size())];
-  const std::uint64_t Way = m_Draw.below(6);
-  m_Faults.push_back(Of.m_Server->id() + " fault " + std::to_string(Way));
-  switch (Way) {
-  case 0:
+void Soak::disturbServer(const Step &Due) {
+  Server &Of = m_Servers[Due.m_Target];
+  switch (Due.m_Kind) {
+  case StepKind::ResetLinks:
     Of.m_Proxy->resetAll();
     Of.m_Pauses.clear();
+    Of.m_FreeSince = {};
     return;
-  case 1:
-    Of.m_Proxy->m_Fault = static_cast<LinkFault>(1 + m_Draw.below(3));
+  case StepKind::BreakLink:
+    Of.m_Proxy->m_Fault = static_cast<LinkFault>(Due.m_Value);
     Of.m_Pauses.clear();
+    break;
+  case StepKind::ChangeBehavior:
+    Of.m_Server->m_Behavior = static_cast<Behavior>(Due.m_Value);
+    break;
+  case StepKind::HealServer:
+    Of.m_Server->m_Behavior = Behavior::Serve;
+    Of.m_Proxy->m_Fault = LinkFault::None;
     return;
-  case 2:
-  case 3:
-    Of.m_Server->m_Behavior = static_cast<Behavior>(
-        1 +
-        m_Draw.below(static_cast<std::uint64_t>(Behavior::TruncatedStream)));
-    return;
+  case StepKind::PauseServer:
+    Of.m_Server->m_Behavior = Behavior::NotRun;
+    break;
+  case StepKind::SayLeaving:
+    Of.m_StartsAgainAt = now() + Due.m_Duration;
+    Of.m_Server->m_IsLeaving = m_Settings.m_Plant != Plant::NoticeIgnored;
+    break;
+  case StepKind::NameLimit:
+    nameLimit(Of, Due.m_Value, Due.m_Duration);
+    break;
   default:
+    startLeaving(Of);
     break;
   }
-  const auto Staying =
-      std::count_if(m_Servers.begin(), m_Servers.end(), [](const Server &Each) {
-        return Each.m_LeftAt == base::Millis(0);
-      });
-  if (Of.m_LeftAt > base::Millis(0) || Staying <= 2)
-    return;
-  startLeaving(Of);
+  updateFreeServers();
 }
 
 void Soak::startLeaving(Server &Of) {
@@ -119,21 +128,32 @@
     const bool Expected =
         Each.m_RestartAt == base::Millis(0) && !Each.m_Process->isRunning();
     if (Expected) {
-      violate(Each.m_Name + " ended by itself");
+      violate(Promise::Process, Each.m_Name + " ended by itself");
       startEntry(Each);
     }
   }
-  if (m_Draw.chance(0.06)) {
-    if (m_Store.m_Faults.m_Unavailable || m_Store.m_Faults.m_Busy ||
-        m_Store.m_Faults.m_Delay > base::Millis(0))
-      excuseAll({});
-    m_Store.m_Faults = {};
+}
+
+void Soak::endFaults() {
+  m_HasFaults = false;
+  healStore();
+  if (m_WriteAgainAt > base::Millis(0))
+    writeAgain();
+  for (Server &Each : m_Servers) {
+    Each.m_Server->m_Behavior = Behavior::Serve;
+    Each.m_Proxy->m_Fault = LinkFault::None;
+    endLimit(Each, now());
+    if (Each.m_RevivesAt > base::Millis(0))
+      revive(Each);
+    else if (Each.m_StartsAgainAt > base::Millis(0))
+      startAgain(Each);
+  }
+  for (Entry &Each : m_Entries) {
+    if (Each.m_ContinueAt > base::Millis(0))
+      Each.m_ContinueAt = now();
+    if (Each.m_RestartAt > base::Millis(0))
+      Each.m_RestartAt = now();
   }
-  for (Server &Each : m_Servers)
-    if (m_Draw.chance(0.06)) {
-      Each.m_Server->m_Behavior = Behavior::Serve;
-      Each.m_Proxy->m_Fault = LinkFault::None;
-    }
 }
 
 } // namespace corneldeck::tests
--- a/Tests/Soak/SoakLimits.cpp
+++ b/Tests/Soak/SoakLimits.cpp
@@ -2,30 +2,25 @@
 
 namespace corneldeck::tests {
 
-void Soak::changeLimits() {
-  // A planted mistake must show in one run: the check begins 7 s after a limit
-  // was named first.
-  const bool IsPlanted = m_Settings.m_Plant == Plant::LimitExceeded;
-  const double LimitRate = IsPlanted ? 0.4 : 0.1;
-  const base::Millis MinDuration =
-      IsPlanted ? m_Settings.m_Length : base::seconds(5);
-  for (Server &Each : m_Servers) {
-    const bool IsLimited = Each.m_LimitUntil > base::Millis(0);
-    if (IsLimited && now() >= Each.m_LimitUntil) {
-      Each.m_LimitUntil = {};
-      Each.m_Server->m_NamedLimit.clear();
-      Each.m_Oracle.limitEnded(now());
-    } else if (!IsLimited && m_LimitDraw.chance(LimitRate)) {
-      const std::uint64_t PerSecond = 1 + m_LimitDraw.below(6);
-      Each.m_LimitUntil =
-          now() + MinDuration +
-          base::Millis(static_cast<std::int64_t>(m_LimitDraw.below(5000)));
-      Each.m_Server->m_NamedLimit = std::to_string(PerSecond);
-      Each.m_Oracle.limitNamed(now(), static_cast<double>(PerSecond));
-      m_Faults.push_back(Each.m_Server->id() + " names a limit of " +
-                         std::to_string(PerSecond));
-    }
-  }
+void Soak::nameLimit(Server &Of, std::uint64_t PerSecond,
+                     base::Millis Duration) {
+  Of.m_LimitUntil = now() + Duration;
+  Of.m_Server->m_NamedLimit = std::to_string(PerSecond);
+  Of.m_Oracle.limitNamed(now(), static_cast<double>(PerSecond));
+}
+
+void Soak::endLimit(Server &Of, base::Millis Now) {
+  if (Of.m_LimitUntil == base::Millis(0))
+    return;
+  Of.m_LimitUntil = {};
+  Of.m_Server->m_NamedLimit.clear();
+  Of.m_Oracle.limitEnded(Now);
+}
+
+void Soak::endLimits() {
+  for (Server &Each : m_Servers)
+    if (now() >= Each.m_LimitUntil)
+      endLimit(Each, now());
 }
 
 void Soak::checkLimits() {
@@ -34,10 +29,11 @@
   for (const Server &Each : m_Servers) {
     const auto Worst = Each.m_Oracle.worstWindow(Bound);
     if (Worst.m_Requests > Worst.m_Allowed)
-      violate(Each.m_Server->id() + " got " +
-              std::to_string(static_cast<int>(Worst.m_Requests)) +
-              " requests in 4 s, its rate limit allows " +
-              std::to_string(static_cast<int>(Worst.m_Allowed)));
+      violate(Promise::RateLimit,
+              Each.m_Server->id() + " got " +
+                  std::to_string(static_cast<int>(Worst.m_Requests)) +
+                  " requests in 4 s, its rate limit allows " +
+                  std::to_string(static_cast<int>(Worst.m_Allowed)));
   }
 }
 
--- a/Tests/Soak/SoakMain.cpp
+++ b/Tests/Soak/SoakMain.cpp
@@ -29,9 +29,11 @@
     {"group-stands", AgentPlant::GroupStands}};
 
 /// Plays one seed of \p World, which is Soak or AgentSoak.
-/// \returns whether all promises were kept.
+/// \returns whether all promises were kept or, if a mistake is planted, whether
+/// the promise that it breaks was reported.
 template <typename World, typename WorldSettings>
-bool playSeed(WorldSettings Settings, const std::string &Folder) {
+bool playSeed(WorldSettings Settings, const std::string &Folder,
+              bool IsPlanted) {
   const std::filesystem::path Own = std::filesystem::path(Folder) /
                                     ("seed-" + std::to_string(Settings.m_Seed));
   std::filesystem::remove_all(Own);
@@ -42,7 +44,7 @@
   std::cout << Run.summary() << '\n';
   for (const std::string &Each : Run.violations())
     std::cout << "  broken: " << Each << '\n';
-  if (!Run.violations().empty())
+  if (IsPlanted ? !Run.isPlantFound() : !Run.violations().empty())
     return false;
   std::filesystem::remove_all(Own);
   return true;
@@ -98,15 +100,18 @@
   AgentSettings.m_AgentProgram = AgentProgram;
   AgentSettings.m_Length = base::seconds(Seconds);
   AgentSettings.m_Ranks = Ranks;
-  std::uint64_t Broken = 0;
+  const bool IsPlanted = !Planted.empty();
+  std::uint64_t Failed = 0;
   for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
     Settings.m_Seed = Seed;
     AgentSettings.m_Seed = Seed;
-    const bool IsKept = AgentProgram.empty()
-                            ? playSeed<Soak>(Settings, Folder)
-                            : playSeed<AgentSoak>(AgentSettings, Folder);
-    Broken += IsKept ? 0 : 1;
+    const bool IsPassed =
+        AgentProgram.empty()
+            ? playSeed<Soak>(Settings, Folder, IsPlanted)
+            : playSeed<AgentSoak>(AgentSettings, Folder, IsPlanted);
+    Failed += IsPassed ? 0 : 1;
   }
-  std::cout << Seeds << " seeds, " << Broken << " broken\n";
-  return Broken == 0 ? 0 : 1;
+  std::cout << Seeds << " seeds, " << Failed
+            << (IsPlanted ? " without the planted mistake\n" : " broken\n");
+  return Failed == 0 ? 0 : 1;
 }
--- a/Tests/Soak/SoakQuarantine.cpp
+++ b/Tests/Soak/SoakQuarantine.cpp
@@ -13,14 +13,9 @@
 
 } // namespace
 
-std::string Soak::drawPrompt() {
-  // Other planted mistakes must show in one run, at servers that stay.
-  const double FatalRate = m_Settings.m_Plant == Plant::FatalPartHidden ? 0.3
-                           : m_Settings.m_Plant == Plant::None          ? 0.1
-                                                                        : 0;
-  std::string Prompt = "a" + std::to_string(m_PromptDraw.below(5)) + ":40,b" +
-                       std::to_string(m_PromptDraw.below(5)) + ":60,";
-  if (m_PromptDraw.chance(FatalRate))
+std::string Soak::prompt(const PlannedRequest &Planned) const {
+  std::string Prompt = Planned.m_Parts;
+  if (Planned.m_HasFatalPart && m_HasFaults)
     Prompt += std::string(FatalPart) + ":100,";
   // Entries ignore a list with a repeated part.
   if (m_Settings.m_Plant == Plant::FatalPartHidden)
@@ -33,31 +28,32 @@
     if (Each.m_Server->id() != Id)
       continue;
     m_FatalEnds.push_back(now());
-    m_Faults.push_back(Id + " ends under a request");
+    m_LastFault = Id + " ends under a request";
     Each.m_Proxy->stop();
     Each.m_Proxy->resetAll();
     Each.m_RevivesAt = now() + ReviveTime;
+    Each.m_FreeSince = {};
   }
 }
 
 void Soak::reviveServers() {
-  for (Server &Each : m_Servers) {
-    if (Each.m_RevivesAt == base::Millis(0) || now() < Each.m_RevivesAt)
-      continue;
-    Each.m_RevivesAt = {};
-    Each.m_Leaving.clear();
-    Each.m_Pauses.clear();
-    Each.m_Server->restart(++Each.m_StartTime);
-    if (Each.m_LimitUntil > base::Millis(0))
-      Each.m_Oracle.limitEnded(now());
-    Each.m_LimitUntil = {};
-    Each.m_StartsAgainAt = {};
-    Each.m_Proxy =
-        std::make_unique<LoopbackProxy>(m_Loop, Each.m_Server->listen());
-    Each.m_Address = Each.m_Proxy->listen();
-    registerServer(Each,
-                   Each.m_LeftAt > base::Millis(0) ? "draining" : "ready");
-  }
+  for (Server &Each : m_Servers)
+    if (Each.m_RevivesAt > base::Millis(0) && now() >= Each.m_RevivesAt)
+      revive(Each);
+}
+
+void Soak::revive(Server &Of) {
+  Of.m_RevivesAt = {};
+  Of.m_StartsAgainAt = {};
+  Of.m_Leaving.clear();
+  Of.m_Pauses.clear();
+  endLimit(Of, now());
+  Of.m_Server->restart(++Of.m_StartTime);
+  const LinkFault Fault = Of.m_Proxy->m_Fault;
+  Of.m_Proxy = std::make_unique<LoopbackProxy>(m_Loop, Of.m_Server->listen());
+  Of.m_Proxy->m_Fault = Fault;
+  Of.m_Address = Of.m_Proxy->listen();
+  registerServer(Of, Of.m_LeftAt > base::Millis(0) ? "draining" : "ready");
 }
 
 void Soak::checkFatal(const ReceivedRequest &Received, const Entry &From) {
@@ -68,10 +64,11 @@
       now() <= m_FatalEnds[EndsBefore - 1] + Touch)
     return;
   if (++m_LateFatal == MostLate + 1)
-    violate("more than three requests with a part that ends servers reached "
+    violate(Promise::FatalPart,
+            "more than three requests with a part that ends servers reached "
             "them after " +
-            std::to_string(m_FatalEnds.size()) + " ends, the last one " +
-            Received.m_Id + " from " + From.m_Name);
+                std::to_string(m_FatalEnds.size()) + " ends, the last one " +
+                Received.m_Id + " from " + From.m_Name);
 }
 
 } // namespace corneldeck::tests
--- a/Tests/Soak/SoakStore.cpp
+++ b/Tests/Soak/SoakStore.cpp
@@ -6,15 +6,34 @@
 
 /// Time in which a version must come into force.
 constexpr base::Millis InForceBound = base::seconds(3);
-constexpr base::Millis LeastAge(500);
 
 } // namespace
 
-void Soak::faultOfStore() {
-  const std::uint64_t Way = m_Draw.below(6);
-  m_Faults.push_back("store fault " + std::to_string(Way));
+bool Soak::isStoreDown() const {
+  return m_Store.m_Faults.m_Unavailable || m_Store.m_Faults.m_Busy ||
+         m_Store.m_Faults.m_Delay > base::Millis(0);
+}
+
+bool Soak::isStoreFaulty() const {
+  return isStoreDown() || m_WriteAgainAt > base::Millis(0);
+}
+
+void Soak::disturbStore(const Step &Due) {
+  switch (Due.m_Kind) {
+  case StepKind::HealStore:
+    healStore();
+    return;
+  case StepKind::CopyStore:
+    m_Store.saveCopy();
+    return;
+  case StepKind::ReturnStore:
+    returnStore(Due.m_Duration);
+    return;
+  default:
+    break;
+  }
   excuseAll(base::seconds(1));
-  switch (Way) {
+  switch (Due.m_Value) {
   case 0:
     m_Store.m_Faults.m_Unavailable = true;
     return;
@@ -36,49 +55,26 @@
   }
 }
 
-void Soak::changeStore() {
-  if (m_WriteAgainAt > base::Millis(0) && now() >= m_WriteAgainAt)
-    writeAgain();
-  const bool IsPlanted = m_Settings.m_Plant == Plant::EraIgnored;
-  // As with the other faults of the store, every second seed has none.
-  if (!IsPlanted && m_Settings.m_Seed % 2 != 0)
-    return;
-  if (IsPlanted && m_Planted)
-    return;
-  if (m_CopiedAt == base::Millis(0)) {
-    if (IsPlanted || m_StoreDraw.chance(0.25)) {
-      m_Store.saveCopy();
-      m_CopiedAt = now();
-    }
-    // Enough versions that those after the return have offsets of these.
-    for (int Count = 0; IsPlanted && Count < 30; ++Count)
-      publish();
-    return;
-  }
-  const bool IsDue = now() - m_CopiedAt >= LeastAge &&
-                     m_WriteAgainAt == base::Millis(0) &&
-                     (IsPlanted || m_StoreDraw.chance(0.25));
-  if (!IsDue)
-    return;
-  m_Planted = IsPlanted;
-  returnStore();
+void Soak::healStore() {
+  if (isStoreDown())
+    excuseAll({});
+  m_Store.m_Faults = {};
 }
 
-void Soak::returnStore() {
-  m_Faults.push_back("the store returns with a copy of " +
-                     std::to_string((now() - m_CopiedAt).count()) + " ms ago");
+void Soak::returnStore(base::Millis WriteAgainAfter) {
   m_Store.restoreCopy();
-  m_CopiedAt = {};
-  m_WriteAgainAt =
-      now() +
-      base::Millis(100 + static_cast<std::int64_t>(m_StoreDraw.below(1400)));
+  m_WriteAgainAt = now() + WriteAgainAfter;
   excuseAll(base::seconds(2));
+  for (Server &Each : m_Servers) {
+    Each.m_FreeSince = {};
+    Each.m_IsHidden = true;
+  }
 }
 
 void Soak::writeAgain() {
   m_WriteAgainAt = {};
   writeConfiguration();
-  for (const Server &Each : m_Servers)
+  for (Server &Each : m_Servers)
     registerServer(Each,
                    Each.m_LeftAt > base::Millis(0) ? "draining" : "ready");
 }
@@ -89,8 +85,9 @@
           m_PublishedAt[static_cast<std::size_t>(Request.m_Version)] +
               InForceBound)
     return;
-  violate(Request.m_Id + ": version " + std::to_string(Request.m_Version) +
-          " was not in force at " + Of.m_Name);
+  violate(Promise::VersionInForce, Request.m_Id + ": version " +
+                                       std::to_string(Request.m_Version) +
+                                       " was not in force at " + Of.m_Name);
 }
 
 } // namespace corneldeck::tests
