Net, Platform: end the connection of a response over its limit

Reported by other operators: a server sent bytes without end, and the process that had called it ran out of memory.

Seen here: a call that collects its response kept up to 64 MiB, whatever it was for, and read on until its timeout beyond that. Three reports of an engine and an order together received 220,085,016 bytes from a server that sends without end; an agent's VM has 128 MB.

Cause: one limit for a whole client, and nothing that ended a call when it was exceeded.

Change: each call may have a limit of its own, and a body over it cancels the call and closes the connection. Reads of the log keep the limit of the client.

Ruled out: heads, trailers, chunk extensions and interim responses, which HttpClientConnection bounds already (EndlessResponse tests).

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -141,35 +141,47 @@
 }
 
 HttpCallHandle HttpClient::fetch(HttpCall Call, ResponseCallback Callback) {
-  auto Received = std::make_shared<Response>();
-  auto TooLarge = std::make_shared<bool>(false);
-  const std::uint64_t Limit = m_Pool->m_Options.m_MaxBodyBytes;
+  struct Collected {
+    Response m_Response;
+    ResponseCallback m_Callback;
+    HttpCallHandle m_Handle;
+  };
+  auto State = std::make_shared<Collected>();
+  State->m_Callback = std::move(Callback);
+  const std::uint64_t Limit =
+      std::min(Call.m_MaxBodyBytes, m_Pool->m_Options.m_MaxBodyBytes);
   HttpCallbacks Callbacks;
-  Callbacks.m_OnHead = [Received](const HttpResponseHead &Head) {
-    Received->m_Status = Head.m_Status;
-    Received->m_Headers = Head.m_Headers;
+  Callbacks.m_OnHead = [State](const HttpResponseHead &Head) {
+    State->m_Response.m_Status = Head.m_Status;
+    State->m_Response.m_Headers = Head.m_Headers;
   };
   Callbacks.m_OnData =
-      [Received, TooLarge, Limit,
+      [State, Limit, Address = Call.m_Address,
        OnProgress = std::move(Call.m_OnProgress)](std::string_view Data) {
-        if (OnProgress && Received->m_Status == OkStatus)
+        // The call may end with these callbacks.
+        const auto Kept = State;
+        if (OnProgress && Kept->m_Response.m_Status == OkStatus)
           OnProgress();
-        if (Received->m_Body.size() + Data.size() > Limit)
-          *TooLarge = true;
-        else
-          Received->m_Body.append(Data);
+        if (Kept->m_Response.m_Body.size() + Data.size() <= Limit) {
+          Kept->m_Response.m_Body.append(Data);
+          return;
+        }
+        Kept->m_Response = {};
+        Kept->m_Handle.cancel();
+        Kept->m_Callback(base::failure(base::ResultCode::StreamBroken,
+                                       "the response of " + Address +
+                                           " exceeds the limit of " +
+                                           std::to_string(Limit) + " bytes"));
       };
-  Callbacks.m_OnEnd = [Received, TooLarge, Callback = std::move(Callback)](
-                          const base::Result<void> &Outcome) {
-    if (!Outcome)
-      Callback(tl::make_unexpected(Outcome.error()));
-    else if (*TooLarge)
-      Callback(base::failure(base::ResultCode::StreamBroken,
-                             "the response exceeds the size limit"));
+  Callbacks.m_OnEnd = [State](const base::Result<void> &Outcome) {
+    if (Outcome)
+      State->m_Callback(std::move(State->m_Response));
     else
-      Callback(std::move(*Received));
+      State->m_Callback(tl::make_unexpected(Outcome.error()));
   };
-  return request(std::move(Call), std::move(Callbacks));
+  // No callback runs before this function has returned.
+  State->m_Handle = request(std::move(Call), std::move(Callbacks));
+  return State->m_Handle;
 }
 
 HttpCallHandle HttpClient::get(const std::string &Address,
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -29,6 +30,9 @@
   base::Millis m_Timeout = base::seconds(10);
   /// Maximum time without a received byte; zero for no limit.
   base::Millis m_ReadTimeout{};
+  /// Maximum size of a body that fetch() collects, at most that of the client;
+  /// a larger one ends the call and its connection.
+  std::uint64_t m_MaxBodyBytes = std::numeric_limits<std::uint64_t>::max();
   /// Whether the request must not be sent on an idle connection.
   bool m_NeedsNewConnection = false;
   /// Called by fetch() with each piece of the body of a response with status
@@ -124,7 +128,8 @@
   /// Sends a request and passes the parts of the response to \p Callbacks.
   HttpCallHandle request(HttpCall Call, HttpCallbacks Callbacks);
 
-  /// Sends a request and collects the whole response.
+  /// Sends a request and collects the whole response. A body over the limit of
+  /// the call fails with StreamBroken.
   HttpCallHandle fetch(HttpCall Call, ResponseCallback Callback);
 
   HttpCallHandle get(const std::string &Address, const std::string &Target,
--- a/Source/RankAgent/EngineProfileReader.cpp
+++ b/Source/RankAgent/EngineProfileReader.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int Ok = 200;
+/// Maximum size of the properties of an engine.
+constexpr std::uint64_t MaxProfileBytes = 64 * net::KiB;
 
 direct::EngineProfile profileOf(const wire::EngineNews &News) {
   direct::EngineProfile Profile;
@@ -61,10 +63,14 @@
   }
   const wire::NodeNews Entry = std::move(m_Remaining.back());
   m_Remaining.pop_back();
-  m_Call = m_Client.get(
-      Entry.peer_address(),
-      "/engines?service=" + net::encodeQueryValue(m_Settings.m_Service),
-      m_Settings.m_EntryTimeout,
+  net::HttpCall Call;
+  Call.m_Address = Entry.peer_address();
+  Call.m_Target =
+      "/engines?service=" + net::encodeQueryValue(m_Settings.m_Service);
+  Call.m_Timeout = m_Settings.m_EntryTimeout;
+  Call.m_MaxBodyBytes = MaxProfileBytes;
+  m_Call = m_Client.fetch(
+      std::move(Call),
       [this, Entry](const base::Result<net::HttpResponse> &Response) {
         handleResponse(Entry, Response);
       });
--- a/Tests/Net/HttpClientTest.cpp
+++ b/Tests/Net/HttpClientTest.cpp
@@ -120,6 +120,47 @@
   }
 }
 
+// Failure: a body over the limit was read on until the timeout of the call.
+TEST_F(HttpClientTest, ABodyOverTheLimitEndsTheConnection) {
+  constexpr std::size_t Limit = 64 * KiB;
+  // What the buffers of the system hold beside it.
+  constexpr std::size_t MaxSentBytes = 16 * MiB;
+  boost::asio::ip::tcp::acceptor Acceptor(m_Context,
+                                          *parseEndpoint("127.0.0.1:0"));
+  m_Address = formatEndpoint(Acceptor.local_endpoint());
+  HttpClientOptions Options;
+  Options.m_MaxBodyBytes = Limit;
+  HttpClient Client(m_Context, Options);
+  std::optional<base::Result<HttpResponse>> Outcome;
+  Client.get(m_Address, "/", base::seconds(3),
+             [&](auto Result) { Outcome = std::move(Result); });
+  Socket Peer(m_Context);
+  bool IsClosed = false;
+  std::size_t Sent = 0;
+  const std::string Block(64 * KiB, 'x');
+  std::function<void()> SendMore = [&] {
+    boost::asio::async_write(Peer, boost::asio::buffer(Block),
+                             [&](const auto &Code, std::size_t Count) {
+                               Sent += Count;
+                               IsClosed = static_cast<bool>(Code);
+                               if (!IsClosed && Sent <= 4 * MaxSentBytes)
+                                 SendMore();
+                             });
+  };
+  const std::string Head = "HTTP/1.1 200 OK\r\n\r\n";
+  Acceptor.async_accept(Peer, [&](const auto &) {
+    boost::asio::write(Peer, boost::asio::buffer(Head));
+    SendMore();
+  });
+  runUntil([&] { return Outcome.has_value() || Sent > 4 * MaxSentBytes; });
+  runUntil([&] { return IsClosed || Sent > 4 * MaxSentBytes; });
+  ASSERT_TRUE(Outcome.has_value());
+  ASSERT_FALSE(*Outcome);
+  EXPECT_EQ(Outcome->error().m_Code, base::ResultCode::StreamBroken);
+  EXPECT_NE(Outcome->error().m_Message.find("65536"), std::string::npos);
+  EXPECT_LE(Sent, MaxSentBytes);
+}
+
 TEST_F(HttpClientTest, TimesOutWithoutResponse) {
   listenRaw();
   respondOnce("", false);
--- a/Tests/Platform/EndlessResponseTest.cpp
+++ b/Tests/Platform/EndlessResponseTest.cpp
@@ -1,5 +1,7 @@
 #include "EntryFixture.h"
 
+#include "platform/EngineHttp.h"
+
 namespace corneldeck::tests {
 
 namespace {
@@ -69,6 +71,28 @@
   }
 }
 
+// Failure: an engine's report without end was kept up to 64 MiB, and read on
+// until the timeout of the call.
+TEST_F(EndlessResponse, ReportsOfAnEngineAreCutOff) {
+  m_Servers[0]->m_Behavior = Behavior::EndlessBody;
+  net::HttpClient Client(m_Loop);
+  const auto Port = platform::enginePort(Client, m_Servers[0]->address());
+  int Failed = 0;
+  const auto Count = [&Failed](const auto &Result) {
+    EXPECT_FALSE(Result);
+    ++Failed;
+  };
+  Port.m_GetState(Count);
+  Port.m_GetExperts(Count);
+  Port.m_GetCounts(Count);
+  rankgroup::SwitchOrder Order;
+  Order.m_Kind = rankgroup::SwitchOrderKind::Hold;
+  Port.m_SendOrder(Order, Count);
+  runUntil([&] { return Failed == 4 && endlessResponses() == 0; });
+  // What the buffers of the system hold of each.
+  EXPECT_LE(endlessBytes(), 4 * 8 * MiB);
+}
+
 // Failure: other callers waited while the bytes of one server were read.
 TEST_F(EndlessResponse, OtherCallersAreServed) {
   m_Servers[0]->m_Behavior = Behavior::EndlessForeign;
