Direct, Gateway: end the responses of the server that holds most memory

Reported by other operators: bytes without end of one server ended the requests of the clients of others.

Seen here, with one of three servers that sends 7 MiB of a body and goes on: responses of 300 KiB of the two sound servers failed with 502, "too large to be buffered". With 240 streams whose first event does not end, the process grew by more than 100 MiB.

Cause: one budget for the responses of all servers, without shares, which cut off whichever grew next; incomplete events were not in it.

Change: ResponseMemory accounts for bodies and incomplete events by request and server. A success without a signature is no longer kept.

--- a/Source/Direct/EventSplitter.cpp
+++ b/Source/Direct/EventSplitter.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Memory that is kept for the next events of a stream.
+constexpr std::size_t MaxRetainedBytes = 16UL * 1024;
+
 /// Returns the end of the first event of \p Text whose terminating blank line
 /// is found at or after \p From, or npos.
 std::size_t eventEnd(std::string_view Text, std::size_t From) {
@@ -88,13 +91,16 @@
     Start = End;
   }
   m_Partial.erase(0, Start);
+  if (m_Partial.capacity() > MaxRetainedBytes &&
+      m_Partial.size() <= MaxRetainedBytes)
+    m_Partial.shrink_to_fit();
   if (m_Partial.size() > m_MaxEventBytes)
     return std::nullopt;
   return CompleteEvents;
 }
 
 void EventSplitter::beginAttempt() {
-  m_Partial.clear();
+  m_Partial = {};
   m_IsResumed = !m_LastEventId.empty();
 }
 
--- a/Source/Direct/EventSplitter.h
+++ b/Source/Direct/EventSplitter.h
@@ -26,6 +26,11 @@
   /// returned, or not with the next id if the ids are consecutive.
   std::optional<std::string> append(std::string_view Piece);
 
+  /// Returns the memory that the incomplete event needs, in bytes.
+  [[nodiscard]] std::size_t partialBytes() const {
+    return m_Partial.capacity();
+  }
+
   /// Returns whether the input ends within an event.
   [[nodiscard]] bool hasPartialEvent() const { return !m_Partial.empty(); }
 
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+/// Maximum size of a response that is buffered before it is forwarded.
+constexpr std::size_t MaxBufferedBytes = 8 * net::MiB;
+/// Number of bytes of a response without a signature that are read, so that its
+/// connection can be reused.
+constexpr std::size_t MaxDiscardedBytes = 64 * net::KiB;
 constexpr int FirstServerErrorStatus = 500;
 constexpr int FirstSuccessStatus = 200;
 constexpr int FirstRedirectStatus = 300;
@@ -301,24 +306,49 @@
     }
     if (!Complete->empty())
       forwardEvents(*Complete);
+    holdResponse(m_EventSplitter.partialBytes());
     return;
   }
-  if (!m_Forwarder.mayBuffer(m_ResponseBody.size(), Data.size())) {
-    m_Cancel.cancel();
-    m_LastFailure = "the response is too large to be buffered: " +
-                    formatNumber(static_cast<std::int64_t>(
-                        m_ResponseBody.size() + Data.size())) +
-                    " bytes";
-    attemptEnded(AttemptOutcome::Garbled);
+  // No caller gets it, whatever follows.
+  if (isSuccess(m_Head.m_Status) && !m_ResponseInfo.m_Signed) {
+    m_DiscardedBytes += Data.size();
+    if (m_DiscardedBytes > MaxDiscardedBytes)
+      endResponse("the response has no signature");
+    return;
+  }
+  const std::size_t Size = m_ResponseBody.size() + Data.size();
+  if (Size > MaxBufferedBytes) {
+    endResponse("the response is too large to be buffered: " +
+                formatNumber(static_cast<std::int64_t>(Size)) + " bytes");
     return;
   }
   m_ResponseBody.append(Data);
-  m_Forwarder.m_BufferedBytes += Data.size();
+  holdResponse(m_ResponseBody.capacity());
+}
+
+void ForwardedRequest::holdResponse(std::size_t Bytes) {
+  if (!m_Finished && m_AttemptActive &&
+      !m_Forwarder.holdResponse(m_Parameters.m_Token, m_Server, Bytes))
+    cutOffResponse();
+}
+
+void ForwardedRequest::cutOffResponse() {
+  endResponse("all responses together exceed the memory for them, and this one "
+              "is the largest of the server that holds most");
+}
+
+void ForwardedRequest::endResponse(const std::string &Why) {
+  m_Cancel.cancel();
+  releaseBody();
+  m_EventSplitter.beginAttempt();
+  m_LastFailure = Why;
+  attemptEnded(AttemptOutcome::Garbled);
 }
 
 void ForwardedRequest::releaseBody() {
-  m_Forwarder.m_BufferedBytes -= m_ResponseBody.size();
+  m_Forwarder.m_ResponseMemory.remove(m_Parameters.m_Token);
   m_ResponseBody = {};
+  m_DiscardedBytes = 0;
 }
 
 void ForwardedRequest::forwardEvents(const std::string &Events) {
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -55,6 +55,8 @@
   /// Refuses or withdraws the request, unless it has begun to run or is the
   /// trial of the part.
   void stopQuarantined(std::uint64_t Part);
+  /// Ends the response because all together need too much memory.
+  void cutOffResponse();
   /// Answers the request as the process ends, unless its response has begun.
   void answerBeforeExit();
 
@@ -88,6 +90,11 @@
   void serverChecked(AttemptOutcome Outcome, ServerLife Life);
   void perform(NextAction Next, AttemptOutcome Outcome);
   void releaseAttempt(AttemptOutcome Outcome);
+  /// Records how much memory the response needs, and ends it if that is too
+  /// much.
+  void holdResponse(std::size_t Bytes);
+  /// Closes the connection of a response that cannot be used.
+  void endResponse(const std::string &Why);
   /// Removes the buffered response.
   void releaseBody();
   void forwardResponse();
@@ -120,6 +127,8 @@
   bool m_HasHead = false;
   bool m_AttemptActive = false;
   std::string m_ResponseBody;
+  /// Bytes of a response without a signature.
+  std::size_t m_DiscardedBytes = 0;
   double m_UnprocessedPromptTokens = 0;
   base::Millis m_SentAt{};
   base::Millis m_LastByteAt{};
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -24,14 +24,6 @@
 /// service is stalled, and a request is not moved to another server.
 constexpr base::Millis ProgressWindow{400};
 
-/// Maximum size of a response that is buffered before it is forwarded.
-constexpr std::size_t MaxBufferedBytes = 8 * net::MiB;
-/// Maximum size of all buffered responses together; a fraction of the memory of
-/// the smallest VMs.
-constexpr std::size_t MaxTotalBufferedBytes = 32 * net::MiB;
-/// A response up to this size is buffered even if the others use up the total.
-constexpr std::size_t MinBufferedBytes = 64 * net::KiB;
-
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -42,9 +34,10 @@
 
 } // namespace
 
-RequestForwarder::RequestForwarder(Dependencies Objects, RequestCodec Codec)
+RequestForwarder::RequestForwarder(Dependencies Objects, RequestCodec Codec,
+                                   std::size_t MaxResponseBytes)
     : m_Dependencies(Objects), m_Codec(std::move(Codec)),
-      m_QueueTimer(Objects.m_Context),
+      m_ResponseMemory(MaxResponseBytes), m_QueueTimer(Objects.m_Context),
       m_Requests(Objects.m_Metrics.counter("corneldeck_requests_total",
                                            "Requests received from callers.")),
       m_Refused(Objects.m_Metrics.counter(
@@ -58,6 +51,10 @@
       m_Quarantined(Objects.m_Metrics.counter(
           "corneldeck_quarantine_refused_total",
           "Requests refused because of a quarantined part of their prompt.")),
+      m_ResponsesCutOff(Objects.m_Metrics.counter(
+          "corneldeck_responses_cut_off_total",
+          "Responses of the server that held most memory, cut off because all "
+          "together exceeded the limit.")),
       m_FirstByte(
           Objects.m_Metrics.histogram("corneldeck_first_byte_ms",
                                       "Time from the arrival of a request to "
@@ -74,7 +71,16 @@
       m_EventIntervals(Objects.m_Metrics.histogram(
           "corneldeck_pause_ms",
           "Time between two writes of events to a caller.",
-          metrics::latencyBounds())) {}
+          metrics::latencyBounds())) {
+  Objects.m_Metrics.gauge(
+      "corneldeck_response_bytes",
+      "Bytes of responses that are held until they can be forwarded.",
+      [this] { return static_cast<double>(m_ResponseMemory.total()); });
+  Objects.m_Metrics.gauge(
+      "corneldeck_response_bytes_largest_server",
+      "The part of corneldeck_response_bytes that one server holds.",
+      [this] { return static_cast<double>(m_ResponseMemory.largestShare()); });
+}
 
 RequestForwarder::~RequestForwarder() = default;
 
@@ -326,10 +332,22 @@
         static_cast<double>(Usage.m_InFlight) / Servers);
 }
 
-bool RequestForwarder::mayBuffer(std::size_t Size, std::size_t Added) const {
-  return Size + Added <= MinBufferedBytes ||
-         (Size + Added <= MaxBufferedBytes &&
-          m_BufferedBytes + Added <= MaxTotalBufferedBytes);
+bool RequestForwarder::holdResponse(std::uint64_t Token,
+                                    const std::string &Server,
+                                    std::size_t Bytes) {
+  m_ResponseMemory.set(Token, Server, Bytes);
+  while (const auto Excess = m_ResponseMemory.excess()) {
+    m_ResponsesCutOff.add();
+    if (*Excess == Token)
+      return false;
+    const auto Found = m_ActiveRequests.find(*Excess);
+    const std::shared_ptr<ForwardedRequest> Largest =
+        Found == m_ActiveRequests.end() ? nullptr : Found->second;
+    m_ResponseMemory.remove(*Excess);
+    if (Largest)
+      Largest->cutOffResponse();
+  }
+  return true;
 }
 
 void RequestForwarder::armQueueTimer() {
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -7,6 +7,7 @@
 #include "Direct/ConcurrencyLimiter.h"
 #include "Direct/GroupAvailability.h"
 #include "Direct/PromptQuarantine.h"
+#include "Direct/ResponseMemory.h"
 #include "Direct/RouteTable.h"
 #include "Direct/ServerEnds.h"
 #include "Direct/ServerRateLimits.h"
@@ -114,7 +115,10 @@
     PromptQuarantine &m_Quarantine;
   };
 
-  RequestForwarder(Dependencies Objects, RequestCodec Codec);
+  /// \param MaxResponseBytes maximum size of all responses that are held until
+  /// they can be forwarded.
+  RequestForwarder(Dependencies Objects, RequestCodec Codec,
+                   std::size_t MaxResponseBytes);
   ~RequestForwarder();
   RequestForwarder(const RequestForwarder &) = delete;
   RequestForwarder &operator=(const RequestForwarder &) = delete;
@@ -166,9 +170,12 @@
   /// Returns the retry-after time of a request that is refused during a stop.
   [[nodiscard]] base::Millis stoppingRetryAfter() const;
   void armQueueTimer();
-  /// Returns whether a response of \p Size bytes may grow by \p Added bytes.
-  /// A large one is cut off if all responses together need too much memory.
-  [[nodiscard]] bool mayBuffer(std::size_t Size, std::size_t Added) const;
+  /// Records that a request holds \p Bytes of its response from \p Server. Ends
+  /// the largest responses of the servers that hold most if all together exceed
+  /// the limit.
+  /// \returns false if this response has to end.
+  bool holdResponse(std::uint64_t Token, const std::string &Server,
+                    std::size_t Bytes);
   /// Returns the capacity and requests in flight of the service. The capacity
   /// is limited so that event intervals stay within their target.
   [[nodiscard]] ServerPool::ServiceUsage
@@ -182,8 +189,7 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<ForwardedRequest>>
       m_ActiveRequests;
   std::uint64_t m_NextToken = 1;
-  /// Bytes of all responses that are being buffered.
-  std::size_t m_BufferedBytes = 0;
+  ResponseMemory m_ResponseMemory;
   ShutdownPolicy m_ShutdownPolicy;
   boost::asio::steady_timer m_QueueTimer;
   bool m_QueueTimerArmed = false;
@@ -195,6 +201,7 @@
   metrics::Counter &m_Failed;
   metrics::Counter &m_RetriesSent;
   metrics::Counter &m_Quarantined;
+  metrics::Counter &m_ResponsesCutOff;
   metrics::Histogram &m_FirstByte;
   metrics::Histogram &m_RequestDuration;
   metrics::Histogram &m_AdmissionWait;
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -127,7 +127,7 @@
       m_Forwarder({Context, m_ServerClient, m_Pool, m_AdmissionQueue,
                    m_RetryBudget, m_Limiter, m_GroupAvailability, Events,
                    Metrics, m_Rng, m_ServerEnds, m_Quarantine},
-                  std::move(Requests)),
+                  std::move(Requests), m_Settings.m_MaxResponseBytes),
       m_Configuration(
           Context, m_Log, m_PeerClient, Events, Metrics,
           sharedFeedSettings(m_Settings.m_Fleet, "configuration",
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -36,6 +36,8 @@
   /// a backend server has for all clients together.
   std::size_t m_MaxIdlePerServer = 32;
   base::Millis m_ConnectTimeout = base::Millis(700);
+  /// Maximum size of all responses that are held until they can be forwarded.
+  std::size_t m_MaxResponseBytes = 32 * net::MiB;
 };
 
 /// Decodes a configuration in steps, so that requests are served in between.
--- a/Tests/Platform/EntryFixture.cpp
+++ b/Tests/Platform/EntryFixture.cpp
@@ -41,6 +41,7 @@
     m_Servers.push_back(std::make_unique<StandinServer>(
         m_Loop, "i-" + std::to_string(Index), "svc"));
     m_Servers.back()->listen();
+    m_Servers.back()->m_Capacity = m_ServerCapacity;
     m_Store.put("keyed.servers", m_Servers.back()->id(),
                 m_Servers.back()->record());
   }
--- a/Tests/Platform/EntryFixture.h
+++ b/Tests/Platform/EntryFixture.h
@@ -89,6 +89,8 @@
   GroupShape m_Group;
   /// Whether the first version is published before the entries start.
   bool m_IsPublishedAtStart = true;
+  /// The capacity that each server registers with.
+  unsigned m_ServerCapacity = 8;
   /// Timeout of the routes, and the deadline that callers set.
   base::Millis m_RouteTimeout{4000};
   base::Millis m_CallerDeadline{8000};
--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -161,7 +161,9 @@
   }
 
   [[nodiscard]] std::string body() const {
-    return "body of " + m_Request.m_Id + " from " + m_Server.m_Id;
+    std::string Text = "body of " + m_Request.m_Id + " from " + m_Server.m_Id;
+    Text.resize(std::max(Text.size(), m_Server.m_BodyBytes), '.');
+    return Text;
   }
 
   static std::string refusal(int Status, const std::string &Id) {
@@ -328,6 +330,7 @@
     ++m_Server.m_EndlessResponses;
     m_Block = Block;
     m_Out = Begin;
+    m_EndlessSent = 0;
     sendEndless();
   }
 
@@ -391,6 +394,12 @@
         [Self = shared_from_this()](const boost::system::error_code &Code,
                                     std::size_t Count) {
           Self->m_Server.m_EndlessBytes += Count;
+          Self->m_EndlessSent += Count;
+          if (!Code && Self->m_Server.m_EndlessLimit > 0 &&
+              Self->m_EndlessSent >= Self->m_Server.m_EndlessLimit) {
+            Self->waitForClose();
+            return;
+          }
           if (Code) {
             --Self->m_Server.m_EndlessResponses;
             return;
@@ -400,6 +409,14 @@
         });
   }
 
+  void waitForClose() {
+    m_Socket.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [Self = shared_from_this()](const boost::system::error_code &) {
+          --Self->m_Server.m_EndlessResponses;
+        });
+  }
+
   void send(const std::string &Bytes) {
     m_Out = Bytes;
     asio::async_write(m_Socket, asio::buffer(m_Out),
@@ -516,6 +533,7 @@
   std::string m_Out;
   /// Text of an endless response.
   std::string m_Block;
+  std::size_t m_EndlessSent = 0;
   int m_NextEvent = 1;
   /// Whether the stream is truncated even if the server behaves differently
   /// meanwhile.
@@ -588,7 +606,7 @@
   return nlohmann::json{{"backend", m_Service},
                         {"address", m_Address},
                         {"zone", "a"},
-                        {"capacity", 8},
+                        {"capacity", m_Capacity},
                         {"lifecycle-state", State},
                         {"sequence", Sequence},
                         {"born", m_StartTime}}
--- a/Tests/Platform/StandinServer.h
+++ b/Tests/Platform/StandinServer.h
@@ -113,6 +113,13 @@
   std::string m_NamedLimit;
   /// Whether all responses say that the server leaves.
   bool m_IsLeaving = false;
+  /// Bytes after which an endless response pauses until the caller closes the
+  /// connection; zero for none.
+  std::size_t m_EndlessLimit = 0;
+  /// Size of the body of a response, at least; its text is repeated.
+  std::size_t m_BodyBytes = 0;
+  /// The capacity that the server registers with.
+  unsigned m_Capacity = 8;
   /// Seconds in which the server wants no requests after a refusal; empty for
   /// none.
   std::string m_RetryAfter;
