Direct, Platform: pick services by weights of any size

Change: weights are numbers with fractions, of which the ratio counts. A service of weight 0 is not picked by rounding either.

--- a/Source/Direct/Configuration.h
+++ b/Source/Direct/Configuration.h
@@ -26,7 +26,8 @@
 /// The share of a route's traffic that goes to one service.
 struct ServiceShare {
   std::string m_Service;
-  unsigned m_Weight = 1;
+  /// In proportion to the other services of the route.
+  double m_Weight = 1;
 };
 
 /// Services and limits of the requests for one host and path prefix.
--- a/Source/Direct/RouteTable.cpp
+++ b/Source/Direct/RouteTable.cpp
@@ -48,18 +48,20 @@
 }
 
 std::string_view RouteTable::pickService(const Route &From, base::Random &Rng) {
-  std::uint64_t Sum = 0;
+  double Sum = 0;
   for (const ServiceShare &Each : From.m_Services)
     Sum += Each.m_Weight;
-  if (Sum == 0)
-    return {};
-  std::uint64_t Drawn = Rng.below(Sum);
+  double Drawn = Rng.uniform() * Sum;
+  std::string_view Last;
   for (const ServiceShare &Each : From.m_Services) {
+    if (Each.m_Weight <= 0)
+      continue;
+    Last = Each.m_Service;
     if (Drawn < Each.m_Weight)
-      return Each.m_Service;
+      break;
     Drawn -= Each.m_Weight;
   }
-  return From.m_Services.back().m_Service;
+  return Last;
 }
 
 } // namespace corneldeck::direct
--- a/Tests/Direct/RouteTableTest.cpp
+++ b/Tests/Direct/RouteTableTest.cpp
@@ -65,6 +65,22 @@
   EXPECT_NEAR(Second, 1000, 150);
 }
 
+// Failure: weights that are fractions counted as 0, and large ones as equal.
+TEST(RouteTable, PicksServicesByWeightsOfAnySize) {
+  for (const double Unit : {0.001, 1.0, 1e14}) {
+    Route Split;
+    Split.m_Services = {{"s1", 3 * Unit}, {"s2", Unit}, {"s3", 0}};
+    base::Random Rng(1);
+    int Second = 0;
+    for (int Count = 0; Count < 10000; ++Count) {
+      const std::string_view Drawn = RouteTable::pickService(Split, Rng);
+      EXPECT_NE(Drawn, "s3");
+      Second += Drawn == "s2" ? 1 : 0;
+    }
+    EXPECT_NEAR(Second, 2500, 200);
+  }
+}
+
 // Failure: a route all of whose services had the weight 0 was sent to the first
 // one.
 TEST(RouteTable, PicksNoServiceWithoutAWeight) {
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -71,7 +71,7 @@
   EXPECT_EQ(Read->m_Version, 7U);
   const direct::Route &Route = *Read->m_Routes.at(0);
   EXPECT_EQ(Route.m_RetryPolicy, direct::RetryPolicy::Resumable);
-  EXPECT_EQ(Route.m_Services.at(1).m_Weight, 10U);
+  EXPECT_EQ(Route.m_Services.at(1).m_Weight, 10);
   EXPECT_EQ(Route.m_TargetEventInterval, base::Millis(120));
   EXPECT_EQ(Read->m_Services.at(0).m_Engine->m_SlotsPerSet, 8U);
   EXPECT_EQ(Read->m_Customers.at(0).m_Keys.at(0), "k");
@@ -467,6 +467,8 @@
   }
   EXPECT_EQ(Services(R"(,"traffic-split":[{"backend":"t"}])"), "t");
   EXPECT_EQ(Services(R"(,"traffic-split":[{"backend":"t","weight":0}])"), "");
+  EXPECT_EQ(Services(R"(,"traffic-split":[{"backend":"t","weight":0.4}])"),
+            "t");
   EXPECT_EQ(Services(R"(,"traffic-split":[{"weight":1}])"), "");
 
   for (const char *Attempts :
