Direct, Platform: refuse a request whose caller allows no time

Change: the timeout of a request is optional. One that is over is refused at once (503, not run). A number that is too large counts as the longest time, as before; a negative one as none left, which had the effect of a missing field too.

--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -153,9 +153,17 @@
                               : Found->m_Priority;
   Parameters.m_ArrivalTime = Now;
   Parameters.m_Deadline = Now + Found->m_Timeout;
-  if (Request.m_Timeout > base::Millis(0))
+  if (Request.m_Timeout)
     Parameters.m_Deadline =
-        std::min(Parameters.m_Deadline, Now + Request.m_Timeout);
+        std::min(Parameters.m_Deadline, Now + *Request.m_Timeout);
+  if (Parameters.m_Deadline <= Now) {
+    refuse(*Exchange,
+           {base::ResultCode::DeadlineTooShort,
+            "the request or its route allows no time",
+            {}},
+           Request.m_Id);
+    return;
+  }
   if (!m_ShutdownPolicy.accepts(Now, Parameters.m_Deadline)) {
     refuse(*Exchange,
            {base::ResultCode::NotReady,
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -21,6 +21,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -35,8 +36,8 @@
   std::string m_Host;
   /// The customer's key; empty if the caller sent none.
   std::string m_ApiKey;
-  /// Timeout that the caller set; zero if none.
-  base::Millis m_Timeout{};
+  /// Timeout that the caller set, if any.
+  std::optional<base::Millis> m_Timeout;
   double m_PromptTokens = 0;
   /// Ids of the parts of its prompt that other requests may share, in order;
   /// empty if unknown.
--- a/Tests/Platform/EntryTest.cpp
+++ b/Tests/Platform/EntryTest.cpp
@@ -68,6 +68,23 @@
             0U);
 }
 
+namespace {
+
+class PlatformEntryWithoutTime : public PlatformEntry {
+protected:
+  PlatformEntryWithoutTime() { m_CallerDeadline = base::Millis(0); }
+};
+
+} // namespace
+
+// Failure: a request whose caller waits no longer had the effect of one without
+// a deadline, and servers got all the time of its route.
+TEST_F(PlatformEntryWithoutTime, ARequestWithoutTimeIsRefusedAtOnce) {
+  const auto Got = finish(call("POST", "/once/a", "r1"));
+  EXPECT_EQ(Got->m_Status, 503);
+  EXPECT_EQ(receivedCount("r1"), 0U);
+}
+
 // Failure: callers that came before the first version of the configuration were
 // all given the same retry-after time and returned together.
 TEST_F(PlatformEntryWithoutRoutes, RefusedCallersReturnAtDifferentTimes) {
