--- a/Tests/Soak/SoakPlanTest.cpp
+++ b/Tests/Soak/SoakPlanTest.cpp
@@ -65,9 +65,11 @@
   const std::set<StepKind> Refused = {
       StepKind::LeaveServer, StepKind::PauseServer, StepKind::SayLeaving,
       StepKind::NameLimit};
-  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
-    for (const Step &Each : planOf(Seed).steps())
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    const SoakPlan Plan = planOf(Seed);
+    for (const Step &Each : Plan.steps())
       EXPECT_FALSE(Refused.contains(Each.m_Kind) && Each.m_Target == Seed % 4);
+  }
 }
 
 // Failure: the faults of a run could hide the mistake that was planted in it.
