--- a/Tests/Platform/EntryTest.cpp
+++ b/Tests/Platform/EntryTest.cpp
@@ -302,6 +302,9 @@
   publish(1);
   m_Store.put("keyed.op", "config", "{\"version\":9,\"routes\":5}");
   m_Store.dropHistory("keyed.op");
+  runUntil([this] {
+    return metric(0, "corneldeck_configuration_rejected_total") >= 1;
+  });
   for (int Count = 0; Count < 30; ++Count)
     EXPECT_EQ(finish(call("GET", "/added/a", "w"))->m_Status, 200);
 }
