--- a/Tests/Platform/CallerCodecTest.cpp
+++ b/Tests/Platform/CallerCodecTest.cpp
@@ -58,6 +58,16 @@
   EXPECT_EQ(decode({std::string(5000, 'x')}).m_Text.size(), 64U);
 }
 
+// An empty field of a response states nothing.
+TEST(CallerCodec, EmptyFieldsOfAResponseStateNothing) {
+  EXPECT_FALSE(decodeResponse(503, "Not-Executed", {""}).m_NotRun);
+  EXPECT_TRUE(decodeResponse(503, "Not-Executed", {"1"}).m_NotRun);
+  EXPECT_FALSE(decodeResponse(200, "Response-Signature", {""}).m_Signed);
+  EXPECT_TRUE(decodeResponse(200, "Response-Signature", {"x"}).m_Signed);
+  EXPECT_FALSE(decodeResponse(200, "Server-Leaving", {""}).m_IsLeaving);
+  EXPECT_TRUE(decodeResponse(200, "Server-Leaving", {"1"}).m_IsLeaving);
+}
+
 TEST(CallerCodec, DecodesPausesOfRefusals) {
   EXPECT_EQ(decodePause({}).m_Kind, PauseKind::Absent);
   EXPECT_EQ(decodePause({"2"}, 429).m_Kind, PauseKind::Absent);
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -454,6 +454,15 @@
     EXPECT_EQ(Keys(Empty), (Permitted{true, false, false, "s"})) << Empty;
   EXPECT_EQ(Keys(",\"tenants\":[" + Customer + "]"),
             (Permitted{true, true, false, "s"}));
+  for (const char *Rank : {"\"0\"", "-1", "[]", "{}", "true"}) {
+    const auto Read = decodeConfiguration(
+        R"({"version":8,"routes":[],"tenants":[{"name":"c","priority":)" +
+        std::string(Rank) + "}]}");
+    ASSERT_TRUE(Read.has_value()) << Rank;
+    EXPECT_EQ(Read->m_Customers.at(0).m_Priority,
+              std::numeric_limits<int>::max())
+        << Rank;
+  }
 
   const auto Services = [](const std::string &Fields) {
     return decodePermitted("", Fields).m_Service;
