--- a/Tests/Platform/ConfigurationTest.cpp
+++ b/Tests/Platform/ConfigurationTest.cpp
@@ -16,8 +16,7 @@
           {"max-attempts", 3},     {"public", false}};
 }
 
-/// Returns a version that keeps /plain/ and key-1 and takes /once/ and /stream/
-/// away.
+/// Returns a version with the routes /plain/ and /added/ and the key key-1.
 json nextVersion() {
   return {{"version", 2},
           {"routes", {route("/plain/"), route("/added/")}},
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -318,6 +318,34 @@
                   .has_value());
 }
 
+// Failure: one very deeply nested value kept a whole version out of force.
+TEST(Decoders, ADeeplyNestedValueOfAConfigurationIsDiscarded) {
+  const std::string Nested = nestedArrays(ExcessiveDepth);
+  for (const char *Place :
+       {"{\"version\"", "{\"name\":\"r\"", "{\"name\":\"s\"",
+        "\"max-body-bytes\"", "{\"name\":\"c\""}) {
+    std::string Text = Config;
+    const std::size_t At = Text.find(Place);
+    ASSERT_NE(At, std::string::npos) << Place;
+    Text.insert(Place[0] == '{' ? At + 1 : At, "\"extra\":" + Nested + ",");
+    const auto AtOnce = decodeConfiguration(Text);
+    ASSERT_TRUE(AtOnce.has_value()) << Place;
+    EXPECT_TRUE(AtOnce->unreadableParts().empty()) << Place;
+    ConfigurationDecoder Decoder;
+    const auto InSteps = decodeInSteps(Decoder, Text);
+    ASSERT_TRUE(InSteps.has_value()) << Place;
+    EXPECT_EQ(InSteps->m_Routes.size(), 1U) << Place;
+    EXPECT_EQ(InSteps->m_Customers.size(), 1U) << Place;
+  }
+  // In place of a known field it costs the part.
+  std::string Text = Config;
+  Text.replace(Text.find("\"public\":false"), 14, "\"public\":" + Nested);
+  const auto Read = decodeConfiguration(Text);
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_FALSE(Read->m_Routes.at(0)->m_Error.empty());
+  EXPECT_EQ(Read->m_Customers.size(), 1U);
+}
+
 // Failure: numbers at and above the limits of their types were converted with
 // undefined results, or wrapped around to valid values.
 TEST(Decoders, RejectNumbersOutOfRange) {
