--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -200,8 +200,8 @@
     m_IsAfterFaults = true;
     runUntil(now() + CalmTimeout);
     m_Asking = false;
-    // What was refused must not run later, so the answers are looked at after
-    // all orders on their way have arrived.
+    // Wait for late deliveries: a refused request must not run after its
+    // response either.
     const base::Millis Quiet = now() + base::seconds(4);
     while (now() < Quiet)
       m_Loop.run_one_for(std::chrono::milliseconds(50));
--- a/Tests/Soak/SoakPlan.h
+++ b/Tests/Soak/SoakPlan.h
@@ -19,7 +19,7 @@
   None,
   RetryAfterSilence, ///< A request that may run once reaches a second server.
   VersionGoesBack,   ///< An entry answers as before a version that it served.
-  LeavingStillUsed,  ///< A server that leaves goes on getting work.
+  LeavingStillUsed,  ///< A draining server still receives requests.
   AnswerOfAnother,   ///< A caller gets the answer to another request.
   LimitExceeded,     ///< A server with a rate limit gets requests 30 times.
   NoticeIgnored,  ///< A server gets requests after it has said that it leaves.
@@ -37,7 +37,7 @@
   BreakLink,      ///< The value is a LinkFault.
   ChangeBehavior, ///< The value is a Behavior.
   HealServer,     ///< Ends the faults of a server and its link.
-  LeaveServer,    ///< The server leaves, and another one comes.
+  LeaveServer,    ///< The server drains and a new one registers.
   PauseServer,    ///< The server wants no requests.
   SayLeaving,     ///< The server says that it leaves, and starts again.
   NameLimit,      ///< The value is the rate limit per second.
