Direct: refuse unknown keys without a list of customers

What callers saw: after a version that left out the field `tenants`, requests with removed keys, and with keys that no version ever held, ran. A writer that leaves out empty lists publishes just this version.

Cause: the field decides whether a request needs a key, and it also decided whether the key of a request was looked at.

Change: RouteTable::permitsKey() refuses a key that no customer holds also if none is required; public routes accept any.

Evidence: with the old condition in permitsKey(), the two new tests fail (200 in place of 401); with the new one they pass.

--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -117,10 +117,7 @@
            Request.m_Id);
     return;
   }
-  const Customer *KeyOwner = Request.m_ApiKey.empty()
-                                 ? nullptr
-                                 : m_Routes->findCustomer(Request.m_ApiKey);
-  if (m_Routes->requiresKey() && !Found->m_Public && !KeyOwner) {
+  if (!m_Routes->permitsKey(*Found, Request.m_ApiKey)) {
     refuse(*Exchange,
            {base::ResultCode::UnknownKey,
             "unknown key in configuration version " +
@@ -141,6 +138,9 @@
     return;
   }
 
+  const Customer *KeyOwner = Request.m_ApiKey.empty()
+                                 ? nullptr
+                                 : m_Routes->findCustomer(Request.m_ApiKey);
   ForwardedRequest::Parameters Parameters;
   Parameters.m_Token = m_NextToken++;
   Parameters.m_Request = Request;
--- a/Source/Direct/RouteTable.cpp
+++ b/Source/Direct/RouteTable.cpp
@@ -47,6 +47,14 @@
   return Found == m_ByKey.end() ? nullptr : Found->second;
 }
 
+bool RouteTable::permitsKey(const Route &To, std::string_view Key) const {
+  if (To.m_Public)
+    return true;
+  if (Key.empty())
+    return !m_Configuration.m_RequiresKey;
+  return findCustomer(Key) != nullptr;
+}
+
 std::string_view RouteTable::pickService(const Route &From, base::Random &Rng) {
   double Sum = 0;
   for (const ServiceShare &Each : From.m_Services)
--- a/Source/Direct/RouteTable.h
+++ b/Source/Direct/RouteTable.h
@@ -37,11 +37,12 @@
   [[nodiscard]] base::Millis
   targetEventInterval(const std::string &Service) const;
 
-  /// Returns whether requests need a customer's key unless their route is
-  /// public.
-  [[nodiscard]] bool requiresKey() const {
-    return m_Configuration.m_RequiresKey;
-  }
+  /// Returns whether a request to the route \p To may run with its key. A key
+  /// that no customer holds permits nothing, also if no key is required:
+  /// otherwise a version without customers would permit the keys that it
+  /// removes.
+  /// \param Key the key that the request names; empty if it names none.
+  [[nodiscard]] bool permitsKey(const Route &To, std::string_view Key) const;
 
   [[nodiscard]] const Configuration &configuration() const {
     return m_Configuration;
--- a/Tests/Direct/RouteTableTest.cpp
+++ b/Tests/Direct/RouteTableTest.cpp
@@ -49,7 +49,8 @@
   ASSERT_NE(Table.findCustomer("k2"), nullptr);
   EXPECT_EQ(Table.findCustomer("k2")->m_Name, "c1");
   EXPECT_EQ(Table.findCustomer("k"), nullptr);
-  EXPECT_TRUE(Table.requiresKey());
+  EXPECT_FALSE(Table.permitsKey(Route(), ""));
+  EXPECT_TRUE(Table.permitsKey(Route(), "k2"));
 }
 
 TEST(RouteTable, PicksServicesByWeight) {
@@ -93,10 +94,24 @@
 
 // Failure: a configuration without customers permitted all requests.
 TEST(RouteTable, RequiresKeysWithoutCustomers) {
-  Configuration Empty;
-  EXPECT_TRUE(RouteTable(Empty).requiresKey());
-  Empty.m_RequiresKey = false;
-  EXPECT_FALSE(RouteTable(Empty).requiresKey());
+  const Route Closed;
+  Route Open;
+  Open.m_Public = true;
+  const RouteTable Table{Configuration()};
+  EXPECT_FALSE(Table.permitsKey(Closed, ""));
+  EXPECT_FALSE(Table.permitsKey(Closed, "removed"));
+  EXPECT_TRUE(Table.permitsKey(Open, ""));
+}
+
+// Failure: a version without the list of customers permitted the keys that it
+// removed, and any other one.
+TEST(RouteTable, PermitsNoUnknownKeyWithoutAListOfCustomers) {
+  Configuration Without;
+  Without.m_RequiresKey = false;
+  const Route Closed;
+  const RouteTable Table(Without);
+  EXPECT_TRUE(Table.permitsKey(Closed, ""));
+  EXPECT_FALSE(Table.permitsKey(Closed, "removed"));
 }
 
 TEST(EventSplitter, ReturnsCompleteEventsForAnyPieceSize) {
--- a/Tests/Platform/ConfigurationDecoderTest.cpp
+++ b/Tests/Platform/ConfigurationDecoderTest.cpp
@@ -166,7 +166,7 @@
   Permitted Result;
   base::Random Rng(1);
   const direct::RouteTable Table(Read);
-  Result.m_RequiresKey = Table.requiresKey();
+  Result.m_RequiresKey = !Table.permitsKey(direct::Route(), "");
   Result.m_HasCustomer = Table.findCustomer("k") != nullptr;
   const direct::Route *Found = Table.findRoute("h", "/a/b");
   if (Found && Found->m_Error.empty()) {
--- a/Tests/Platform/ConfigurationTest.cpp
+++ b/Tests/Platform/ConfigurationTest.cpp
@@ -147,6 +147,21 @@
   EXPECT_EQ(statusOf("/plain/", ""), 200);
 }
 
+// Failure: after a version that left out the list of customers, requests with
+// removed keys and with keys that never existed ran.
+TEST_F(PlatformConfiguration, AVersionWithoutCustomersPermitsNoUnknownKey) {
+  json Document = nextVersion();
+  json Open = route("/open/");
+  Open["public"] = true;
+  Document["routes"].push_back(Open);
+  Document.erase("tenants");
+  apply(Document);
+  EXPECT_EQ(statusOf("/plain/", "key-1"), 401);
+  EXPECT_EQ(statusOf("/plain/", "never-valid"), 401);
+  EXPECT_EQ(statusOf("/plain/", ""), 200);
+  EXPECT_EQ(statusOf("/open/", "never-valid"), 200);
+}
+
 // Failure: nothing showed that an entry held an older version than the one that
 // was published and that it could not decode.
 TEST_F(PlatformConfiguration, AVersionThatIsNotInForceIsOnTheMetrics) {
