Gateway: send nothing to the servers of an evacuated zone

Operators evacuate a zone with the key evacuate/ZONE in the topic of the configuration.

The keys are now decoded with each state of the configuration's feed and applied before the configuration is decoded. ServerPool::availability() excludes the servers of the zones, and neither they nor their requests in flight count in what admission sees. A request whose connection is established during the evacuation is checked again before it is written. If no other server is left, requests are refused at once and have not run.

Requests in flight go on; cutting them off was ruled out, since they would run twice or fail.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -126,6 +126,11 @@
     EventInfo{EventId::PartReleased, "part-released",
               "A request with a quarantined part was served, or another part "
               "explains the ends; such requests are served again."},
+    EventInfo{EventId::ZoneEvacuated, "zone-evacuated",
+              "Nothing more is sent to the backend servers of an availability "
+              "zone, by order of operators."},
+    EventInfo{EventId::ZoneEvacuationEnded, "zone-evacuation-ended",
+              "The backend servers of an availability zone may be used again."},
     EventInfo{EventId::LeaseAcquired, "lease-acquired",
               "This node acquired the lease."},
     EventInfo{EventId::LeaseRenewed, "lease-renewed", "The lease was renewed."},
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -71,6 +71,8 @@
   PartConfirmed = 1441,
   PartOnTrial = 1442,
   PartReleased = 1443,
+  ZoneEvacuated = 1450,
+  ZoneEvacuationEnded = 1451,
   // Leases: 1500.
   LeaseAcquired = 1500,
   LeaseRenewed = 1501,
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -112,7 +112,9 @@
 
 void ForwardedRequest::refuseOverloaded() {
   const auto Usage = m_Forwarder.usage(m_Parameters.m_Service);
-  if (Usage.isUnwanted())
+  if (Usage.isEvacuated())
+    m_LastFailure = "all backend servers are in evacuated zones";
+  else if (Usage.isUnwanted())
     m_LastFailure = "all backend servers leave or want no requests for now";
   else
     m_LastFailure = Usage.isRateLimited()
@@ -248,6 +250,10 @@
     return Self->m_Forwarder.m_Codec.m_MatchesRequest(
         Head, Self->m_Parameters.m_Request.m_Id);
   };
+  // The zone may be evacuated while the connection is established.
+  Hooks.m_MaySend = [Self] {
+    return !Self->m_Forwarder.m_Dependencies.m_Pool.isEvacuated(Self->m_Server);
+  };
   Hooks.m_OnHead = [Self](const net::HttpResponseHead &Head) {
     Self->onResponseHead(Head);
   };
@@ -739,6 +745,7 @@
        {"in_flight", formatNumber(Usage.m_InFlight)},
        {"places", formatNumber(Usage.totalCapacity())},
        {"limited_servers", formatNumber(Usage.m_LimitedServers)},
+       {"evacuated_servers", formatNumber(Usage.m_EvacuatedServers)},
        {"server_limit", Limit ? base::formatDecimal(*Limit) : std::string()},
        {"why", m_LastFailure}});
   const auto Self = shared_from_this();
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -75,7 +75,8 @@
 ServerAvailability ServerPool::availability(const ServerState &Candidate,
                                             base::Millis Now) const {
   const std::string &Id = Candidate.m_Server.m_Id;
-  if (Candidate.m_Server.m_Draining || !m_Notices.permits(Id, Now))
+  if (Candidate.m_Server.m_Draining || !m_Notices.permits(Id, Now) ||
+      m_EvacuatedZones.contains(Candidate.m_Server.m_Zone))
     return ServerAvailability::Unavailable;
   const bool HasToken = m_RateTokens.permits(Id);
   if (Candidate.m_Health.m_BackoffUntil > Now)
@@ -84,6 +85,24 @@
   return HasToken ? ServerAvailability::Available : ServerAvailability::NoToken;
 }
 
+std::vector<EvacuatedZones::Change>
+ServerPool::evacuate(const std::set<std::string> &Zones, base::Millis Now) {
+  return m_EvacuatedZones.replace(Zones, Now);
+}
+
+bool ServerPool::isEvacuated(const std::string &Id) const {
+  const auto Found = m_States.find(Id);
+  return Found != m_States.end() &&
+         m_EvacuatedZones.contains(Found->second.m_Server.m_Zone);
+}
+
+std::size_t ServerPool::serversInZone(const std::string &Zone) const {
+  return static_cast<std::size_t>(std::count_if(
+      m_States.begin(), m_States.end(), [&Zone](const auto &Each) {
+        return Each.second.m_Server.m_Zone == Zone;
+      }));
+}
+
 bool ServerPool::isStopping(const std::string &Id) const {
   const auto Found = m_States.find(Id);
   return (Found != m_States.end() && Found->second.m_Server.m_Draining) ||
@@ -268,7 +287,10 @@
 void ServerPool::recordOutcome(const std::string &Id, ServerOutcome Outcome,
                                base::Millis Latency, base::Millis Now) {
   const auto Found = m_States.find(Id);
-  if (Found == m_States.end())
+  // A request that was not sent because of an evacuation says nothing about its
+  // server.
+  if (Found == m_States.end() ||
+      m_EvacuatedZones.contains(Found->second.m_Server.m_Zone))
     return;
   // The pause already keeps requests away.
   if (Outcome == ServerOutcome::Refused &&
@@ -384,6 +406,11 @@
   for (const ServerState *Each : serversOf(Service)) {
     const BackendServer &Server = Each->m_Server;
     const std::string &Id = Server.m_Id;
+    if (m_EvacuatedZones.contains(Server.m_Zone)) {
+      if (!Server.m_Draining)
+        ++Usage.m_EvacuatedServers;
+      continue;
+    }
     const unsigned InFlight = load(Id).m_Requests;
     const ServerAvailability Availability = availability(*Each, Now);
     const bool IsOnTrial = m_Notices.isOnTrial(Id);
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -3,6 +3,7 @@
 
 #include "Base/Random.h"
 #include "Direct/Configuration.h"
+#include "Direct/EvacuatedZones.h"
 #include "Direct/RateTokens.h"
 #include "Direct/ServerNotices.h"
 #include "Direct/ServerRateLimits.h"
@@ -11,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -64,7 +66,8 @@
   Available,
   NoToken,    ///< It has a rate limit, and this entry has no token.
   InBackoff,  ///< It may be used if no other server is available.
-  Unavailable ///< It drains, leaves or is in a pause, or was just on trial.
+  Unavailable ///< It drains, leaves, is in a pause or in an evacuated zone, or
+              ///< was just on trial.
 };
 
 /// Settings of ServerPool.
@@ -140,6 +143,18 @@
   void replaceServers(const std::vector<BackendServer> &Servers,
                       base::Millis Now);
 
+  /// Replaces the zones to whose servers nothing may be sent.
+  /// \returns the evacuations that have ended or begun.
+  std::vector<EvacuatedZones::Change>
+  evacuate(const std::set<std::string> &Zones, base::Millis Now);
+  [[nodiscard]] const EvacuatedZones &evacuatedZones() const {
+    return m_EvacuatedZones;
+  }
+  /// Returns whether the server \p Id is in an evacuated zone.
+  [[nodiscard]] bool isEvacuated(const std::string &Id) const;
+  /// Returns the number of listed servers in \p Zone.
+  [[nodiscard]] std::size_t serversInZone(const std::string &Zone) const;
+
   /// Returns whether a request may be sent to the server \p Id now.
   [[nodiscard]] ServerAvailability availability(const std::string &Id,
                                                 base::Millis Now) const;
@@ -204,7 +219,8 @@
 
   /// Capacity of a service and its requests in flight over all entries. Servers
   /// that drain, leave, are in a pause or in backoff add no capacity, nor do
-  /// servers with a rate limit. A server on trial adds one request.
+  /// servers with a rate limit. A server on trial adds one request. Servers in
+  /// evacuated zones count in neither.
   struct ServiceUsage {
     unsigned m_Servers = 0;
     unsigned m_Capacity = 0;
@@ -219,6 +235,8 @@
     unsigned m_ServersInBackoff = 0;
     /// Servers that leave, are in a pause or were just on trial.
     unsigned m_ServersWithNotice = 0;
+    /// Servers in evacuated zones.
+    unsigned m_EvacuatedServers = 0;
     /// Time until the first pause ends; zero if there is none.
     base::Millis m_PauseRemaining{};
 
@@ -230,12 +248,17 @@
     [[nodiscard]] bool isRateLimited() const {
       return m_Servers == 0 && m_LimitedServers > 0;
     }
-    /// Returns whether all servers that would accept requests otherwise leave
-    /// or are in a pause.
+    /// Returns whether all servers that would accept requests otherwise leave,
+    /// are in a pause or in evacuated zones.
     [[nodiscard]] bool isUnwanted() const {
-      return m_ServersWithNotice > 0 && m_Servers == 0 &&
+      return m_ServersWithNotice + m_EvacuatedServers > 0 && m_Servers == 0 &&
              m_LimitedServers == 0 && m_ServersInBackoff == 0;
     }
+    /// Returns whether all servers that would accept requests otherwise are in
+    /// evacuated zones.
+    [[nodiscard]] bool isEvacuated() const {
+      return isUnwanted() && m_ServersWithNotice == 0;
+    }
   };
   /// Returns the usage of \p Service.
   [[nodiscard]] ServiceUsage usage(std::string_view Service, base::Millis Now);
@@ -327,6 +350,7 @@
   std::map<std::string, ArrivalCount, std::less<>> m_Arrivals;
   /// When the oldest report in m_Peers may reach its lifetime.
   base::Millis m_NextExpiry{};
+  EvacuatedZones m_EvacuatedZones;
   ServerNotices m_Notices;
   ServerRateLimits m_RateLimits;
   RateTokens m_RateTokens;
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -182,6 +182,7 @@
       m_RateLimits(Context, m_Pool, m_Fleet, Events, Metrics,
                    [this] { m_Forwarder.processQueues(); }),
       m_ServerNotices(m_Pool, Events, Metrics),
+      m_Evacuations(m_Pool, Events, Metrics),
       m_QuarantineExchange(
           Context, m_Quarantine, m_Fleet, Events, Metrics, m_Rng,
           [this](const std::string &Service, std::uint64_t Part) {
@@ -269,6 +270,8 @@
 }
 
 void GatewayNode::configurationChanged() {
+  auto Values = m_Configuration.state().values();
+  m_Evacuations.apply(m_Records.m_DecodeEvacuations(Values), m_Configuration);
   if (m_PendingSince == base::Millis(0))
     m_PendingSince = m_Clock.now();
   if (m_Decoding) {
@@ -276,8 +279,7 @@
     return;
   }
   m_DecodingStartedAt = m_Clock.now();
-  m_Decoding =
-      m_Records.m_DecodeConfiguration(m_Configuration.state().values());
+  m_Decoding = m_Records.m_DecodeConfiguration(std::move(Values));
   decodeConfiguration();
 }
 
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -7,6 +7,7 @@
 #include "Gateway/RateLimitExchange.h"
 #include "Gateway/ServerNoticeExchange.h"
 #include "Gateway/SharedFeed.h"
+#include "Gateway/ZoneEvacuations.h"
 #include "Membership/AddressSelector.h"
 #include "Net/HttpServer.h"
 
@@ -51,6 +52,10 @@
   /// Starts to decode the configuration from the values of its topic by key.
   std::function<ConfigurationDecoding(std::map<std::string, std::string>)>
       m_DecodeConfiguration;
+  /// Decodes the evacuations of zones from the same values.
+  std::function<direct::EvacuationRecords(
+      const std::map<std::string, std::string> &)>
+      m_DecodeEvacuations;
   /// Decodes the record of one backend server.
   std::function<base::Result<direct::BackendServer>(const std::string &Key,
                                                     const std::string &Value)>
@@ -147,6 +152,7 @@
   fleet::FleetNode m_Fleet;
   RateLimitExchange m_RateLimits;
   ServerNoticeExchange m_ServerNotices;
+  ZoneEvacuations m_Evacuations;
   QuarantineExchange m_QuarantineExchange;
   membership::AddressSelector m_Advisor;
   std::unique_ptr<net::HttpServer> m_CallerServer;
--- a/Source/Net/HttpClientConnection.cpp
+++ b/Source/Net/HttpClientConnection.cpp
@@ -157,6 +157,11 @@
 }
 
 void HttpClientConnection::write() {
+  if (m_Call->m_Callbacks.m_MaySend && !m_Call->m_Callbacks.m_MaySend()) {
+    fail(base::ResultCode::ConnectionFailed,
+         "no longer to be sent to " + m_Address);
+    return;
+  }
   m_RequestBytes = formatRequest(m_Call->m_Request);
   m_WriteStarted = true;
   m_WriteActive = true;
--- a/Tests/Net/HttpClientTest.cpp
+++ b/Tests/Net/HttpClientTest.cpp
@@ -51,6 +51,36 @@
   EXPECT_EQ(codeOf({}), base::ResultCode::ConnectionFailed);
 }
 
+// Failure: a request was sent although it was no longer permitted by the time
+// its connection was established, or on a connection that was already open.
+TEST_F(HttpClientTest, ARequestIsNotSentIfItNoLongerMay) {
+  int Received = 0;
+  serve([&](const std::shared_ptr<HttpExchange> &Exchange) {
+    ++Received;
+    Exchange->respond(200, {}, "");
+  });
+  const auto SendOnce = [this](bool MaySend) {
+    std::optional<base::Result<void>> Outcome;
+    HttpCall Call;
+    Call.m_Address = m_Address;
+    HttpCallbacks Hooks;
+    Hooks.m_MaySend = [MaySend] { return MaySend; };
+    Hooks.m_OnEnd = [&](base::Result<void> Result) { Outcome = Result; };
+    m_Client.request(std::move(Call), std::move(Hooks));
+    runUntil([&] { return Outcome.has_value(); });
+    return *Outcome;
+  };
+  const auto IsUnsent = [](const base::Result<void> &Outcome) {
+    return !Outcome &&
+           Outcome.error().m_Code == base::ResultCode::ConnectionFailed;
+  };
+  EXPECT_TRUE(IsUnsent(SendOnce(false)));
+  EXPECT_TRUE(SendOnce(true).has_value());
+  EXPECT_TRUE(IsUnsent(SendOnce(false)));
+  EXPECT_TRUE(SendOnce(true).has_value());
+  EXPECT_EQ(Received, 2);
+}
+
 TEST_F(HttpClientTest, ReportsOutcomeUnknownIfClosedBeforeResponse) {
   listenRaw();
   respondOnce("", true);
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -40,6 +40,20 @@
     EXPECT_FALSE(decodeServer("i-1", Broken).has_value()) << Broken;
 }
 
+// Failure: a record whose value could not be decoded evacuated no zone, or a
+// key without a zone or of another kind evacuated one.
+TEST(Decoders, DecodeEvacuations) {
+  const auto Decoded = decodeEvacuations({{"config", "{}"},
+                                          {"evacuate", "{}"},
+                                          {"evacuate/", "{}"},
+                                          {"evacuate/a", "{}"},
+                                          {"evacuate/b", "\xff{["},
+                                          {"evacuate/c", ""},
+                                          {"evacuated/d", "{}"}});
+  EXPECT_EQ(Decoded.m_Zones, (std::set<std::string>{"a", "b", "c"}));
+  EXPECT_EQ(Decoded.m_Errors.size(), 1U);
+}
+
 TEST(Decoders, DecodeAnEngineReport) {
   const auto Read = decodeState(Report);
   ASSERT_TRUE(Read.has_value());
--- a/Tests/Platform/EntryFixture.cpp
+++ b/Tests/Platform/EntryFixture.cpp
@@ -42,6 +42,7 @@
         m_Loop, "i-" + std::to_string(Index), "svc"));
     m_Servers.back()->listen();
     m_Servers.back()->m_Capacity = m_ServerCapacity;
+    m_Servers.back()->m_Zone = m_ServerZones[static_cast<std::size_t>(Index)];
     m_Store.put("keyed.servers", m_Servers.back()->id(),
                 m_Servers.back()->record());
   }
--- a/Tests/Platform/EntryFixture.h
+++ b/Tests/Platform/EntryFixture.h
@@ -89,6 +89,8 @@
   GroupShape m_Group;
   /// Whether the first version is published before the entries start.
   bool m_IsPublishedAtStart = true;
+  /// The availability zones that the servers register with.
+  std::vector<std::string> m_ServerZones = {"a", "a", "a"};
   /// The capacity that each server registers with.
   unsigned m_ServerCapacity = 8;
   /// Timeout of the routes, and the deadline that callers set.
--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -603,12 +603,9 @@
 
 std::string StandinServer::record(const std::string &State,
                                   int Sequence) const {
-  return nlohmann::json{{"backend", m_Service},
-                        {"address", m_Address},
-                        {"zone", "a"},
-                        {"capacity", m_Capacity},
-                        {"lifecycle-state", State},
-                        {"sequence", Sequence},
+  return nlohmann::json{{"backend", m_Service},     {"address", m_Address},
+                        {"zone", m_Zone},           {"capacity", m_Capacity},
+                        {"lifecycle-state", State}, {"sequence", Sequence},
                         {"born", m_StartTime}}
       .dump();
 }
--- a/Tests/Platform/StandinServer.h
+++ b/Tests/Platform/StandinServer.h
@@ -118,6 +118,8 @@
   std::size_t m_EndlessLimit = 0;
   /// Size of the body of a response, at least; its text is repeated.
   std::size_t m_BodyBytes = 0;
+  /// The availability zone that the server registers with.
+  std::string m_Zone = "a";
   /// The capacity that the server registers with.
   unsigned m_Capacity = 8;
   /// Seconds in which the server wants no requests after a refusal; empty for
