Direct: know which server belongs to which rank group

Cause: the ranks of a group run each pass together, but entries knew only the service of a server, so the limit of concurrent requests, the capacity and the choice of a server could not go by group.

Change: agents name their engine's address in GroupNews, relays add up the hashes of the addresses in GroupTally, and direct::RankGroups keeps the group of each server until its report is 2.5 s old. A service of which fewer than two groups are known counts as one group. gateway::GroupExchange takes over the reports on groups from GatewayNode, logs changes (1614 group-servers-changed) and has two gauges. Nothing decides by the groups yet.

Fault found: of the tallies in a relay's summary only the last one counted, since all were recorded under one reporter. A service was unavailable while another of its groups was open. Each group is now a reporter of its own.

Tests: GatewayTest GroupExchangeTest.AnOpenGroupInASummaryKeepsTheServiceAvailable fails with the reporter as before; GatewayTest (6), DirectTest (122) and FleetTest (5) pass.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -163,6 +163,9 @@
         "A rank group may continue past the step at which it was paused."},
     EventInfo{EventId::CountsTaken, "counts-taken",
               "The planner collected the counts of all ranks."},
+    EventInfo{EventId::GroupServersChanged, "group-servers-changed",
+              "The number of backend servers known to belong to a rank group "
+              "has changed."},
 };
 
 } // namespace
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -91,7 +91,8 @@
   EngineOrdered = 1610,
   GroupHeld = 1611,
   GroupReleased = 1612,
-  CountsTaken = 1613
+  CountsTaken = 1613,
+  GroupServersChanged = 1614
 };
 
 /// The description of one event.
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -28,7 +28,7 @@
 ServerPool::ServerPool(std::string Zone, ServerPoolSettings Settings,
                        std::uint64_t FirstTokenNumber)
     : m_Zone(std::move(Zone)), m_Settings(Settings),
-      m_Notices(Settings.m_Notices),
+      m_Groups(Settings.m_Groups), m_Notices(Settings.m_Notices),
       m_RateTokens(m_RateLimits, Settings.m_RateTokens, FirstTokenNumber) {}
 
 void ServerPool::replaceServers(const std::vector<BackendServer> &Servers,
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -3,6 +3,7 @@
 
 #include "Base/Random.h"
 #include "Direct/Configuration.h"
+#include "Direct/RankGroups.h"
 #include "Direct/RateTokens.h"
 #include "Direct/ServerNotices.h"
 #include "Direct/ServerRateLimits.h"
@@ -104,6 +105,7 @@
   base::Millis m_MaxBackoff = base::seconds(4);
   RateTokenSettings m_RateTokens;
   ServerNoticeSettings m_Notices;
+  RankGroupSettings m_Groups;
 };
 
 /// Chooses the backend server for each attempt.
@@ -195,6 +197,9 @@
   /// Returns the notices in the servers' responses.
   [[nodiscard]] ServerNotices &notices() { return m_Notices; }
   [[nodiscard]] const ServerNotices &notices() const { return m_Notices; }
+  /// Returns the rank groups of the servers.
+  [[nodiscard]] RankGroups &groups() { return m_Groups; }
+  [[nodiscard]] const RankGroups &groups() const { return m_Groups; }
   /// Returns the tokens of the servers with a rate limit.
   [[nodiscard]] RateTokens &rateTokens() { return m_RateTokens; }
   [[nodiscard]] const RateTokens &rateTokens() const { return m_RateTokens; }
@@ -327,6 +332,7 @@
   std::map<std::string, ArrivalCount, std::less<>> m_Arrivals;
   /// When the oldest report in m_Peers may reach its lifetime.
   base::Millis m_NextExpiry{};
+  RankGroups m_Groups;
   ServerNotices m_Notices;
   ServerRateLimits m_RateLimits;
   RateTokens m_RateTokens;
--- a/Source/Fleet/FleetSummary.cpp
+++ b/Source/Fleet/FleetSummary.cpp
@@ -113,6 +113,8 @@
   Tally.set_epoch(Report.epoch());
   Tally.set_open(Report.open() ? 1 : 0);
   Tally.set_closed(Report.open() ? 0 : 1);
+  if (!Report.server_address().empty())
+    Tally.add_servers(serverHash(Report.server_address()));
   addTally(Tally);
 }
 
@@ -127,6 +129,10 @@
   }
   Sum.set_open(Sum.open() + Tally.open());
   Sum.set_closed(Sum.closed() + Tally.closed());
+  for (const std::uint32_t Each : Tally.servers())
+    if (std::find(Sum.servers().begin(), Sum.servers().end(), Each) ==
+        Sum.servers().end())
+      Sum.add_servers(Each);
 }
 
 void SummarySum::addSummary(const wire::FleetSummary &Summary,
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -182,6 +182,8 @@
       m_RateLimits(Context, m_Pool, m_Fleet, Events, Metrics,
                    [this] { m_Forwarder.processQueues(); }),
       m_ServerNotices(m_Pool, Events, Metrics),
+      m_Groups({m_Pool.groups(), m_GroupAvailability, Events, Metrics},
+               [this] { m_Forwarder.processQueues(); }),
       m_QuarantineExchange(
           Context, m_Quarantine, m_Fleet, Events, Metrics, m_Rng,
           [this](const std::string &Service, std::uint64_t Part) {
@@ -244,6 +246,7 @@
   m_Fleet.setReady(ready());
   m_RateLimits.update();
   m_ServerNotices.update();
+  m_Groups.update(m_Clock.now());
   if (m_Stopping)
     checkStopped();
   m_Timer.expires_after(std::chrono::milliseconds(TimerInterval.count()));
@@ -450,7 +453,7 @@
 
 void GatewayNode::handleHeartbeat(const wire::FleetBeat &Beat) {
   if (Beat.sender().caller_address().empty()) {
-    handleAgentHeartbeat(Beat);
+    m_Groups.handleAgent(Beat, m_Clock.now());
     return;
   }
   m_Configuration.handlePosition(Beat.sender(), Beat.configuration());
@@ -513,12 +516,7 @@
     m_ServerNotices.handleHeartbeat(Beat);
   }
   m_QuarantineExchange.handle(Summary, Summary.relay().node());
-  for (const wire::GroupTally &Each : Summary.groups()) {
-    recordGroup(Peer + " open", {Each.service(), Each.group(), Each.epoch(),
-                                 true, Each.open()});
-    recordGroup(Peer + " closed", {Each.service(), Each.group(), Each.epoch(),
-                                   false, Each.closed()});
-  }
+  m_Groups.handleSummary(Peer, Summary, m_Clock.now());
 }
 
 direct::ServerLoads GatewayNode::loadsOf(const wire::FleetSummary &Summary,
@@ -546,29 +544,6 @@
   return Loads;
 }
 
-void GatewayNode::handleAgentHeartbeat(const wire::FleetBeat &Beat) {
-  if (!Beat.has_group())
-    return;
-  const wire::GroupNews &Report = Beat.group();
-  recordGroup(Beat.sender().node(), {Report.service(), Report.group(),
-                                     Report.epoch(), Report.open()});
-}
-
-void GatewayNode::recordGroup(const std::string &Reporter,
-                              const direct::GroupAvailability::Report &Latest) {
-  const base::Millis Now = m_Clock.now();
-  if (!m_GroupAvailability.update(Reporter, Latest, Now))
-    return;
-  m_Events.record(m_GroupAvailability.outageDuration(Latest.m_Service, Now)
-                      ? base::EventId::GroupOut
-                      : base::EventId::GroupBack,
-                  {{"service", Latest.m_Service},
-                   {"group", Latest.m_Group},
-                   {"epoch", std::to_string(Latest.m_Epoch)},
-                   {"by", Reporter}});
-  m_Forwarder.processQueues();
-}
-
 void GatewayNode::handlePeerRequest(
     const std::shared_ptr<net::HttpExchange> &Exchange) {
   const std::string_view Target = Exchange->target();
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -3,6 +3,7 @@
 
 #include "Direct/RequestForwarder.h"
 #include "Fleet/FleetNode.h"
+#include "Gateway/GroupExchange.h"
 #include "Gateway/QuarantineExchange.h"
 #include "Gateway/RateLimitExchange.h"
 #include "Gateway/ServerNoticeExchange.h"
@@ -110,7 +111,6 @@
   sendEngineProfile(const std::shared_ptr<net::HttpExchange> &Exchange) const;
   void fillHeartbeat(wire::FleetBeat &Beat) const;
   void handleHeartbeat(const wire::FleetBeat &Beat);
-  void handleAgentHeartbeat(const wire::FleetBeat &Beat);
   /// Processes the sums over the entries of a zone, or over all entries.
   /// \param Own the own heartbeat that the sums include, or null.
   void handleSummary(const wire::FleetSummary &Summary,
@@ -121,8 +121,6 @@
   /// Removes the sums over all entries, which would count entries twice beside
   /// the reports of entries and zones.
   void removePeerSums();
-  void recordGroup(const std::string &Reporter,
-                   const direct::GroupAvailability::Report &Latest);
   void checkStopped();
 
   const GatewaySettings m_Settings;
@@ -147,6 +145,7 @@
   fleet::FleetNode m_Fleet;
   RateLimitExchange m_RateLimits;
   ServerNoticeExchange m_ServerNotices;
+  GroupExchange m_Groups;
   QuarantineExchange m_QuarantineExchange;
   membership::AddressSelector m_Advisor;
   std::unique_ptr<net::HttpServer> m_CallerServer;
--- a/Source/RankAgent/RankAgentNode.cpp
+++ b/Source/RankAgent/RankAgentNode.cpp
@@ -167,6 +167,7 @@
   News.set_group(Engine->m_Group);
   News.set_epoch(Engine->m_Epoch);
   News.set_open(Engine->m_Open);
+  News.set_server_address(m_Settings.m_EngineAddress);
 }
 
 void RankAgentNode::onElected(std::uint64_t Term) {
--- a/Source/RankAgent/RankAgentNode.h
+++ b/Source/RankAgent/RankAgentNode.h
@@ -17,6 +17,8 @@
   fleet::FleetSettings m_Fleet;
   /// Service that the engine belongs to.
   std::string m_Service;
+  /// Address of the engine, as in the record of its backend server.
+  std::string m_EngineAddress;
   ElectionSettings m_Election;
   rankgroup::TrafficLimits m_Traffic;
 };
--- /dev/null
+++ b/Tests/Gateway/GroupExchangeTest.cpp
@@ -0,0 +1,151 @@
+#include "Gateway/GroupExchange.h"
+
+#include "Fleet/FleetSummary.h"
+
+#include <gtest/gtest.h>
+
+namespace corneldeck::gateway {
+
+namespace {
+
+class GroupExchangeTest : public ::testing::Test {
+protected:
+  /// Returns the heartbeat of the agent beside the server at \p Address.
+  static wire::FleetBeat agent(const std::string &Address,
+                               const std::string &Group, bool IsOpen = true,
+                               std::uint64_t Epoch = 1) {
+    wire::FleetBeat Beat;
+    Beat.mutable_sender()->set_node("agent of " + Address);
+    wire::GroupNews &News = *Beat.mutable_group();
+    News.set_service("s");
+    News.set_group(Group);
+    News.set_epoch(Epoch);
+    News.set_open(IsOpen);
+    News.set_server_address(Address);
+    return Beat;
+  }
+
+  /// Returns the summary of a relay that received \p Beats.
+  static wire::FleetSummary summary(const std::vector<wire::FleetBeat> &Beats) {
+    fleet::SummarySum Zone;
+    for (const wire::FleetBeat &Each : Beats)
+      Zone.addAgent(Each.group());
+    wire::FleetSummary Partial;
+    Zone.write(Partial);
+    fleet::SummarySum All;
+    All.addSummary(Partial, base::Millis(50));
+    wire::FleetSummary Total;
+    All.write(Total);
+    return Total;
+  }
+
+  std::string groupOf(const std::string &Address) const {
+    return m_Groups.groupOf("s", direct::RankGroups::addressHash(Address));
+  }
+
+  unsigned loggedChanges() const {
+    unsigned Count = 0;
+    for (const base::TimelineEvent &Each : m_Logged)
+      Count += Each.m_Id == base::EventId::GroupServersChanged ? 1 : 0;
+    return Count;
+  }
+
+  void SetUp() override {
+    m_Events.setSink(
+        [this](const base::TimelineEvent &Each) { m_Logged.push_back(Each); });
+  }
+
+  std::vector<base::TimelineEvent> m_Logged;
+  direct::RankGroups m_Groups;
+  direct::GroupAvailability m_Availability;
+  base::Timeline m_Events{"e", 16};
+  metrics::Registry m_Metrics;
+  int m_Changes = 0;
+  GroupExchange m_Exchange{{m_Groups, m_Availability, m_Events, m_Metrics},
+                           [this] { ++m_Changes; }};
+  base::Millis m_Now = base::seconds(10);
+};
+
+} // namespace
+
+TEST_F(GroupExchangeTest, DirectHeartbeatsNameTheServersOfAGroup) {
+  m_Exchange.handleAgent(agent("10.0.0.1:80", "g"), m_Now);
+  m_Exchange.handleAgent(agent("10.0.0.2:80", "h"), m_Now);
+  EXPECT_EQ(groupOf("10.0.0.1:80"), "g");
+  EXPECT_EQ(groupOf("10.0.0.2:80"), "h");
+}
+
+TEST_F(GroupExchangeTest, SummariesNameTheServersOfAGroup) {
+  m_Exchange.handleSummary(
+      "all",
+      summary({agent("10.0.0.1:80", "g"), agent("10.0.0.2:80", "h"),
+               agent("10.0.0.3:80", "h")}),
+      m_Now);
+  EXPECT_EQ(groupOf("10.0.0.1:80"), "g");
+  EXPECT_EQ(groupOf("10.0.0.2:80"), "h");
+  EXPECT_EQ(groupOf("10.0.0.3:80"), "h");
+}
+
+// Failure: an agent of an earlier release, which sends no address.
+TEST_F(GroupExchangeTest, AServerWithoutAnAddressInItsReportHasNoKnownGroup) {
+  m_Exchange.handleAgent(agent("10.0.0.1:80", "g"), m_Now);
+  m_Exchange.handleAgent(agent("10.0.0.2:80", "h"), m_Now);
+  wire::FleetBeat Earlier = agent("10.0.0.3:80", "h");
+  Earlier.mutable_group()->clear_server_address();
+  m_Exchange.handleAgent(Earlier, m_Now);
+  m_Exchange.handleSummary("all", summary({Earlier}), m_Now);
+  EXPECT_EQ(groupOf("10.0.0.3:80"), "");
+}
+
+// Failure: of the groups in a summary, only the last one counted, so that a
+// service was unavailable while another of its groups was open.
+TEST_F(GroupExchangeTest, AnOpenGroupInASummaryKeepsTheServiceAvailable) {
+  m_Exchange.handleSummary("all",
+                           summary({agent("10.0.0.1:80", "g", true),
+                                    agent("10.0.0.2:80", "h", false)}),
+                           m_Now);
+  EXPECT_EQ(m_Changes, 0);
+  EXPECT_FALSE(m_Availability.outageDuration("s", m_Now));
+  m_Exchange.handleSummary("all",
+                           summary({agent("10.0.0.1:80", "g", false),
+                                    agent("10.0.0.2:80", "h", false)}),
+                           m_Now);
+  EXPECT_EQ(m_Changes, 1);
+  EXPECT_TRUE(m_Availability.outageDuration("s", m_Now));
+}
+
+// Failure: the agents that knew of the latest epoch were counted, but the
+// servers of those that did not were lost or named twice.
+TEST_F(GroupExchangeTest, ASummaryNamesTheServersOfTheLatestEpochOnce) {
+  fleet::SummarySum Sum;
+  Sum.addAgent(agent("10.0.0.1:80", "g", true, 1).group());
+  Sum.addAgent(agent("10.0.0.2:80", "g", true, 2).group());
+  Sum.addAgent(agent("10.0.0.2:80", "g", true, 2).group());
+  wire::FleetSummary Summary;
+  Sum.write(Summary);
+  ASSERT_EQ(Summary.groups_size(), 1);
+  ASSERT_EQ(Summary.groups(0).servers_size(), 1);
+  EXPECT_EQ(Summary.groups(0).servers(0),
+            direct::RankGroups::addressHash("10.0.0.2:80"));
+}
+
+// Load: a group of 24 agents that starts. One line for each agent would fill
+// the log.
+TEST_F(GroupExchangeTest, ChangesOfAGroupAreLoggedOnceASecond) {
+  constexpr int Agents = 24;
+  for (int Index = 0; Index < Agents; ++Index) {
+    m_Exchange.handleAgent(
+        agent("10.0.0." + std::to_string(Index) + ":80", "g"), m_Now);
+    m_Exchange.update(m_Now);
+    m_Now += base::Millis(10);
+  }
+  EXPECT_EQ(loggedChanges(), 1U);
+  m_Now += base::seconds(1);
+  m_Exchange.update(m_Now);
+  EXPECT_EQ(loggedChanges(), 2U);
+  m_Exchange.update(m_Now + base::seconds(4));
+  EXPECT_EQ(loggedChanges(), 3U);
+  EXPECT_TRUE(m_Groups.sizes().empty());
+}
+
+} // namespace corneldeck::gateway
