Direct: limit and capacity by rank group

Cause: ConcurrencyLimiter had one ratio of the actual to the balanced pass time for a service. A slow group lowered the limit of the fast ones and was itself given more than its passes bear; a closed group counted in the capacity, and its stalled streams occupied that of the others.

Change: the estimate, the requests in flight for an engine and the limit are those of the group of the interval's server. direct::GroupCapacity adds up min(limit x servers, capacity) over the open groups for admission; requests in flight at a closed group, or above the limit of a group, do not count. The heartbeats and summaries carry the ratio by group; one without a group counts for the whole service. New line 1615 group-limit-changed, gauges corneldeck_group_limit and corneldeck_group_in_flight. The estimate itself and services with one group are as before.

The tests of ConcurrencyLimiter name the group and a time as well; their bounds are unchanged.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -166,6 +166,9 @@
     EventInfo{EventId::GroupServersChanged, "group-servers-changed",
               "The number of backend servers known to belong to a rank group "
               "has changed."},
+    EventInfo{EventId::GroupLimitChanged, "group-limit-changed",
+              "The maximum number of concurrent requests for one engine of a "
+              "rank group has changed."},
 };
 
 } // namespace
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -92,7 +92,8 @@
   GroupHeld = 1611,
   GroupReleased = 1612,
   CountsTaken = 1613,
-  GroupServersChanged = 1614
+  GroupServersChanged = 1614,
+  GroupLimitChanged = 1615
 };
 
 /// The description of one event.
--- a/Source/Direct/ConcurrencyLimiter.h
+++ b/Source/Direct/ConcurrencyLimiter.h
@@ -2,6 +2,7 @@
 #define CORNELDECK_DIRECT_CONCURRENCYLIMITER_H
 
 #include "Direct/Configuration.h"
+#include "Direct/RankGroups.h"
 
 #include <map>
 #include <string>
@@ -23,9 +24,13 @@
   double m_MinUtilization = 0.5;
   /// Pass time ratio assumed before the first interval is measured.
   double m_InitialRatio = 1.6;
+  /// Time without intervals after which the estimate of one group of several is
+  /// discarded. Streams last about 2 s, so a group without intervals for this
+  /// long has been avoided and has to be measured again.
+  base::Millis m_EstimateLifetime = base::seconds(10);
 };
 
-/// Limits the number of concurrent requests for each engine of a service, so
+/// Limits the number of concurrent requests for each engine of a rank group, so
 /// that the interval between two events of a stream stays within its target.
 ///
 /// Each request that an engine generates tokens for lengthens the passes of all
@@ -34,6 +39,9 @@
 /// prompt processing; the ratio is estimated from the event intervals that all
 /// entries measure. The entries share their estimates, because an entry with a
 /// higher limit would use up the capacity that the others leave free.
+///
+/// The estimates of other entries without the name of a group are of a whole
+/// service: these entries know no groups.
 class ConcurrencyLimiter {
 public:
   /// Ratio of the actual duration of a pass to its duration with evenly loaded
@@ -44,23 +52,28 @@
     /// Number of entries of which it is the mean.
     unsigned m_Entries = 1;
   };
-  /// Ratios by service.
-  using PassTimeRatios = std::map<std::string, PassTimeRatio>;
+  /// Ratios by rank group.
+  using PassTimeRatios = std::map<RankGroup, PassTimeRatio>;
 
   explicit ConcurrencyLimiter(ConcurrencyLimiterSettings Settings = {});
 
   /// Records the interval between two events of a stream.
-  /// \param InFlight mean number of requests per engine of the service at that
+  /// \param InFlight mean number of requests per engine of the group at that
   /// time.
-  void recordInterval(const std::string &Service, const EngineProfile &Engine,
-                      base::Millis Interval, double InFlight);
+  void recordInterval(const RankGroup &Group, const EngineProfile &Engine,
+                      base::Millis Interval, double InFlight, base::Millis Now);
 
   /// Returns the maximum number of concurrent requests for one engine.
   /// \param TargetInterval the target of the route; zero if it has none.
-  [[nodiscard]] double limit(const std::string &Service,
+  [[nodiscard]] double limit(const RankGroup &Group,
                              const EngineProfile &Engine,
                              base::Millis TargetInterval) const;
 
+  /// Discards the estimates of this entry for groups whose streams it has not
+  /// seen for some time, while it has seen those of another group of the
+  /// service.
+  void discardUnused(base::Millis Now);
+
   /// Returns the estimates of this entry.
   [[nodiscard]] const PassTimeRatios &localRatios() const {
     return m_LocalRatios;
@@ -74,8 +87,20 @@
   void keepOnlyPeer(const std::string &Peer);
 
 private:
-  const ConcurrencyLimiterSettings m_Settings;
+  struct Sum {
+    double m_Mean = 0;
+    double m_Variance = 0;
+    double m_Count = 0;
+
+    void add(const PassTimeRatio &Estimate);
+  };
+  /// Adds the estimates that apply to \p Group.
+  [[nodiscard]] Sum sumOf(const RankGroup &Group) const;
+
+  ConcurrencyLimiterSettings m_Settings;
   PassTimeRatios m_LocalRatios;
+  /// When the estimates of this entry were last updated.
+  std::map<RankGroup, base::Millis> m_UpdatedAt;
   std::map<std::string, PassTimeRatios> m_PeerRatios;
 };
 
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -368,7 +368,7 @@
   } else {
     const base::Millis Pause = now() - m_LastForwardedAt;
     m_LongestPause = std::max(m_LongestPause, Pause);
-    m_Forwarder.recordEventInterval(m_Parameters.m_Service, Pause);
+    m_Forwarder.recordEventInterval(m_Parameters.m_Service, m_Server, Pause);
   }
   m_LastForwardedAt = now();
   if (m_UnprocessedPromptTokens > 0) {
--- a/Source/Direct/GroupAvailability.cpp
+++ b/Source/Direct/GroupAvailability.cpp
@@ -20,32 +20,40 @@
   return Unavailable != WasUnavailable;
 }
 
+void GroupAvailability::ReportCounts::add(const Report &Latest) {
+  // A partitioned rank may not know of a later epoch.
+  if (Latest.m_Epoch < m_Epoch)
+    return;
+  if (Latest.m_Epoch > m_Epoch)
+    *this = {Latest.m_Epoch, 0, 0};
+  (Latest.m_Open ? m_Open : m_Closed) += static_cast<int>(Latest.m_Agents);
+}
+
+bool GroupAvailability::isCurrent(const TimedReport &Each,
+                                  base::Millis Now) const {
+  return Now - Each.m_ReceivedAt <= m_Settings.m_ReportLifetime;
+}
+
 bool GroupAvailability::isUnavailable(const std::string &Service,
                                       base::Millis Now) const {
-  struct ReportCounts {
-    std::uint64_t m_Epoch = 0;
-    int m_Open = 0;
-    int m_Closed = 0;
-  };
   std::map<std::string, ReportCounts> Groups;
-  for (const auto &[Agent, Each] : m_Reports) {
-    const Report &Latest = Each.m_Report;
-    if (Latest.m_Service != Service ||
-        Now - Each.m_ReceivedAt > m_Settings.m_ReportLifetime)
-      continue;
-    ReportCounts &Counts = Groups[Latest.m_Group];
-    // A partitioned rank may not know of a later epoch.
-    if (Latest.m_Epoch < Counts.m_Epoch)
-      continue;
-    if (Latest.m_Epoch > Counts.m_Epoch)
-      Counts = {Latest.m_Epoch, 0, 0};
-    (Latest.m_Open ? Counts.m_Open : Counts.m_Closed) +=
-        static_cast<int>(Latest.m_Agents);
-  }
+  for (const auto &[Agent, Each] : m_Reports)
+    if (Each.m_Report.m_Service == Service && isCurrent(Each, Now))
+      Groups[Each.m_Report.m_Group].add(Each.m_Report);
   return !Groups.empty() &&
-         std::all_of(Groups.begin(), Groups.end(), [](const auto &Each) {
-           return Each.second.m_Closed > Each.second.m_Open;
-         });
+         std::all_of(Groups.begin(), Groups.end(),
+                     [](const auto &Each) { return Each.second.isClosed(); });
+}
+
+bool GroupAvailability::isGroupClosed(const std::string &Service,
+                                      const std::string &Group,
+                                      base::Millis Now) const {
+  ReportCounts Counts;
+  for (const auto &[Agent, Each] : m_Reports)
+    if (Each.m_Report.m_Group == Group && Each.m_Report.m_Service == Service &&
+        isCurrent(Each, Now))
+      Counts.add(Each.m_Report);
+  return Counts.isClosed();
 }
 
 std::optional<base::Millis>
--- a/Source/Direct/GroupAvailability.h
+++ b/Source/Direct/GroupAvailability.h
@@ -48,6 +48,11 @@
   [[nodiscard]] std::optional<base::Millis>
   outageDuration(const std::string &Service, base::Millis Now) const;
 
+  /// Returns whether \p Group of \p Service is known to be closed.
+  [[nodiscard]] bool isGroupClosed(const std::string &Service,
+                                   const std::string &Group,
+                                   base::Millis Now) const;
+
   /// Returns the expected remaining time of an outage; zero if the service is
   /// available, or unavailable for longer than expected.
   /// \param FormationTime how long a complete group takes to form.
@@ -61,6 +66,17 @@
     base::Millis m_ReceivedAt{};
   };
 
+  /// Number of agents of a group that report the latest epoch.
+  struct ReportCounts {
+    std::uint64_t m_Epoch = 0;
+    int m_Open = 0;
+    int m_Closed = 0;
+
+    void add(const Report &Latest);
+    [[nodiscard]] bool isClosed() const { return m_Closed > m_Open; }
+  };
+
+  [[nodiscard]] bool isCurrent(const TimedReport &Each, base::Millis Now) const;
   /// Returns whether in each group, in its latest epoch, most reports say
   /// closed.
   [[nodiscard]] bool isUnavailable(const std::string &Service,
--- /dev/null
+++ b/Source/Direct/GroupCapacity.cpp
@@ -0,0 +1,78 @@
+#include "Direct/GroupCapacity.h"
+
+#include <algorithm>
+
+namespace corneldeck::direct {
+
+void GroupCapacity::applyLimit(ServerPool::ServiceUsage &Usage,
+                               const RankGroup &Group,
+                               const EngineProfile &Engine,
+                               base::Millis TargetInterval) const {
+  const double Limit = m_Limiter.limit(Group, Engine, TargetInterval);
+  Usage.m_Capacity = std::min(Usage.m_Capacity,
+                              static_cast<unsigned>(Limit * Usage.m_Servers));
+}
+
+ServerPool::ServiceUsage GroupCapacity::usage(const std::string &Service,
+                                              const EngineProfile &Engine,
+                                              base::Millis TargetInterval,
+                                              base::Millis Now) const {
+  ServerPool::ServiceUsage Total = m_Pool.usage(Service, Now);
+  if (!m_Pool.groups().isDivided(Service)) {
+    applyLimit(Total, {Service}, Engine, TargetInterval);
+    return Total;
+  }
+  Total.m_Servers = 0;
+  Total.m_Capacity = 0;
+  Total.m_InFlight = 0;
+  Total.m_LimitedServers = 0;
+  Total.m_LimitedCapacity = 0;
+  for (const std::string &Group : m_Pool.groupsOf(Service)) {
+    if (m_Availability.isGroupClosed(Service, Group, Now))
+      continue;
+    ServerPool::ServiceUsage Part = m_Pool.usage(Service, Now, &Group);
+    applyLimit(Part, {Service, Group}, Engine, TargetInterval);
+    Total.m_Servers += Part.m_Servers;
+    Total.m_Capacity += Part.m_Capacity;
+    Total.m_InFlight += std::min(Part.m_InFlight, Part.totalCapacity());
+    Total.m_LimitedServers += Part.m_LimitedServers;
+    Total.m_LimitedCapacity += Part.m_LimitedCapacity;
+  }
+  return Total;
+}
+
+std::vector<GroupCapacity::GroupState>
+GroupCapacity::states(const std::string &Service, const EngineProfile &Engine,
+                      base::Millis TargetInterval, base::Millis Now) const {
+  std::vector<GroupState> States;
+  for (const std::string &Group : m_Pool.groupsOf(Service)) {
+    const auto Usage = m_Pool.usage(Service, Now, &Group);
+    States.push_back(
+        {Group, m_Availability.isGroupClosed(Service, Group, Now),
+         Usage.m_Servers, Usage.m_InFlight,
+         m_Limiter.limit({Service, Group}, Engine, TargetInterval)});
+  }
+  return States;
+}
+
+void GroupCapacity::recordInterval(const std::string &Service,
+                                   const std::string &Server,
+                                   const EngineProfile &Engine,
+                                   base::Millis Interval, base::Millis Now) {
+  const bool IsDivided = m_Pool.groups().isDivided(Service);
+  const std::string *Group = IsDivided ? m_Pool.groupOf(Server) : nullptr;
+  // A server that is not listed any more has no known group.
+  if (IsDivided && !Group)
+    return;
+  const auto Usage = m_Pool.usage(Service, Now, Group);
+  // Servers with a rate limit or a notice take part in every pass of their
+  // group.
+  const unsigned Servers =
+      Usage.m_Servers + Usage.m_LimitedServers + Usage.m_ServersWithNotice;
+  if (Servers > 0)
+    m_Limiter.recordInterval(
+        {Service, Group ? *Group : std::string()}, Engine, Interval,
+        static_cast<double>(Usage.m_InFlight) / Servers, Now);
+}
+
+} // namespace corneldeck::direct
--- a/Source/Direct/RankGroups.h
+++ b/Source/Direct/RankGroups.h
@@ -7,11 +7,25 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 namespace corneldeck::direct {
 
+/// A rank group of a service.
+struct RankGroup {
+  std::string m_Service;
+  /// Empty for all servers of a service that is not divided into known groups,
+  /// or for the servers whose group is unknown.
+  std::string m_Name = {};
+
+  bool operator<(const RankGroup &Other) const {
+    return std::tie(m_Service, m_Name) <
+           std::tie(Other.m_Service, Other.m_Name);
+  }
+};
+
 /// Settings of RankGroups.
 struct RankGroupSettings {
   /// A server whose last report is older has no known group. Covers two
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -36,8 +36,11 @@
 
 RequestForwarder::RequestForwarder(Dependencies Objects, RequestCodec Codec,
                                    std::size_t MaxResponseBytes)
-    : m_Dependencies(Objects), m_Codec(std::move(Codec)),
-      m_ResponseMemory(MaxResponseBytes), m_QueueTimer(Objects.m_Context),
+    : m_Dependencies(Objects),
+      m_GroupCapacity(Objects.m_Pool, Objects.m_Limiter,
+                      Objects.m_GroupAvailability),
+      m_Codec(std::move(Codec)), m_ResponseMemory(MaxResponseBytes),
+      m_QueueTimer(Objects.m_Context),
       m_Requests(Objects.m_Metrics.counter("corneldeck_requests_total",
                                            "Requests received from callers.")),
       m_Refused(Objects.m_Metrics.counter(
@@ -313,31 +316,22 @@
 
 ServerPool::ServiceUsage
 RequestForwarder::usage(const std::string &Service) const {
-  ServerPool::ServiceUsage Usage =
-      m_Dependencies.m_Pool.usage(Service, m_Clock.now());
+  const base::Millis Now = m_Clock.now();
   const direct::Service *Found = m_Routes->configuration().findService(Service);
   if (!Found || !Found->m_Engine)
-    return Usage;
-  const double Limit = m_Dependencies.m_Limiter.limit(
-      Service, *Found->m_Engine, m_Routes->targetEventInterval(Service));
-  Usage.m_Capacity = std::min(Usage.m_Capacity,
-                              static_cast<unsigned>(Limit * Usage.m_Servers));
-  return Usage;
+    return m_Dependencies.m_Pool.usage(Service, Now);
+  return m_GroupCapacity.usage(Service, *Found->m_Engine,
+                               m_Routes->targetEventInterval(Service), Now);
 }
 
 void RequestForwarder::recordEventInterval(const std::string &Service,
+                                           const std::string &Server,
                                            base::Millis Interval) {
   m_EventIntervals.record(static_cast<double>(Interval.count()));
   const direct::Service *Found = m_Routes->configuration().findService(Service);
-  const auto Usage = m_Dependencies.m_Pool.usage(Service, m_Clock.now());
-  // Servers with a rate limit or a notice take part in every pass of their
-  // group.
-  const unsigned Servers =
-      Usage.m_Servers + Usage.m_LimitedServers + Usage.m_ServersWithNotice;
-  if (Found && Found->m_Engine && Servers > 0)
-    m_Dependencies.m_Limiter.recordInterval(
-        Service, *Found->m_Engine, Interval,
-        static_cast<double>(Usage.m_InFlight) / Servers);
+  if (Found && Found->m_Engine)
+    m_GroupCapacity.recordInterval(Service, Server, *Found->m_Engine, Interval,
+                                   m_Clock.now());
 }
 
 bool RequestForwarder::holdResponse(std::uint64_t Token,
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -6,6 +6,7 @@
 #include "Direct/AttemptTracker.h"
 #include "Direct/ConcurrencyLimiter.h"
 #include "Direct/GroupAvailability.h"
+#include "Direct/GroupCapacity.h"
 #include "Direct/PromptQuarantine.h"
 #include "Direct/ResponseMemory.h"
 #include "Direct/RouteTable.h"
@@ -151,6 +152,11 @@
   /// Answers all requests whose response has not begun, since the process ends.
   void answerBeforeExit();
 
+  /// Returns the capacity of the rank groups.
+  [[nodiscard]] const GroupCapacity &groupCapacity() const {
+    return m_GroupCapacity;
+  }
+
   /// Returns the number of queued and forwarded requests.
   [[nodiscard]] std::size_t inFlight() const { return m_ActiveRequests.size(); }
 
@@ -181,9 +187,11 @@
   /// is limited so that event intervals stay within their target.
   [[nodiscard]] ServerPool::ServiceUsage
   usage(const std::string &Service) const;
-  void recordEventInterval(const std::string &Service, base::Millis Interval);
+  void recordEventInterval(const std::string &Service,
+                           const std::string &Server, base::Millis Interval);
 
   Dependencies m_Dependencies;
+  GroupCapacity m_GroupCapacity;
   const RequestCodec m_Codec;
   const base::Clock m_Clock = base::steadyClock();
   std::shared_ptr<const RouteTable> m_Routes;
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -42,6 +42,7 @@
         Old->second.m_Server.m_StartTime == Each.m_StartTime)
       Added = Old->second;
     Added.m_Server = Each;
+    Added.m_AddressHash = RankGroups::addressHash(Each.m_Address);
     if (Each.m_WarmUpRemaining > base::Millis(0))
       Added.m_Health.m_WarmUpUntil = Now + Each.m_WarmUpRemaining;
   }
@@ -378,10 +379,13 @@
 }
 
 ServerPool::ServiceUsage ServerPool::usage(std::string_view Service,
-                                           base::Millis Now) {
+                                           base::Millis Now,
+                                           const std::string *Group) {
   dropExpiredLoads(Now);
   ServiceUsage Usage;
   for (const ServerState *Each : serversOf(Service)) {
+    if (Group && groupOf(*Each) != *Group)
+      continue;
     const BackendServer &Server = Each->m_Server;
     const std::string &Id = Server.m_Id;
     const unsigned InFlight = load(Id).m_Requests;
@@ -418,6 +422,24 @@
   return Usage;
 }
 
+const std::string &ServerPool::groupOf(const ServerState &Member) const {
+  return m_Groups.groupOf(Member.m_Server.m_Service, Member.m_AddressHash);
+}
+
+const std::string *ServerPool::groupOf(const std::string &Id) const {
+  const auto Found = m_States.find(Id);
+  return Found == m_States.end() ? nullptr : &groupOf(Found->second);
+}
+
+std::set<std::string> ServerPool::groupsOf(std::string_view Service) const {
+  std::set<std::string> Groups;
+  if (!m_Groups.isDivided(Service))
+    return {std::string()};
+  for (const ServerState *Each : serversOf(Service))
+    Groups.insert(groupOf(*Each));
+  return Groups;
+}
+
 void ServerPool::addNotice(ServiceUsage &Usage, const std::string &Id,
                            base::Millis Now) const {
   ++Usage.m_ServersWithNotice;
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -243,7 +244,16 @@
     }
   };
   /// Returns the usage of \p Service.
-  [[nodiscard]] ServiceUsage usage(std::string_view Service, base::Millis Now);
+  /// \param Group if not null, only the servers of this rank group count.
+  [[nodiscard]] ServiceUsage usage(std::string_view Service, base::Millis Now,
+                                   const std::string *Group = nullptr);
+
+  /// Returns the names of the rank groups that have listed servers, see
+  /// RankGroups::groupOf().
+  [[nodiscard]] std::set<std::string> groupsOf(std::string_view Service) const;
+  /// Returns the name of the rank group of the server \p Id, or null if it is
+  /// not listed.
+  [[nodiscard]] const std::string *groupOf(const std::string &Id) const;
 
 private:
   struct Health {
@@ -258,6 +268,8 @@
   struct ServerState {
     BackendServer m_Server;
     Health m_Health;
+    /// See RankGroups::addressHash().
+    std::uint32_t m_AddressHash = 0;
   };
   struct PeerReport {
     ServerLoads m_Loads;
@@ -283,6 +295,8 @@
   [[nodiscard]] double failureRate(const Health &State, base::Millis Now) const;
   [[nodiscard]] ServerAvailability availability(const ServerState &Candidate,
                                                 base::Millis Now) const;
+  /// Returns the name of the rank group of a server.
+  [[nodiscard]] const std::string &groupOf(const ServerState &Member) const;
   /// Returns the load of a server over all entries.
   [[nodiscard]] ServerLoad load(const std::string &Id) const;
   /// Adds or subtracts the loads of an entry to or from m_PeerLoads.
--- a/Source/Fleet/FleetSummary.cpp
+++ b/Source/Fleet/FleetSummary.cpp
@@ -51,7 +51,7 @@
     Sum.m_PromptTokens += Each.prompt_tokens();
   }
   for (const wire::PassStretch &Each : Beat.stretches()) {
-    wire::StretchSum &Sum = m_Stretches[Each.service()];
+    wire::StretchSum &Sum = m_Stretches[{Each.service(), Each.group()}];
     Sum.set_entries(Sum.entries() + 1);
     Sum.set_mean(Sum.mean() + Each.mean());
     Sum.set_variance(Sum.variance() + Each.variance());
@@ -148,7 +148,7 @@
     Sum.m_PromptTokens += Summary.prompt_tokens(Index);
   }
   for (const wire::StretchSum &Each : Summary.stretches()) {
-    wire::StretchSum &Sum = m_Stretches[Each.service()];
+    wire::StretchSum &Sum = m_Stretches[{Each.service(), Each.group()}];
     Sum.set_entries(Sum.entries() + Each.entries());
     Sum.set_mean(Sum.mean() + Each.mean());
     Sum.set_variance(Sum.variance() + Each.variance());
@@ -186,10 +186,11 @@
     *Target.add_parts() = Each;
   for (const auto &[Key, Each] : m_Tallies)
     *Target.add_groups() = Each;
-  for (const auto &[Service, Each] : m_Stretches) {
+  for (const auto &[Key, Each] : m_Stretches) {
     wire::StretchSum &Added = *Target.add_stretches();
     Added = Each;
-    Added.set_service(Service);
+    Added.set_service(Key.first);
+    Added.set_group(Key.second);
   }
   writePositions(Target);
 }
--- a/Source/Fleet/FleetSummary.h
+++ b/Source/Fleet/FleetSummary.h
@@ -56,7 +56,7 @@
   std::vector<wire::ForwardedNotices> m_Notices;
   std::vector<wire::NodePositions> m_Positions;
   std::map<std::pair<std::string, std::string>, wire::GroupTally> m_Tallies;
-  std::map<std::string, wire::StretchSum> m_Stretches;
+  std::map<std::pair<std::string, std::string>, wire::StretchSum> m_Stretches;
   std::map<std::pair<std::string, std::uint64_t>, wire::ServerEnd> m_Ends;
   std::map<std::pair<std::string, std::uint64_t>, wire::PartQuarantine> m_Parts;
 };
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -182,8 +182,9 @@
       m_RateLimits(Context, m_Pool, m_Fleet, Events, Metrics,
                    [this] { m_Forwarder.processQueues(); }),
       m_ServerNotices(m_Pool, Events, Metrics),
-      m_Groups({m_Pool.groups(), m_GroupAvailability, Events, Metrics},
-               [this] { m_Forwarder.processQueues(); }),
+      m_Groups(
+          {m_Pool.groups(), m_GroupAvailability, m_Limiter, Events, Metrics},
+          [this] { m_Forwarder.processQueues(); }),
       m_QuarantineExchange(
           Context, m_Quarantine, m_Fleet, Events, Metrics, m_Rng,
           [this](const std::string &Service, std::uint64_t Part) {
@@ -246,7 +247,8 @@
   m_Fleet.setReady(ready());
   m_RateLimits.update();
   m_ServerNotices.update();
-  m_Groups.update(m_Clock.now());
+  m_Groups.update(m_Forwarder.routes(), m_Forwarder.groupCapacity(),
+                  m_Clock.now());
   if (m_Stopping)
     checkStopped();
   m_Timer.expires_after(std::chrono::milliseconds(TimerInterval.count()));
@@ -443,12 +445,7 @@
   m_RateLimits.fillHeartbeat(Beat);
   m_ServerNotices.fillHeartbeat(Beat);
   m_QuarantineExchange.fillHeartbeat(Beat);
-  for (const auto &[Service, Ratio] : m_Limiter.localRatios()) {
-    wire::PassStretch &Stretch = *Beat.add_stretches();
-    Stretch.set_service(Service);
-    Stretch.set_mean(Ratio.m_Mean);
-    Stretch.set_variance(Ratio.m_Variance);
-  }
+  m_Groups.fillHeartbeat(Beat);
 }
 
 void GatewayNode::handleHeartbeat(const wire::FleetBeat &Beat) {
@@ -469,10 +466,7 @@
   for (const wire::ServerWork &Work : Beat.work())
     Loads[Work.server()] = {Work.requests(),
                             static_cast<double>(Work.prompt_tokens())};
-  direct::ConcurrencyLimiter::PassTimeRatios Ratios;
-  for (const wire::PassStretch &Each : Beat.stretches())
-    Ratios[Each.service()] = {Each.mean(), Each.variance()};
-  m_Limiter.setPeerRatios(Beat.sender().node(), std::move(Ratios));
+  m_Groups.handleRatios(Beat);
   m_Pool.setPeerLoads(Beat.sender().node(), std::move(Loads), m_Clock.now());
 }
 
@@ -495,13 +489,6 @@
   const unsigned Others = Summary.entries() - (Own ? 1 : 0);
   m_Pool.setPeerLoads(Peer, loadsOf(Summary, Own),
                       m_Clock.now() - base::Millis(Summary.age_ms()), Others);
-  direct::ConcurrencyLimiter::PassTimeRatios Ratios;
-  for (const wire::StretchSum &Each : Summary.stretches())
-    if (Each.entries() > 0)
-      Ratios[Each.service()] = {Each.mean() / Each.entries(),
-                                Each.variance() / Each.entries(),
-                                Each.entries()};
-  m_Limiter.setPeerRatios(Peer, std::move(Ratios));
   for (const wire::NodePositions &Each : Summary.positions())
     if (const wire::NodeNews *Node = m_Fleet.findNode(Each.node())) {
       m_Configuration.handlePosition(*Node, Each.configuration());
--- a/Source/Gateway/GroupExchange.cpp
+++ b/Source/Gateway/GroupExchange.cpp
@@ -1,12 +1,14 @@
 #include "Gateway/GroupExchange.h"
 
+#include <cmath>
+
 namespace corneldeck::gateway {
 
 namespace {
 
 /// Minimum interval between two logs of changed groups. Agents report once a
 /// second, so a start of a fleet is logged in a few lines for each group.
-constexpr base::Millis SizeLogInterval{1000};
+constexpr base::Millis LogInterval{1000};
 
 } // namespace
 
@@ -20,16 +22,21 @@
           Objects.m_Metrics.gauge("corneldeck_rank_group_servers",
                                   "Backend servers whose group is known.")) {}
 
-void GroupExchange::update(base::Millis Now) {
+void GroupExchange::update(const direct::RouteTable *Routes,
+                           const direct::GroupCapacity &Capacity,
+                           base::Millis Now) {
   m_Dependencies.m_Groups.discardExpired(Now);
-  if (Now - m_LoggedAt < SizeLogInterval)
+  if (Now - m_LoggedAt < LogInterval)
     return;
   m_LoggedAt = Now;
+  m_Dependencies.m_Limiter.discardUnused(Now);
   recordSizes();
+  if (Routes)
+    recordLimits(*Routes, Capacity, Now);
 }
 
 void GroupExchange::recordSizes() {
-  std::map<std::pair<std::string, std::string>, unsigned> Sizes;
+  std::map<direct::RankGroup, unsigned> Sizes;
   unsigned Servers = 0;
   for (const auto &[Service, Groups] : m_Dependencies.m_Groups.sizes())
     for (const auto &[Group, Size] : Groups) {
@@ -41,8 +48,8 @@
   const auto Record = [&](const auto &Key, unsigned Before, unsigned Size) {
     if (Before != Size)
       m_Dependencies.m_Events.record(base::EventId::GroupServersChanged,
-                                     {{"service", Key.first},
-                                      {"group", Key.second},
+                                     {{"service", Key.m_Service},
+                                      {"group", Key.m_Name},
                                       {"servers", std::to_string(Size)},
                                       {"before", std::to_string(Before)}});
   };
@@ -56,6 +63,50 @@
   m_LoggedSizes = std::move(Sizes);
 }
 
+void GroupExchange::recordLimits(const direct::RouteTable &Routes,
+                                 const direct::GroupCapacity &Capacity,
+                                 base::Millis Now) {
+  for (const direct::Service &Each : Routes.configuration().m_Services)
+    if (Each.m_Engine)
+      for (const direct::GroupCapacity::GroupState &State :
+           Capacity.states(Each.m_Name, *Each.m_Engine,
+                           Routes.targetEventInterval(Each.m_Name), Now))
+        recordLimit(Each.m_Name, State);
+}
+
+void GroupExchange::recordLimit(
+    const std::string &Service,
+    const direct::GroupCapacity::GroupState &State) {
+  const metrics::Labels Labels{{"service", Service}, {"group", State.m_Name}};
+  const double Limit = State.m_IsClosed ? 0 : State.m_Limit;
+  metrics::Registry &Metrics = m_Dependencies.m_Metrics;
+  Metrics
+      .gauge("corneldeck_group_limit",
+             "Maximum number of concurrent requests for one engine of a rank "
+             "group; 0 if it is closed.",
+             Labels)
+      .set(Limit);
+  Metrics
+      .gauge("corneldeck_group_in_flight",
+             "Requests in flight at a rank group over all entries.", Labels)
+      .set(State.m_InFlight);
+  const auto Whole = static_cast<unsigned>(std::lround(Limit));
+  const auto [Logged, IsNew] =
+      m_LoggedLimits.try_emplace({Service, State.m_Name}, Whole);
+  if (!IsNew && Logged->second == Whole)
+    return;
+  m_Dependencies.m_Events.record(
+      base::EventId::GroupLimitChanged,
+      {{"service", Service},
+       {"group", State.m_Name},
+       {"limit", std::to_string(Whole)},
+       {"before", IsNew ? std::string() : std::to_string(Logged->second)},
+       {"servers", std::to_string(State.m_Servers)},
+       {"in_flight", std::to_string(State.m_InFlight)},
+       {"closed", State.m_IsClosed ? "true" : "false"}});
+  Logged->second = Whole;
+}
+
 void GroupExchange::handleAgent(const wire::FleetBeat &Beat, base::Millis Now) {
   if (!Beat.has_group())
     return;
@@ -70,9 +121,38 @@
               Now);
 }
 
+void GroupExchange::fillHeartbeat(wire::FleetBeat &Beat) const {
+  for (const auto &[Group, Ratio] : m_Dependencies.m_Limiter.localRatios()) {
+    // A ratio without a group is that of a whole service.
+    if (Group.m_Name.empty() &&
+        m_Dependencies.m_Groups.isDivided(Group.m_Service))
+      continue;
+    wire::PassStretch &Stretch = *Beat.add_stretches();
+    Stretch.set_service(Group.m_Service);
+    Stretch.set_group(Group.m_Name);
+    Stretch.set_mean(Ratio.m_Mean);
+    Stretch.set_variance(Ratio.m_Variance);
+  }
+}
+
+void GroupExchange::handleRatios(const wire::FleetBeat &Beat) {
+  direct::ConcurrencyLimiter::PassTimeRatios Ratios;
+  for (const wire::PassStretch &Each : Beat.stretches())
+    Ratios[{Each.service(), Each.group()}] = {Each.mean(), Each.variance()};
+  m_Dependencies.m_Limiter.setPeerRatios(Beat.sender().node(),
+                                         std::move(Ratios));
+}
+
 void GroupExchange::handleSummary(const std::string &Peer,
                                   const wire::FleetSummary &Summary,
                                   base::Millis Now) {
+  direct::ConcurrencyLimiter::PassTimeRatios Ratios;
+  for (const wire::StretchSum &Each : Summary.stretches())
+    if (Each.entries() > 0)
+      Ratios[{Each.service(), Each.group()}] = {
+          Each.mean() / Each.entries(), Each.variance() / Each.entries(),
+          Each.entries()};
+  m_Dependencies.m_Limiter.setPeerRatios(Peer, std::move(Ratios));
   for (const wire::GroupTally &Each : Summary.groups()) {
     m_Dependencies.m_Groups.update(
         Each.service(), Each.group(),
--- a/Tests/Direct/AdmissionTest.cpp
+++ b/Tests/Direct/AdmissionTest.cpp
@@ -150,14 +150,14 @@
 // Load: so many streams that passes exceed the target interval.
 TEST(ConcurrencyLimiter, LongIntervalsLowerTheLimit) {
   ConcurrencyLimiter Limiter;
-  const double Before = Limiter.limit("s", engine(), base::Millis(120));
+  const double Before = Limiter.limit({"s"}, engine(), base::Millis(120));
   for (int Count = 0; Count < 1000; ++Count)
-    Limiter.recordInterval("s", engine(), base::Millis(150), 12);
-  EXPECT_LT(Limiter.limit("s", engine(), base::Millis(120)), Before);
+    Limiter.recordInterval({"s"}, engine(), base::Millis(150), 12, {});
+  EXPECT_LT(Limiter.limit({"s"}, engine(), base::Millis(120)), Before);
   // Five times the number of intervals that the moving average covers.
   for (int Count = 0; Count < 5000; ++Count)
-    Limiter.recordInterval("s", engine(), base::Millis(65), 12);
-  EXPECT_DOUBLE_EQ(Limiter.limit("s", engine(), base::Millis(120)), 12);
+    Limiter.recordInterval({"s"}, engine(), base::Millis(65), 12, {});
+  EXPECT_DOUBLE_EQ(Limiter.limit({"s"}, engine(), base::Millis(120)), 12);
 }
 
 // Load: expert popularity shifts every few seconds, and passes are slow for a
@@ -170,33 +170,33 @@
   ConcurrencyLimiter Limiter;
   for (int Shift = 0; Shift < Shifts; ++Shift) {
     for (int Count = 0; Count < IntervalsAfterShift; ++Count)
-      Limiter.recordInterval("s", engine(), base::Millis(130), 8);
+      Limiter.recordInterval({"s"}, engine(), base::Millis(130), 8, {});
     for (int Count = 0; Count < IntervalsBetweenShifts; ++Count)
-      Limiter.recordInterval("s", engine(), base::Millis(55), 8);
+      Limiter.recordInterval({"s"}, engine(), base::Millis(55), 8, {});
   }
-  EXPECT_LT(Limiter.limit("s", engine(), base::Millis(120)), 9);
+  EXPECT_LT(Limiter.limit({"s"}, engine(), base::Millis(120)), 9);
 }
 
 // Load: entries measure different intervals but must use similar limits.
 TEST(ConcurrencyLimiter, EstimatesOfOtherEntriesCount) {
   ConcurrencyLimiter Limiter;
   for (int Count = 0; Count < 1000; ++Count)
-    Limiter.recordInterval("s", engine(), base::Millis(65), 12);
-  const double Alone = Limiter.limit("s", engine(), base::Millis(120));
-  Limiter.setPeerRatios("e2", {{"s", {3.0, 0.2}}});
-  EXPECT_LT(Limiter.limit("s", engine(), base::Millis(120)), Alone);
+    Limiter.recordInterval({"s"}, engine(), base::Millis(65), 12, {});
+  const double Alone = Limiter.limit({"s"}, engine(), base::Millis(120));
+  Limiter.setPeerRatios("e2", {{{"s"}, {3.0, 0.2}}});
+  EXPECT_LT(Limiter.limit({"s"}, engine(), base::Millis(120)), Alone);
   Limiter.removePeer("e2");
-  EXPECT_DOUBLE_EQ(Limiter.limit("s", engine(), base::Millis(120)), Alone);
+  EXPECT_DOUBLE_EQ(Limiter.limit({"s"}, engine(), base::Millis(120)), Alone);
 }
 
 TEST(ConcurrencyLimiter, StallsAreNotCounted) {
   ConcurrencyLimiter Limiter;
   for (int Count = 0; Count < 1000; ++Count)
-    Limiter.recordInterval("s", engine(), base::Millis(65), 12);
-  const double Before = Limiter.limit("s", engine(), base::Millis(120));
+    Limiter.recordInterval({"s"}, engine(), base::Millis(65), 12, {});
+  const double Before = Limiter.limit({"s"}, engine(), base::Millis(120));
   for (int Count = 0; Count < 100; ++Count)
-    Limiter.recordInterval("s", engine(), base::Millis(2000), 12);
-  EXPECT_DOUBLE_EQ(Limiter.limit("s", engine(), base::Millis(120)), Before);
+    Limiter.recordInterval({"s"}, engine(), base::Millis(2000), 12, {});
+  EXPECT_DOUBLE_EQ(Limiter.limit({"s"}, engine(), base::Millis(120)), Before);
 }
 
 // Load: an outage in which every request fails, at all entries together.
--- a/Tests/Gateway/GroupExchangeTest.cpp
+++ b/Tests/Gateway/GroupExchangeTest.cpp
@@ -56,13 +56,17 @@
   }
 
   std::vector<base::TimelineEvent> m_Logged;
-  direct::RankGroups m_Groups;
+  direct::ServerPool m_Pool{"z"};
+  direct::RankGroups &m_Groups = m_Pool.groups();
   direct::GroupAvailability m_Availability;
+  direct::ConcurrencyLimiter m_Limiter;
+  direct::GroupCapacity m_Capacity{m_Pool, m_Limiter, m_Availability};
   base::Timeline m_Events{"e", 16};
   metrics::Registry m_Metrics;
   int m_Changes = 0;
-  GroupExchange m_Exchange{{m_Groups, m_Availability, m_Events, m_Metrics},
-                           [this] { ++m_Changes; }};
+  GroupExchange m_Exchange{
+      {m_Groups, m_Availability, m_Limiter, m_Events, m_Metrics},
+      [this] { ++m_Changes; }};
   base::Millis m_Now = base::seconds(10);
 };
 
@@ -136,16 +140,59 @@
   for (int Index = 0; Index < Agents; ++Index) {
     m_Exchange.handleAgent(
         agent("10.0.0." + std::to_string(Index) + ":80", "g"), m_Now);
-    m_Exchange.update(m_Now);
+    m_Exchange.update(nullptr, m_Capacity, m_Now);
     m_Now += base::Millis(10);
   }
   EXPECT_EQ(loggedChanges(), 1U);
   m_Now += base::seconds(1);
-  m_Exchange.update(m_Now);
+  m_Exchange.update(nullptr, m_Capacity, m_Now);
   EXPECT_EQ(loggedChanges(), 2U);
-  m_Exchange.update(m_Now + base::seconds(4));
+  m_Exchange.update(nullptr, m_Capacity, m_Now + base::seconds(4));
   EXPECT_EQ(loggedChanges(), 3U);
   EXPECT_TRUE(m_Groups.sizes().empty());
 }
 
+// Failure: the ratios of the groups were mixed on their way through heartbeats
+// and relays, or that of an entry of an earlier release, which sends no group,
+// was lost.
+TEST_F(GroupExchangeTest, RatiosAreExchangedByGroup) {
+  direct::EngineProfile Engine;
+  Engine.m_Capacity = 10;
+  Engine.m_StepMillis = 5;
+  Engine.m_StepMillisPerRequest = 0.43;
+  Engine.m_StepsPerPass = 6;
+  m_Exchange.handleAgent(agent("10.0.0.1:80", "g"), m_Now);
+  m_Exchange.handleAgent(agent("10.0.0.2:80", "h"), m_Now);
+  // A ratio of three in one group only.
+  for (int Count = 0; Count < 8000; ++Count) {
+    m_Limiter.recordInterval({"s", "g"}, Engine, base::Millis(56), 10, m_Now);
+    m_Limiter.recordInterval({"s", "h"}, Engine, base::Millis(167), 10, m_Now);
+  }
+  wire::FleetBeat Beat;
+  m_Exchange.fillHeartbeat(Beat);
+  ASSERT_EQ(Beat.stretches_size(), 2);
+  const auto ExpectLimits = [&] {
+    EXPECT_GT(m_Limiter.limit({"s", "g"}, Engine, base::Millis(120)), 9);
+    EXPECT_LT(m_Limiter.limit({"s", "h"}, Engine, base::Millis(120)), 6);
+  };
+  m_Limiter = direct::ConcurrencyLimiter();
+  m_Exchange.handleRatios(Beat);
+  ExpectLimits();
+  fleet::SummarySum Sum;
+  Sum.addEntry(Beat, {});
+  Sum.addEntry(Beat, {});
+  wire::FleetSummary Summary;
+  Sum.write(Summary);
+  m_Limiter = direct::ConcurrencyLimiter();
+  m_Exchange.handleSummary("all", Summary, m_Now);
+  ExpectLimits();
+  wire::FleetBeat Earlier;
+  *Earlier.add_stretches() = Beat.stretches(1);
+  Earlier.mutable_stretches(0)->clear_group();
+  m_Limiter = direct::ConcurrencyLimiter();
+  m_Exchange.handleRatios(Earlier);
+  for (const char *Group : {"g", "h"})
+    EXPECT_LT(m_Limiter.limit({"s", Group}, Engine, base::Millis(120)), 6);
+}
+
 } // namespace corneldeck::gateway
