--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -168,6 +168,12 @@
         "A rank group may continue past the step at which it was paused."},
     EventInfo{EventId::CountsTaken, "counts-taken",
               "The planner collected the counts of all ranks."},
+    EventInfo{EventId::GroupServersChanged, "group-servers-changed",
+              "The number of backend servers known to belong to a rank group "
+              "has changed."},
+    EventInfo{EventId::GroupLimitChanged, "group-limit-changed",
+              "The maximum number of concurrent requests for one engine of a "
+              "rank group has changed."},
 };
 
 } // namespace
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -93,7 +93,9 @@
   EngineOrdered = 1610,
   GroupHeld = 1611,
   GroupReleased = 1612,
-  CountsTaken = 1613
+  CountsTaken = 1613,
+  GroupServersChanged = 1614,
+  GroupLimitChanged = 1615
 };
 
 /// The description of one event.
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -4,6 +4,7 @@
 #include "Base/Random.h"
 #include "Direct/Configuration.h"
 #include "Direct/EvacuatedZones.h"
+#include "Direct/RankGroups.h"
 #include "Direct/RateTokens.h"
 #include "Direct/ServerNotices.h"
 #include "Direct/ServerRateLimits.h"
@@ -107,6 +108,7 @@
   base::Millis m_MaxBackoff = base::seconds(4);
   RateTokenSettings m_RateTokens;
   ServerNoticeSettings m_Notices;
+  RankGroupSettings m_Groups;
 };
 
 /// Chooses the backend server for each attempt.
@@ -210,6 +212,9 @@
   /// Returns the notices in the servers' responses.
   [[nodiscard]] ServerNotices &notices() { return m_Notices; }
   [[nodiscard]] const ServerNotices &notices() const { return m_Notices; }
+  /// Returns the rank groups of the servers.
+  [[nodiscard]] RankGroups &groups() { return m_Groups; }
+  [[nodiscard]] const RankGroups &groups() const { return m_Groups; }
   /// Returns the tokens of the servers with a rate limit.
   [[nodiscard]] RateTokens &rateTokens() { return m_RateTokens; }
   [[nodiscard]] const RateTokens &rateTokens() const { return m_RateTokens; }
@@ -261,7 +266,16 @@
     }
   };
   /// Returns the usage of \p Service.
-  [[nodiscard]] ServiceUsage usage(std::string_view Service, base::Millis Now);
+  /// \param Group if not null, only the servers of this rank group count.
+  [[nodiscard]] ServiceUsage usage(std::string_view Service, base::Millis Now,
+                                   const std::string *Group = nullptr);
+
+  /// Returns the names of the rank groups that have listed servers, see
+  /// RankGroups::groupOf().
+  [[nodiscard]] std::set<std::string> groupsOf(std::string_view Service) const;
+  /// Returns the name of the rank group of the server \p Id, or null if it is
+  /// not listed.
+  [[nodiscard]] const std::string *groupOf(const std::string &Id) const;
 
 private:
   struct Health {
@@ -276,6 +290,8 @@
   struct ServerState {
     BackendServer m_Server;
     Health m_Health;
+    /// See RankGroups::addressHash().
+    std::uint32_t m_AddressHash = 0;
   };
   struct PeerReport {
     ServerLoads m_Loads;
@@ -301,6 +317,8 @@
   [[nodiscard]] double failureRate(const Health &State, base::Millis Now) const;
   [[nodiscard]] ServerAvailability availability(const ServerState &Candidate,
                                                 base::Millis Now) const;
+  /// Returns the name of the rank group of a server.
+  [[nodiscard]] const std::string &groupOf(const ServerState &Member) const;
   /// Returns the load of a server over all entries.
   [[nodiscard]] ServerLoad load(const std::string &Id) const;
   /// Adds or subtracts the loads of an entry to or from m_PeerLoads.
@@ -351,6 +369,7 @@
   /// When the oldest report in m_Peers may reach its lifetime.
   base::Millis m_NextExpiry{};
   EvacuatedZones m_EvacuatedZones;
+  RankGroups m_Groups;
   ServerNotices m_Notices;
   ServerRateLimits m_RateLimits;
   RateTokens m_RateTokens;
--- a/Source/Fleet/FleetSummary.cpp
+++ b/Source/Fleet/FleetSummary.cpp
@@ -51,7 +51,7 @@
     Sum.m_PromptTokens += Each.prompt_tokens();
   }
   for (const wire::PassStretch &Each : Beat.stretches()) {
-    wire::StretchSum &Sum = m_Stretches[Each.service()];
+    wire::StretchSum &Sum = m_Stretches[{Each.service(), Each.group()}];
     Sum.set_entries(Sum.entries() + 1);
     Sum.set_mean(Sum.mean() + Each.mean());
     Sum.set_variance(Sum.variance() + Each.variance());
@@ -113,6 +113,8 @@
   Tally.set_epoch(Report.epoch());
   Tally.set_open(Report.open() ? 1 : 0);
   Tally.set_closed(Report.open() ? 0 : 1);
+  if (!Report.server_address().empty())
+    Tally.add_servers(serverHash(Report.server_address()));
   addTally(Tally);
 }
 
@@ -127,6 +129,10 @@
   }
   Sum.set_open(Sum.open() + Tally.open());
   Sum.set_closed(Sum.closed() + Tally.closed());
+  for (const std::uint32_t Each : Tally.servers())
+    if (std::find(Sum.servers().begin(), Sum.servers().end(), Each) ==
+        Sum.servers().end())
+      Sum.add_servers(Each);
 }
 
 void SummarySum::addSummary(const wire::FleetSummary &Summary,
@@ -142,7 +148,7 @@
     Sum.m_PromptTokens += Summary.prompt_tokens(Index);
   }
   for (const wire::StretchSum &Each : Summary.stretches()) {
-    wire::StretchSum &Sum = m_Stretches[Each.service()];
+    wire::StretchSum &Sum = m_Stretches[{Each.service(), Each.group()}];
     Sum.set_entries(Sum.entries() + Each.entries());
     Sum.set_mean(Sum.mean() + Each.mean());
     Sum.set_variance(Sum.variance() + Each.variance());
@@ -180,10 +186,11 @@
     *Target.add_parts() = Each;
   for (const auto &[Key, Each] : m_Tallies)
     *Target.add_groups() = Each;
-  for (const auto &[Service, Each] : m_Stretches) {
+  for (const auto &[Key, Each] : m_Stretches) {
     wire::StretchSum &Added = *Target.add_stretches();
     Added = Each;
-    Added.set_service(Service);
+    Added.set_service(Key.first);
+    Added.set_group(Key.second);
   }
   writePositions(Target);
 }
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -183,6 +183,9 @@
                    [this] { m_Forwarder.processQueues(); }),
       m_ServerNotices(m_Pool, Events, Metrics),
       m_Evacuations(m_Pool, Events, Metrics),
+      m_Groups(
+          {m_Pool.groups(), m_GroupAvailability, m_Limiter, Events, Metrics},
+          [this] { m_Forwarder.processQueues(); }),
       m_QuarantineExchange(
           Context, m_Quarantine, m_Fleet, Events, Metrics, m_Rng,
           [this](const std::string &Service, std::uint64_t Part) {
@@ -245,6 +248,8 @@
   m_Fleet.setReady(ready());
   m_RateLimits.update();
   m_ServerNotices.update();
+  m_Groups.update(m_Forwarder.routes(), m_Forwarder.groupCapacity(),
+                  m_Clock.now());
   if (m_Stopping)
     checkStopped();
   m_Timer.expires_after(std::chrono::milliseconds(TimerInterval.count()));
@@ -442,17 +447,12 @@
   m_RateLimits.fillHeartbeat(Beat);
   m_ServerNotices.fillHeartbeat(Beat);
   m_QuarantineExchange.fillHeartbeat(Beat);
-  for (const auto &[Service, Ratio] : m_Limiter.localRatios()) {
-    wire::PassStretch &Stretch = *Beat.add_stretches();
-    Stretch.set_service(Service);
-    Stretch.set_mean(Ratio.m_Mean);
-    Stretch.set_variance(Ratio.m_Variance);
-  }
+  m_Groups.fillHeartbeat(Beat);
 }
 
 void GatewayNode::handleHeartbeat(const wire::FleetBeat &Beat) {
   if (Beat.sender().caller_address().empty()) {
-    handleAgentHeartbeat(Beat);
+    m_Groups.handleAgent(Beat, m_Clock.now());
     return;
   }
   m_Configuration.handlePosition(Beat.sender(), Beat.configuration());
@@ -468,10 +468,7 @@
   for (const wire::ServerWork &Work : Beat.work())
     Loads[Work.server()] = {Work.requests(),
                             static_cast<double>(Work.prompt_tokens())};
-  direct::ConcurrencyLimiter::PassTimeRatios Ratios;
-  for (const wire::PassStretch &Each : Beat.stretches())
-    Ratios[Each.service()] = {Each.mean(), Each.variance()};
-  m_Limiter.setPeerRatios(Beat.sender().node(), std::move(Ratios));
+  m_Groups.handleRatios(Beat);
   m_Pool.setPeerLoads(Beat.sender().node(), std::move(Loads), m_Clock.now());
 }
 
@@ -494,13 +491,6 @@
   const unsigned Others = Summary.entries() - (Own ? 1 : 0);
   m_Pool.setPeerLoads(Peer, loadsOf(Summary, Own),
                       m_Clock.now() - base::Millis(Summary.age_ms()), Others);
-  direct::ConcurrencyLimiter::PassTimeRatios Ratios;
-  for (const wire::StretchSum &Each : Summary.stretches())
-    if (Each.entries() > 0)
-      Ratios[Each.service()] = {Each.mean() / Each.entries(),
-                                Each.variance() / Each.entries(),
-                                Each.entries()};
-  m_Limiter.setPeerRatios(Peer, std::move(Ratios));
   for (const wire::NodePositions &Each : Summary.positions())
     if (const wire::NodeNews *Node = m_Fleet.findNode(Each.node())) {
       m_Configuration.handlePosition(*Node, Each.configuration());
@@ -515,12 +505,7 @@
     m_ServerNotices.handleHeartbeat(Beat);
   }
   m_QuarantineExchange.handle(Summary, Summary.relay().node());
-  for (const wire::GroupTally &Each : Summary.groups()) {
-    recordGroup(Peer + " open", {Each.service(), Each.group(), Each.epoch(),
-                                 true, Each.open()});
-    recordGroup(Peer + " closed", {Each.service(), Each.group(), Each.epoch(),
-                                   false, Each.closed()});
-  }
+  m_Groups.handleSummary(Peer, Summary, m_Clock.now());
 }
 
 direct::ServerLoads GatewayNode::loadsOf(const wire::FleetSummary &Summary,
@@ -548,29 +533,6 @@
   return Loads;
 }
 
-void GatewayNode::handleAgentHeartbeat(const wire::FleetBeat &Beat) {
-  if (!Beat.has_group())
-    return;
-  const wire::GroupNews &Report = Beat.group();
-  recordGroup(Beat.sender().node(), {Report.service(), Report.group(),
-                                     Report.epoch(), Report.open()});
-}
-
-void GatewayNode::recordGroup(const std::string &Reporter,
-                              const direct::GroupAvailability::Report &Latest) {
-  const base::Millis Now = m_Clock.now();
-  if (!m_GroupAvailability.update(Reporter, Latest, Now))
-    return;
-  m_Events.record(m_GroupAvailability.outageDuration(Latest.m_Service, Now)
-                      ? base::EventId::GroupOut
-                      : base::EventId::GroupBack,
-                  {{"service", Latest.m_Service},
-                   {"group", Latest.m_Group},
-                   {"epoch", std::to_string(Latest.m_Epoch)},
-                   {"by", Reporter}});
-  m_Forwarder.processQueues();
-}
-
 void GatewayNode::handlePeerRequest(
     const std::shared_ptr<net::HttpExchange> &Exchange) {
   const std::string_view Target = Exchange->target();
