Direct: divide the capacity between classes of requests

A request that found free capacity was admitted whatever its class, and a stream holds its place for about 2 s. A burst of urgent requests therefore found the places occupied by overnight work.

ClassShares computes what each class needs (arrivals per second times the seconds that a place is held) and, while the needs exceed the capacity, allocates it in the order of urgency with a minimum for each class. The AdmissionQueue asks it for services with requests of several classes; a service with one class is served as before. Refused requests of a class get the next turn of their class as retry-after time.

--- a/Source/Direct/AdmissionQueue.cpp
+++ b/Source/Direct/AdmissionQueue.cpp
@@ -3,6 +3,7 @@
 #include "Direct/RetryAfter.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace corneldeck::direct {
 
@@ -23,27 +24,70 @@
                                 Usage.m_LimitedCapacity;
 }
 
+ClassShares::Usage
+AdmissionQueue::classUsage(const ServerPool::ServiceUsage &Usage) const {
+  return {Usage.m_Capacity * m_Settings.m_MaxUtilization +
+              Usage.m_LimitedCapacity,
+          static_cast<double>(Usage.m_InFlight)};
+}
+
+ClassShares::Shares
+AdmissionQueue::shares(const std::string &Service,
+                       const ServerPool::ServiceUsage &Usage,
+                       base::Millis Now) {
+  return m_ClassShares.shares(Service, classUsage(Usage), Now);
+}
+
 AdmissionQueue::Decision
 AdmissionQueue::admit(const std::string &Service, const Arrival &Request,
                       const ServerPool::ServiceUsage &Usage, base::Millis Now) {
   ServiceQueue &Queue = m_Queues[Service];
   updateRate(Queue, Now);
-  if (Queue.m_Waiting.empty() && hasCapacity(Usage))
-    return Decision::Admit;
+  m_ClassShares.recordArrival(Service, Request.m_Priority, Now);
+  const ClassShares::Shares All = m_ClassShares.isShared(Service, Now)
+                                      ? shares(Service, Usage, Now)
+                                      : ClassShares::Shares();
+  const Decision Result = decide(Queue, Request, Usage, All, Now);
+  switch (Result) {
+  case Decision::Admit:
+    recordStart(Service, Request.m_Token, Request.m_Priority, Now);
+    break;
+  case Decision::Wait:
+    m_ClassShares.recordWaiting(Service, Request.m_Priority, 1);
+    break;
+  case Decision::Refuse:
+    m_ClassShares.recordRefusal(Service, Request.m_Priority, Now);
+    break;
+  }
+  return Result;
+}
+
+AdmissionQueue::Decision
+AdmissionQueue::decide(ServiceQueue &Queue, const Arrival &Request,
+                       const ServerPool::ServiceUsage &Usage,
+                       const ClassShares::Shares &All, base::Millis Now) {
   const auto Ahead = static_cast<std::size_t>(
       std::count_if(Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
                     [&Request](const Waiting &Each) {
                       return Each.m_Priority <= Request.m_Priority;
                     }));
+  const bool MayStart =
+      All.empty() ? Queue.m_Waiting.empty() && hasCapacity(Usage)
+                  : Ahead == 0 && ClassShares::mayStart(All, Request.m_Priority,
+                                                        classUsage(Usage));
+  if (MayStart)
+    return Decision::Admit;
   const base::Millis TimeLeft =
       std::min(Request.m_TargetLatency, Request.m_Deadline - Now);
   double LongestWait =
       static_cast<double>(TimeLeft.count()) * m_Settings.m_MaxWaitRatio;
+  std::optional<double> Expected;
+  if (const auto Wait = ClassShares::expectedWait(All, Request.m_Priority))
+    Expected = static_cast<double>(Wait->count());
+  else if (Queue.m_Rate > 0)
+    Expected = static_cast<double>(Ahead + 1) / Queue.m_Rate * MillisPerSecond;
   const bool TooLong =
-      Queue.m_Rate > 0
-          ? static_cast<double>(Ahead + 1) / Queue.m_Rate * MillisPerSecond >
-                LongestWait
-          : Ahead >= MaxWaitingWithoutRate;
+      Expected ? *Expected > LongestWait : Ahead >= MaxWaitingWithoutRate;
   if (TooLong) {
     const bool MayGetToken =
         Usage.m_LimitedServers > 0 && Ahead < MaxWaitingWithoutRate;
@@ -63,9 +107,31 @@
   return Decision::Wait;
 }
 
+void AdmissionQueue::recordStart(const std::string &Service,
+                                 std::uint64_t Token, int Priority,
+                                 base::Millis Now) {
+  m_Queues[Service].m_Running[Token] = {Priority, Now};
+  m_ClassShares.recordStart(Service, Priority);
+}
+
+void AdmissionQueue::recordEnd(const std::string &Service, std::uint64_t Token,
+                               base::Millis Now) {
+  ServiceQueue &Queue = m_Queues[Service];
+  const auto Found = Queue.m_Running.find(Token);
+  if (Found == Queue.m_Running.end())
+    return;
+  m_ClassShares.recordEnd(Service, Found->second.m_Priority,
+                          Now - Found->second.m_StartedAt);
+  Queue.m_Running.erase(Found);
+}
+
 void AdmissionQueue::remove(const std::string &Service, std::uint64_t Token) {
-  std::erase_if(m_Queues[Service].m_Waiting,
-                [Token](const Waiting &Each) { return Each.m_Token == Token; });
+  std::erase_if(m_Queues[Service].m_Waiting, [&](const Waiting &Each) {
+    if (Each.m_Token != Token)
+      return false;
+    m_ClassShares.recordWaiting(Service, Each.m_Priority, -1);
+    return true;
+  });
 }
 
 void AdmissionQueue::recordCompletion(const std::string &Service,
@@ -75,20 +141,50 @@
   ++Queue.m_Count;
 }
 
+std::size_t
+AdmissionQueue::firstStartable(const ServiceQueue &Queue,
+                               const ClassShares::Shares &All,
+                               const ServerPool::ServiceUsage &Usage) const {
+  std::optional<int> Blocked;
+  const auto Found = std::find_if(
+      Queue.m_Waiting.begin(), Queue.m_Waiting.end(), [&](const Waiting &Each) {
+        if (Each.m_Priority == Blocked)
+          return false;
+        if (All.empty() ||
+            ClassShares::mayStart(All, Each.m_Priority, classUsage(Usage)))
+          return true;
+        Blocked = Each.m_Priority;
+        return false;
+      });
+  return static_cast<std::size_t>(Found - Queue.m_Waiting.begin());
+}
+
 AdmissionQueue::Dequeued AdmissionQueue::dequeue(const std::string &Service,
                                                  ServerPool::ServiceUsage Usage,
                                                  base::Millis Now) {
   Dequeued Result;
   ServiceQueue &Queue = m_Queues[Service];
+  const bool IsShared = m_ClassShares.isShared(Service, Now);
   while (!Queue.m_Waiting.empty() && hasCapacity(Usage)) {
-    Result.m_Admitted.push_back(Queue.m_Waiting.front().m_Token);
-    Queue.m_Waiting.erase(Queue.m_Waiting.begin());
+    const std::size_t Index = firstStartable(
+        Queue, IsShared ? shares(Service, Usage, Now) : ClassShares::Shares(),
+        Usage);
+    if (Index == Queue.m_Waiting.size())
+      break;
+    const Waiting Admitted = Queue.m_Waiting[Index];
+    Result.m_Admitted.push_back(Admitted.m_Token);
+    Queue.m_Waiting.erase(Queue.m_Waiting.begin() +
+                          static_cast<std::ptrdiff_t>(Index));
+    m_ClassShares.recordWaiting(Service, Admitted.m_Priority, -1);
+    recordStart(Service, Admitted.m_Token, Admitted.m_Priority, Now);
     ++Usage.m_InFlight;
   }
-  std::erase_if(Queue.m_Waiting, [&Result, Now](const Waiting &Each) {
+  std::erase_if(Queue.m_Waiting, [&](const Waiting &Each) {
     if (Each.m_Deadline > Now)
       return false;
     Result.m_TimedOut.push_back(Each.m_Token);
+    m_ClassShares.recordWaiting(Service, Each.m_Priority, -1);
+    m_ClassShares.recordRefusal(Service, Each.m_Priority, Now);
     return true;
   });
   return Result;
@@ -96,12 +192,27 @@
 
 std::vector<std::uint64_t> AdmissionQueue::clear(const std::string &Service) {
   std::vector<std::uint64_t> All;
-  for (const Waiting &Each : m_Queues[Service].m_Waiting)
+  for (const Waiting &Each : m_Queues[Service].m_Waiting) {
     All.push_back(Each.m_Token);
+    m_ClassShares.recordWaiting(Service, Each.m_Priority, -1);
+  }
   m_Queues[Service].m_Waiting.clear();
   return All;
 }
 
+base::Millis AdmissionQueue::retryAfter(const std::string &Service,
+                                        int Priority,
+                                        const ServerPool::ServiceUsage &Usage,
+                                        base::Millis Now, base::Random &Rng) {
+  const ClassShares::Shares All = m_ClassShares.isShared(Service, Now)
+                                      ? shares(Service, Usage, Now)
+                                      : ClassShares::Shares();
+  if (!ClassShares::isOverloaded(All) || Usage.isRateLimited() ||
+      Usage.isUnwanted())
+    return retryAfter(Service, Usage, Rng);
+  return m_ClassShares.retryAfter(Service, All, Priority, Rng.uniform(), Now);
+}
+
 base::Millis AdmissionQueue::retryAfter(const std::string &Service,
                                         const ServerPool::ServiceUsage &Usage,
                                         base::Random &Rng) const {
--- a/Source/Direct/AdmissionQueue.h
+++ b/Source/Direct/AdmissionQueue.h
@@ -2,12 +2,14 @@
 #define CORNELDECK_DIRECT_ADMISSIONQUEUE_H
 
 #include "Base/Error.h"
+#include "Direct/ClassShares.h"
 #include "Direct/ServerPool.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace corneldeck::direct {
@@ -39,8 +41,9 @@
 /// The queue limits the load on the backend servers to their capacity, counted
 /// over all entries. Urgent requests are dequeued first; requests of the same
 /// priority are dequeued in the order of arrival, so large requests are not
-/// starved. Retry-after times are randomized, so that refused callers do not
-/// all return at the same time.
+/// starved. If a service has requests of several priorities, ClassShares
+/// decides which of these classes may take a free slot. Retry-after times are
+/// randomized, so that refused callers do not all return at the same time.
 class AdmissionQueue {
 public:
   explicit AdmissionQueue(AdmissionQueueSettings Settings = {});
@@ -78,6 +81,11 @@
   /// Counts a completed request towards the completion rate of the service.
   void recordCompletion(const std::string &Service, base::Millis Now);
 
+  /// Releases the slot of an admitted request that has ended. Ignores requests
+  /// that were not admitted.
+  void recordEnd(const std::string &Service, std::uint64_t Token,
+                 base::Millis Now);
+
   /// Requests that left the queue, by their tokens.
   struct Dequeued {
     std::vector<std::uint64_t> m_Admitted;
@@ -100,14 +108,34 @@
                           const ServerPool::ServiceUsage &Usage,
                           base::Random &Rng) const;
 
+  /// Returns the retry-after time of a refused request of \p Priority. If the
+  /// classes of the service need more than its capacity, it is the time after
+  /// which this class can be served.
+  base::Millis retryAfter(const std::string &Service, int Priority,
+                          const ServerPool::ServiceUsage &Usage,
+                          base::Millis Now, base::Random &Rng);
+
   /// Returns the number of queued requests of \p Service.
   [[nodiscard]] std::size_t waitingCount(const std::string &Service) const;
   /// Returns the services that have queued requests.
   [[nodiscard]] std::vector<std::string> waitingServices() const;
 
+  /// Returns the division of the capacity between the classes of requests.
+  [[nodiscard]] ClassShares &classShares() { return m_ClassShares; }
+  /// Returns the classes of \p Service and their parts of the capacity.
+  [[nodiscard]] ClassShares::Shares
+  shares(const std::string &Service, const ServerPool::ServiceUsage &Usage,
+         base::Millis Now);
+
 private:
+  /// An admitted request.
+  struct Running {
+    int m_Priority = 0;
+    base::Millis m_StartedAt{};
+  };
   struct ServiceQueue {
     std::vector<Waiting> m_Waiting;
+    std::unordered_map<std::uint64_t, Running> m_Running;
     /// Moving average of completions per second; 0 until the first sample.
     double m_Rate = 0;
     /// Completions since m_CountStart.
@@ -115,11 +143,26 @@
     base::Millis m_CountStart{};
   };
   [[nodiscard]] bool hasCapacity(const ServerPool::ServiceUsage &Usage) const;
+  [[nodiscard]] ClassShares::Usage
+  classUsage(const ServerPool::ServiceUsage &Usage) const;
+  /// Decides on a request and queues it if it has to wait.
+  /// \param All the classes of the service; empty if it has only one.
+  Decision decide(ServiceQueue &Queue, const Arrival &Request,
+                  const ServerPool::ServiceUsage &Usage,
+                  const ClassShares::Shares &All, base::Millis Now);
+  /// Returns the index of the first queued request that may start, or the
+  /// number of queued requests.
+  [[nodiscard]] std::size_t
+  firstStartable(const ServiceQueue &Queue, const ClassShares::Shares &All,
+                 const ServerPool::ServiceUsage &Usage) const;
+  void recordStart(const std::string &Service, std::uint64_t Token,
+                   int Priority, base::Millis Now);
   /// Adds a sample to the moving average once the sample interval is over.
   void updateRate(ServiceQueue &Queue, base::Millis Now) const;
 
   const AdmissionQueueSettings m_Settings;
   std::map<std::string, ServiceQueue> m_Queues;
+  ClassShares m_ClassShares;
 };
 
 } // namespace corneldeck::direct
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -118,8 +118,9 @@
     m_LastFailure = Usage.isRateLimited()
                         ? "all backend servers are at their rate limit"
                         : "all backend servers are at capacity";
-  sendError(base::ResultCode::Overloaded, m_LastFailure,
-            m_Forwarder.retryAfter(m_Parameters.m_Service));
+  sendError(
+      base::ResultCode::Overloaded, m_LastFailure,
+      m_Forwarder.retryAfter(m_Parameters.m_Service, m_Parameters.m_Priority));
 }
 
 void ForwardedRequest::refuseUnavailable() {
@@ -740,6 +741,13 @@
        {"places", formatNumber(Usage.totalCapacity())},
        {"limited_servers", formatNumber(Usage.m_LimitedServers)},
        {"server_limit", Limit ? base::formatDecimal(*Limit) : std::string()},
+       {"class", formatNumber(m_Parameters.m_Priority)},
+       {"customer", m_Parameters.m_Customer},
+       {"class_use",
+        Event == base::EventId::RequestRefused
+            ? m_Forwarder.m_ClassReport.recordRefusal(
+                  m_Parameters.m_Service, m_Parameters.m_Priority, Usage, Now)
+            : std::string()},
        {"why", m_LastFailure}});
   const auto Self = shared_from_this();
   m_Forwarder.requestEnded(m_Parameters.m_Token, m_Parameters.m_Service);
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -37,7 +37,9 @@
 RequestForwarder::RequestForwarder(Dependencies Objects, RequestCodec Codec,
                                    std::size_t MaxResponseBytes)
     : m_Dependencies(Objects), m_Codec(std::move(Codec)),
-      m_ResponseMemory(MaxResponseBytes), m_QueueTimer(Objects.m_Context),
+      m_ResponseMemory(MaxResponseBytes),
+      m_ClassReport(Objects.m_AdmissionQueue, Objects.m_Metrics),
+      m_QueueTimer(Objects.m_Context),
       m_Requests(Objects.m_Metrics.counter("corneldeck_requests_total",
                                            "Requests received from callers.")),
       m_Refused(Objects.m_Metrics.counter(
@@ -262,6 +264,7 @@
 void RequestForwarder::requestEnded(std::uint64_t Token,
                                     const std::string &Service) {
   m_ActiveRequests.erase(Token);
+  m_Dependencies.m_AdmissionQueue.recordEnd(Service, Token, m_Clock.now());
   m_Dependencies.m_AdmissionQueue.recordCompletion(Service, m_Clock.now());
   if (m_Dependencies.m_AdmissionQueue.waitingCount(Service) > 0)
     boost::asio::post(m_Dependencies.m_Context, [this] { processQueues(); });
@@ -300,15 +303,26 @@
     armQueueTimer();
 }
 
-base::Millis RequestForwarder::retryAfter(const std::string &Service) const {
+void RequestForwarder::updateClassMetrics() {
+  if (!m_Routes)
+    return;
+  for (const direct::Service &Each : m_Routes->configuration().m_Services)
+    m_ClassReport.update(Each.m_Name, usage(Each.m_Name), m_Clock.now());
+}
+
+base::Millis RequestForwarder::retryAfter(const std::string &Service,
+                                          std::optional<int> Priority) const {
   const direct::Service *Found = m_Routes->configuration().findService(Service);
   const base::Millis FormationTime = Found && Found->m_Engine
                                          ? Found->m_Engine->m_FormationTime
                                          : base::Millis(0);
+  AdmissionQueue &Queue = m_Dependencies.m_AdmissionQueue;
   return m_Dependencies.m_GroupAvailability.expectedRecoveryTime(
              Service, FormationTime, m_Clock.now()) +
-         m_Dependencies.m_AdmissionQueue.retryAfter(Service, usage(Service),
-                                                    m_Dependencies.m_Rng);
+         (Priority ? Queue.retryAfter(Service, *Priority, usage(Service),
+                                      m_Clock.now(), m_Dependencies.m_Rng)
+                   : Queue.retryAfter(Service, usage(Service),
+                                      m_Dependencies.m_Rng));
 }
 
 ServerPool::ServiceUsage
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -4,6 +4,7 @@
 #include "Base/Timeline.h"
 #include "Direct/AdmissionQueue.h"
 #include "Direct/AttemptTracker.h"
+#include "Direct/ClassUsageReport.h"
 #include "Direct/ConcurrencyLimiter.h"
 #include "Direct/GroupAvailability.h"
 #include "Direct/PromptQuarantine.h"
@@ -151,6 +152,10 @@
   /// Answers all requests whose response has not begun, since the process ends.
   void answerBeforeExit();
 
+  /// Updates the metrics of the classes of requests. Called several times a
+  /// second.
+  void updateClassMetrics();
+
   /// Returns the number of queued and forwarded requests.
   [[nodiscard]] std::size_t inFlight() const { return m_ActiveRequests.size(); }
 
@@ -167,7 +172,11 @@
   [[nodiscard]] bool hasOtherProgress(const std::string &Service,
                                       const std::string &Server) const;
   /// Returns the retry-after time of a refused request of \p Service.
-  [[nodiscard]] base::Millis retryAfter(const std::string &Service) const;
+  /// \param Priority the class of the request; none if it was not refused for
+  /// lack of capacity.
+  [[nodiscard]] base::Millis
+  retryAfter(const std::string &Service,
+             std::optional<int> Priority = std::nullopt) const;
   /// Returns the retry-after time of a request that is refused during a stop.
   [[nodiscard]] base::Millis stoppingRetryAfter() const;
   void armQueueTimer();
@@ -191,6 +200,7 @@
       m_ActiveRequests;
   std::uint64_t m_NextToken = 1;
   ResponseMemory m_ResponseMemory;
+  ClassUsageReport m_ClassReport;
   ShutdownPolicy m_ShutdownPolicy;
   boost::asio::steady_timer m_QueueTimer;
   bool m_QueueTimerArmed = false;
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -241,9 +241,12 @@
   m_Configuration.updateReaderRole(Self, Live);
   m_Servers.updateReaderRole(Self, Live);
   m_RetryBudget.setEntryCount(Live.size() + 1);
+  m_AdmissionQueue.classShares().setEntries(
+      static_cast<unsigned>(Live.size() + 1));
   m_Fleet.setReady(ready());
   m_RateLimits.update();
   m_ServerNotices.update();
+  m_Forwarder.updateClassMetrics();
   if (m_Stopping)
     checkStopped();
   m_Timer.expires_after(std::chrono::milliseconds(TimerInterval.count()));
