Gateway: exchange the requests of each class between entries

An entry knew only its own requests of a class, a thirty-third to a fifty-fifth of all, and scaled them up.

Heartbeats carry ClassNews and the summaries of relays ClassSum: requests in flight, arrivals, waiting, refused and hold time by service and class, at most 8 classes of a service. Reports expire as loads do. Entries of earlier releases send none; the counts are scaled up for them.

--- a/Source/Fleet/FleetSummary.cpp
+++ b/Source/Fleet/FleetSummary.cpp
@@ -56,6 +56,7 @@
     Sum.set_mean(Sum.mean() + Each.mean());
     Sum.set_variance(Sum.variance() + Each.variance());
   }
+  m_Classes.addEntry(Beat);
   wire::NodePositions &Positions = m_Positions.emplace_back();
   Positions.set_node(Beat.sender().node());
   *Positions.mutable_configuration() = Beat.configuration();
@@ -147,6 +148,7 @@
     Sum.set_mean(Sum.mean() + Each.mean());
     Sum.set_variance(Sum.variance() + Each.variance());
   }
+  m_Classes.addSummary(Summary);
   m_Positions.insert(m_Positions.end(), Summary.positions().begin(),
                      Summary.positions().end());
   for (const wire::ForwardedNotices &Each : Summary.notices()) {
@@ -185,6 +187,7 @@
     Added = Each;
     Added.set_service(Service);
   }
+  m_Classes.write(Target);
   writePositions(Target);
 }
 
--- a/Source/Fleet/FleetSummary.h
+++ b/Source/Fleet/FleetSummary.h
@@ -2,6 +2,7 @@
 #define CORNELDECK_FLEET_FLEETSUMMARY_H
 
 #include "Base/Millis.h"
+#include "Fleet/ClassSums.h"
 #include "Wire/Gossip.pb.h"
 
 #include <cstdint>
@@ -57,6 +58,7 @@
   std::vector<wire::NodePositions> m_Positions;
   std::map<std::pair<std::string, std::string>, wire::GroupTally> m_Tallies;
   std::map<std::string, wire::StretchSum> m_Stretches;
+  ClassSums m_Classes;
   std::map<std::pair<std::string, std::uint64_t>, wire::ServerEnd> m_Ends;
   std::map<std::pair<std::string, std::uint64_t>, wire::PartQuarantine> m_Parts;
 };
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -167,6 +167,7 @@
            [this](const std::string &Node) {
              m_Pool.removePeer(Node);
              m_Limiter.removePeer(Node);
+             m_Classes.removePeer(Node);
              m_Configuration.removePeer(Node);
              m_Servers.removePeer(Node);
            },
@@ -179,6 +180,7 @@
            [this](const wire::QuarantineNews &News) {
              m_QuarantineExchange.handle(News, News.node());
            }}),
+      m_Classes(m_AdmissionQueue.classShares()),
       m_RateLimits(Context, m_Pool, m_Fleet, Events, Metrics,
                    [this] { m_Forwarder.processQueues(); }),
       m_ServerNotices(m_Pool, Events, Metrics),
@@ -440,6 +442,7 @@
     Work.set_requests(Load.m_Requests);
     Work.set_prompt_tokens(static_cast<std::uint32_t>(Load.m_PromptTokens));
   }
+  m_Classes.fillHeartbeat(Beat, m_Clock.now());
   m_RateLimits.fillHeartbeat(Beat);
   m_ServerNotices.fillHeartbeat(Beat);
   m_QuarantineExchange.fillHeartbeat(Beat);
@@ -473,12 +476,14 @@
   for (const wire::PassStretch &Each : Beat.stretches())
     Ratios[Each.service()] = {Each.mean(), Each.variance()};
   m_Limiter.setPeerRatios(Beat.sender().node(), std::move(Ratios));
+  m_Classes.handleHeartbeat(Beat, m_Clock.now());
   m_Pool.setPeerLoads(Beat.sender().node(), std::move(Loads), m_Clock.now());
 }
 
 void GatewayNode::removePeerSums() {
   m_Pool.removePeer(AllEntries);
   m_Limiter.removePeer(AllEntries);
+  m_Classes.removePeer(AllEntries);
 }
 
 void GatewayNode::handleSummary(const wire::FleetSummary &Summary,
@@ -489,6 +494,7 @@
   if (IsOfAll) {
     m_Pool.keepOnlyPeer(Peer);
     m_Limiter.keepOnlyPeer(Peer);
+    m_Classes.keepOnlyPeer(Peer);
   } else {
     removePeerSums();
   }
@@ -502,6 +508,7 @@
                                 Each.variance() / Each.entries(),
                                 Each.entries()};
   m_Limiter.setPeerRatios(Peer, std::move(Ratios));
+  m_Classes.handleSummary(Summary, Own, Peer, m_Clock.now());
   for (const wire::NodePositions &Each : Summary.positions())
     if (const wire::NodeNews *Node = m_Fleet.findNode(Each.node())) {
       m_Configuration.handlePosition(*Node, Each.configuration());
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -3,6 +3,7 @@
 
 #include "Direct/RequestForwarder.h"
 #include "Fleet/FleetNode.h"
+#include "Gateway/ClassExchange.h"
 #include "Gateway/QuarantineExchange.h"
 #include "Gateway/RateLimitExchange.h"
 #include "Gateway/ServerNoticeExchange.h"
@@ -145,6 +146,7 @@
   SharedFeed m_Configuration;
   SharedFeed m_Servers;
   fleet::FleetNode m_Fleet;
+  ClassExchange m_Classes;
   RateLimitExchange m_RateLimits;
   ServerNoticeExchange m_ServerNotices;
   QuarantineExchange m_QuarantineExchange;
