--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -40,6 +40,7 @@
       m_GroupCapacity(Objects.m_Pool, Objects.m_Limiter,
                       Objects.m_GroupAvailability),
       m_Codec(std::move(Codec)), m_ResponseMemory(MaxResponseBytes),
+      m_ClassReport(Objects.m_AdmissionQueue, Objects.m_Metrics),
       m_QueueTimer(Objects.m_Context),
       m_Requests(Objects.m_Metrics.counter("corneldeck_requests_total",
                                            "Requests received from callers.")),
@@ -265,6 +266,7 @@
 void RequestForwarder::requestEnded(std::uint64_t Token,
                                     const std::string &Service) {
   m_ActiveRequests.erase(Token);
+  m_Dependencies.m_AdmissionQueue.recordEnd(Service, Token, m_Clock.now());
   m_Dependencies.m_AdmissionQueue.recordCompletion(Service, m_Clock.now());
   if (m_Dependencies.m_AdmissionQueue.waitingCount(Service) > 0)
     boost::asio::post(m_Dependencies.m_Context, [this] { processQueues(); });
@@ -303,15 +305,26 @@
     armQueueTimer();
 }
 
-base::Millis RequestForwarder::retryAfter(const std::string &Service) const {
+void RequestForwarder::updateClassMetrics() {
+  if (!m_Routes)
+    return;
+  for (const direct::Service &Each : m_Routes->configuration().m_Services)
+    m_ClassReport.update(Each.m_Name, usage(Each.m_Name), m_Clock.now());
+}
+
+base::Millis RequestForwarder::retryAfter(const std::string &Service,
+                                          std::optional<int> Priority) const {
   const direct::Service *Found = m_Routes->configuration().findService(Service);
   const base::Millis FormationTime = Found && Found->m_Engine
                                          ? Found->m_Engine->m_FormationTime
                                          : base::Millis(0);
+  AdmissionQueue &Queue = m_Dependencies.m_AdmissionQueue;
   return m_Dependencies.m_GroupAvailability.expectedRecoveryTime(
              Service, FormationTime, m_Clock.now()) +
-         m_Dependencies.m_AdmissionQueue.retryAfter(Service, usage(Service),
-                                                    m_Dependencies.m_Rng);
+         (Priority ? Queue.retryAfter(Service, *Priority, usage(Service),
+                                      m_Clock.now(), m_Dependencies.m_Rng)
+                   : Queue.retryAfter(Service, usage(Service),
+                                      m_Dependencies.m_Rng));
 }
 
 ServerPool::ServiceUsage
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -167,6 +167,7 @@
            [this](const std::string &Node) {
              m_Pool.removePeer(Node);
              m_Limiter.removePeer(Node);
+             m_Classes.removePeer(Node);
              m_Configuration.removePeer(Node);
              m_Servers.removePeer(Node);
            },
@@ -179,6 +180,7 @@
            [this](const wire::QuarantineNews &News) {
              m_QuarantineExchange.handle(News, News.node());
            }}),
+      m_Classes(m_AdmissionQueue.classShares()),
       m_RateLimits(Context, m_Pool, m_Fleet, Events, Metrics,
                    [this] { m_Forwarder.processQueues(); }),
       m_ServerNotices(m_Pool, Events, Metrics),
@@ -245,11 +247,14 @@
   m_Configuration.updateReaderRole(Self, Live);
   m_Servers.updateReaderRole(Self, Live);
   m_RetryBudget.setEntryCount(Live.size() + 1);
+  m_AdmissionQueue.classShares().setEntries(
+      static_cast<unsigned>(Live.size() + 1));
   m_Fleet.setReady(ready());
   m_RateLimits.update();
   m_ServerNotices.update();
   m_Groups.update(m_Forwarder.routes(), m_Forwarder.groupCapacity(),
                   m_Clock.now());
+  m_Forwarder.updateClassMetrics();
   if (m_Stopping)
     checkStopped();
   m_Timer.expires_after(std::chrono::milliseconds(TimerInterval.count()));
@@ -444,6 +449,7 @@
     Work.set_requests(Load.m_Requests);
     Work.set_prompt_tokens(static_cast<std::uint32_t>(Load.m_PromptTokens));
   }
+  m_Classes.fillHeartbeat(Beat, m_Clock.now());
   m_RateLimits.fillHeartbeat(Beat);
   m_ServerNotices.fillHeartbeat(Beat);
   m_QuarantineExchange.fillHeartbeat(Beat);
@@ -469,12 +475,14 @@
     Loads[Work.server()] = {Work.requests(),
                             static_cast<double>(Work.prompt_tokens())};
   m_Groups.handleRatios(Beat);
+  m_Classes.handleHeartbeat(Beat, m_Clock.now());
   m_Pool.setPeerLoads(Beat.sender().node(), std::move(Loads), m_Clock.now());
 }
 
 void GatewayNode::removePeerSums() {
   m_Pool.removePeer(AllEntries);
   m_Limiter.removePeer(AllEntries);
+  m_Classes.removePeer(AllEntries);
 }
 
 void GatewayNode::handleSummary(const wire::FleetSummary &Summary,
@@ -485,12 +493,14 @@
   if (IsOfAll) {
     m_Pool.keepOnlyPeer(Peer);
     m_Limiter.keepOnlyPeer(Peer);
+    m_Classes.keepOnlyPeer(Peer);
   } else {
     removePeerSums();
   }
   const unsigned Others = Summary.entries() - (Own ? 1 : 0);
   m_Pool.setPeerLoads(Peer, loadsOf(Summary, Own),
                       m_Clock.now() - base::Millis(Summary.age_ms()), Others);
+  m_Classes.handleSummary(Summary, Own, Peer, m_Clock.now());
   for (const wire::NodePositions &Each : Summary.positions())
     if (const wire::NodeNews *Node = m_Fleet.findNode(Each.node())) {
       m_Configuration.handlePosition(*Node, Each.configuration());
