Net: read the requests of callers in the handler that parses them

Cause: a read into m_Buffer.prepare() was outstanding while a request was handled. When its response was done, process() consumed m_Buffer, whose end moved back to its start; the read still wrote behind the old end, and commit() counted bytes of the earlier request as new ones.

The connection now waits until the socket is readable and reads in the handler that parses, into a buffer of the server. Rest that cannot be parsed yet is copied to m_Unparsed. No outstanding operation has memory of the connection, so consuming it at any time is safe.

An idle connection no longer holds 4 KiB for its next read.

HttpClientConnection, FramedConnection and DatagramSocket parse before their next read starts and are not affected.

--- a/Source/Net/HttpConnection.cpp
+++ b/Source/Net/HttpConnection.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::size_t HeadReadBytes = 4 * KiB;
-constexpr std::size_t BodyReadBytes = 64 * KiB;
 /// Maximum size of pipelined requests that are buffered while one is handled.
 constexpr std::size_t MaxPipelinedBytes = 64 * KiB;
 /// Larger buffers are freed between requests.
@@ -41,10 +40,14 @@
 void HttpConnection::start() {
   boost::system::error_code Code;
   m_Socket.set_option(asio::ip::tcp::no_delay(true), Code);
+  m_Socket.non_blocking(true, Code);
   const auto Remote = m_Socket.remote_endpoint(Code);
   m_Remote = formatEndpoint(Remote);
-  m_Deadline = m_Clock.now() + m_Shared->m_Options.m_IdleTimeout;
-  read();
+  if (!m_CloseAfterWrite)
+    m_Deadline = m_Clock.now() + m_Shared->m_Options.m_IdleTimeout;
+  // Most callers send a request directly after the handshake, so that it is
+  // often there already.
+  readInput();
 }
 
 void HttpConnection::close() {
@@ -95,55 +98,75 @@
   scheduleFlush();
 }
 
-void HttpConnection::read() {
-  if (m_Reading || m_Closed)
+void HttpConnection::waitForInput() {
+  if (m_WaitingForInput || m_Closed)
     return;
   const bool Busy = m_Exchange || m_CloseAfterWrite;
-  if (Busy && m_Buffer.size() >= MaxPipelinedBytes)
+  if (Busy && m_Unparsed.size() >= MaxPipelinedBytes)
     return;
-  m_Reading = true;
-  const std::size_t Count =
-      m_Parser && m_HeadDone ? BodyReadBytes : HeadReadBytes;
-  m_Socket.async_read_some(m_Buffer.prepare(Count),
-                           [Self = shared_from_this()](
-                               const boost::system::error_code &Code,
-                               std::size_t Read) { Self->onRead(Code, Read); });
+  m_WaitingForInput = true;
+  m_Socket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [Self = shared_from_this()](const boost::system::error_code &Code) {
+        Self->onReadable(Code);
+      });
 }
 
-void HttpConnection::onRead(const boost::system::error_code &Code,
-                            std::size_t Count) {
-  m_Reading = false;
+void HttpConnection::onReadable(const boost::system::error_code &Code) {
+  m_WaitingForInput = false;
   if (m_Closed)
     return;
   if (Code) {
     close();
     return;
   }
-  m_Buffer.commit(Count);
-  if (m_CloseAfterWrite)
-    m_Buffer.clear();
-  process();
+  readInput();
+}
+
+void HttpConnection::readInput() {
+  auto &Buffer = m_Shared->m_ReadBuffer;
+  const std::size_t Limit =
+      m_Parser && m_HeadDone ? Buffer.size() : HeadReadBytes;
+  boost::system::error_code Problem;
+  const std::size_t Count =
+      m_Socket.read_some(asio::buffer(Buffer.data(), Limit), Problem);
+  if (Problem == asio::error::would_block) {
+    waitForInput();
+    return;
+  }
+  if (Problem) {
+    close();
+    return;
+  }
+  process(m_CloseAfterWrite ? std::string_view()
+                            : std::string_view(Buffer.data(), Count));
 }
 
-void HttpConnection::process() {
+void HttpConnection::process(std::string_view Received) {
   if (m_Processing)
     return;
   const auto Self = shared_from_this();
   m_Processing = true;
-  while (!m_Closed && !m_Exchange && !m_CloseAfterWrite && parseRequest())
+  std::string_view Input = Received;
+  if (!m_Unparsed.empty()) {
+    m_Unparsed.append(Received);
+    Input = m_Unparsed;
+  }
+  while (!m_Closed && !m_Exchange && !m_CloseAfterWrite && parseRequest(Input))
     dispatch();
+  keepUnparsed(m_Closed || m_CloseAfterWrite ? std::string_view() : Input);
   m_Processing = false;
-  read();
+  waitForInput();
 }
 
-bool HttpConnection::parseRequest() {
-  if (m_Buffer.size() == 0)
+bool HttpConnection::parseRequest(std::string_view &Input) {
+  if (Input.empty())
     return false;
   if (!m_Parser)
     beginRequest();
   boost::system::error_code Code;
-  const std::size_t Used = m_Parser->put(m_Buffer.data(), Code);
-  m_Buffer.consume(Used);
+  Input.remove_prefix(
+      m_Parser->put(asio::buffer(Input.data(), Input.size()), Code));
   if (Code && Code != http::error::need_more) {
     refuseUnparsable(Code);
     return false;
@@ -153,6 +176,18 @@
   return m_Parser->is_done();
 }
 
+void HttpConnection::keepUnparsed(std::string_view Rest) {
+  if (Rest.empty()) {
+    // Assigning an empty string would keep the memory.
+    std::string().swap(m_Unparsed);
+    return;
+  }
+  if (m_Unparsed.empty())
+    m_Unparsed = Rest;
+  else
+    m_Unparsed.erase(0, m_Unparsed.size() - Rest.size());
+}
+
 void HttpConnection::beginRequest() {
   m_Parser.emplace();
   m_Parser->eager(true);
@@ -387,8 +422,8 @@
   m_Deadline = m_Clock.now() + LingerTimeout;
   boost::system::error_code Code;
   m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Code);
-  m_Buffer.clear();
-  read();
+  std::string().swap(m_Unparsed);
+  waitForInput();
 }
 
 } // namespace corneldeck::net::detail
--- a/Source/Net/HttpConnection.h
+++ b/Source/Net/HttpConnection.h
@@ -3,8 +3,8 @@
 
 #include "Net/HttpServer.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <limits>
@@ -19,6 +19,9 @@
 
 /// State that the connections of one server share.
 struct HttpServerShared {
+  /// Received bytes, from the read until they are parsed in the same handler.
+  /// What is left then is copied into HttpConnection::m_Unparsed.
+  std::array<char, 64 * KiB> m_ReadBuffer{};
   HttpServerOptions m_Options;
   HttpServer::Handler m_Handler;
   /// Called when a connection closes.
@@ -29,9 +32,12 @@
 
 /// The server side of one connection.
 ///
-/// A read is pending also while a request is handled, to detect that the caller
-/// closed the connection. Pipelined requests stay in the buffer until the
-/// response to the previous request is complete.
+/// The connection waits for input also while a request is handled, to detect
+/// that the caller closed the connection. Pipelined requests stay in m_Unparsed
+/// until the response to the previous request is complete. No operation of the
+/// system writes to memory of the connection: input is read in the handler that
+/// parses it, so that responding at any time may consume m_Unparsed. An idle
+/// connection holds no buffer.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
   HttpConnection(boost::asio::ip::tcp::socket Socket,
@@ -64,10 +70,17 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-  void read();
-  void onRead(const boost::system::error_code &Code, std::size_t Count);
-  void process();
-  bool parseRequest();
+  void waitForInput();
+  void onReadable(const boost::system::error_code &Code);
+  void readInput();
+  /// Parses and dispatches requests, and keeps what is left in m_Unparsed.
+  /// \param Received bytes that follow those in m_Unparsed.
+  void process(std::string_view Received = {});
+  /// \param Input the bytes to parse; those that were parsed are removed.
+  /// \returns whether a request is complete.
+  bool parseRequest(std::string_view &Input);
+  /// \param Rest a part of m_Unparsed, or bytes to copy into it.
+  void keepUnparsed(std::string_view Rest);
   void beginRequest();
   void onHead();
   void refuseUnparsable(const boost::system::error_code &Code);
@@ -88,7 +101,8 @@
   std::shared_ptr<HttpServerShared> m_Shared;
   const base::Clock m_Clock = base::steadyClock();
   std::string m_Remote;
-  boost::beast::flat_buffer m_Buffer;
+  /// Received bytes that are not parsed yet.
+  std::string m_Unparsed;
   std::optional<Parser> m_Parser;
   HttpExchange::Impl *m_Exchange = nullptr;
   std::function<void()> m_WrittenHook;
@@ -100,7 +114,7 @@
   bool m_HeadDone = false;
   bool m_Chunked = false;
   bool m_IsHeadRequest = false;
-  bool m_Reading = false;
+  bool m_WaitingForInput = false;
   bool m_Processing = false;
   bool m_FlushPosted = false;
   bool m_WriteActive = false;
--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -103,13 +103,13 @@
     auto Connection =
         std::make_shared<detail::HttpConnection>(std::move(Socket), m_Shared);
     m_Connections.emplace(Connection.get(), Connection);
-    Connection->start();
     if (Full)
       Connection->refuse(
           errorResponse({base::ResultCode::Overloaded,
                          "too many connections; reuse them, or use "
                          "another address",
                          base::seconds(1)}));
+    Connection->start();
   }
 
   void scheduleTimeoutCheck() {
