--- a/Tests/Soak/ChildProcess.h
+++ b/Tests/Soak/ChildProcess.h
@@ -22,6 +22,8 @@
   void signal(int Number);
   /// \returns whether the process still runs.
   bool isRunning();
+  /// \returns the id of the running process, or -1.
+  [[nodiscard]] pid_t id() const { return m_Id; }
 
 private:
   const std::vector<std::string> m_Words;
