Bench: evacuation of a zone

The scenario runs the product's pool and choice of feed sources at 7, 46, 149 and 360 entries, with restarts, a reader that is lost at the order, and every fifth entry cut off. Bound: no request reaches the zone later than 5 s after the order.

HttpCallbacks: m_MaySend is the last member, since BackendClient initializes the struct by position.

--- a/Source/Bench/FeedSpreadModel.h
+++ b/Source/Bench/FeedSpreadModel.h
@@ -66,6 +66,14 @@
   /// Stops or resumes the responses of an entry; its heartbeats continue.
   void stallEntry(std::size_t Entry, bool Stalled);
   [[nodiscard]] std::size_t entries() const { return m_Entries.size(); }
+  /// Returns the version that an entry has; 0 if it has none.
+  [[nodiscard]] std::uint64_t version(std::size_t Entry) const {
+    return m_Entries[Entry].m_Version;
+  }
+  /// Returns a number that increases with each restart of an entry.
+  [[nodiscard]] std::uint64_t process(std::size_t Entry) const {
+    return m_Entries[Entry].m_Process;
+  }
   /// Returns the index of an entry that reads the log.
   [[nodiscard]] std::size_t firstReader() const;
 
--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -12,6 +12,7 @@
   All.push_back(catalogueScenario());
   All.push_back(controlCostScenario());
   All.push_back(drainScenario());
+  All.push_back(evacuationScenario());
   All.push_back(feedSpreadScenario());
   All.push_back(fleetScenario());
   All.push_back(leasesScenario());
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -20,6 +20,7 @@
 Promise serverLimitsPromise();
 Scenario serverNoticesScenario();
 Promise serverNoticesPromise();
+Scenario evacuationScenario();
 Scenario feedSpreadScenario();
 Promise feedSpreadPromise();
 Scenario fleetScenario();
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -52,10 +52,6 @@
 /// ConnectionFailed if no byte of it was sent; Timeout or OutcomeUnknown if it
 /// may have run; StreamBroken if the response is incomplete.
 struct HttpCallbacks {
-  /// Called directly before the request is written to a connection.
-  /// \returns whether it may still be sent; if not, it ends with
-  /// ConnectionFailed.
-  std::function<bool()> m_MaySend;
   std::function<void(const HttpResponseHead &)> m_OnHead;
   /// Called with each piece of the body, which is valid only during the call.
   std::function<void(std::string_view)> m_OnData;
@@ -65,6 +61,10 @@
   /// as a late duplicate response to an earlier request, are discarded, and the
   /// connection is not reused.
   std::function<bool(const HttpResponseHead &)> m_IsExpectedResponse;
+  /// Called directly before the request is written to a connection.
+  /// \returns whether it may still be sent; if not, it ends with
+  /// ConnectionFailed.
+  std::function<bool()> m_MaySend = {};
 };
 
 /// The limits of a client.
