Direct: bound the requests that cold servers get

A server that has just started got its ordinary share less half of its utilization: 58 to 92 requests in a second from three entries in PlatformWarmUpTest, where its service tolerates 11. One that gets much more crashes.

A cold server now has the limit warmup-per-s of its service, divided by the tokens of servers that name a rate limit. A new granter waits for 1 s after the last change of the live entries, a part of a fleet takes a larger part of the rate 1 s after it, and a granter that was frozen starts anew. Servers are also cold after their start, if their record names no time, and after the evacuation of their zone.

Services without warmup-s or warmup-per-s, and servers that name limits, keep their buckets and rates.

Ruled out: shorter lives of tokens instead of reports of their use; at 20 requests a second they allow half of the rate.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -131,6 +131,11 @@
               "zone, by order of operators."},
     EventInfo{EventId::ZoneEvacuationEnded, "zone-evacuation-ended",
               "The backend servers of an availability zone may be used again."},
+    EventInfo{EventId::ServerCold, "server-cold",
+              "A backend server is cold and gets few requests."},
+    EventInfo{EventId::ServerWarm, "server-warm",
+              "A backend server is no longer cold, or its service no longer "
+              "bounds the requests of cold servers."},
     EventInfo{EventId::LeaseAcquired, "lease-acquired",
               "This node acquired the lease."},
     EventInfo{EventId::LeaseRenewed, "lease-renewed", "The lease was renewed."},
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -73,6 +73,8 @@
   PartReleased = 1443,
   ZoneEvacuated = 1450,
   ZoneEvacuationEnded = 1451,
+  ServerCold = 1452,
+  ServerWarm = 1453,
   // Leases: 1500.
   LeaseAcquired = 1500,
   LeaseRenewed = 1501,
--- a/Source/Direct/Configuration.cpp
+++ b/Source/Direct/Configuration.cpp
@@ -33,6 +33,14 @@
   return nullptr;
 }
 
+std::map<std::string, WarmUpRule> Configuration::warmUpRules() const {
+  std::map<std::string, WarmUpRule> Rules;
+  for (const Service &Each : m_Services)
+    if (Each.m_WarmUp.isBounded())
+      Rules.emplace(Each.m_Name, Each.m_WarmUp);
+  return Rules;
+}
+
 std::vector<std::string> Configuration::unreadableParts() const {
   std::vector<std::string> Parts = m_Errors;
   for (const std::shared_ptr<const Route> &Each : m_Routes)
--- a/Source/Direct/Configuration.h
+++ b/Source/Direct/Configuration.h
@@ -2,6 +2,7 @@
 #define CORNELDECK_DIRECT_CONFIGURATION_H
 
 #include "Base/Millis.h"
+#include "Direct/WarmUpLimits.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -105,6 +106,7 @@
   /// Maximum number of connections to one backend server, over all clients.
   unsigned m_MaxConnections = 0;
   std::optional<EngineProfile> m_Engine;
+  WarmUpRule m_WarmUp;
 };
 
 struct Customer {
@@ -139,6 +141,9 @@
   /// Returns the service named \p Name, or null if there is none.
   [[nodiscard]] const Service *findService(std::string_view Name) const;
 
+  /// Returns how the servers of the services warm up, by service.
+  [[nodiscard]] std::map<std::string, WarmUpRule> warmUpRules() const;
+
   /// Returns why parts of the configuration are not in effect; empty if all of
   /// it is.
   [[nodiscard]] std::vector<std::string> unreadableParts() const;
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -118,7 +118,10 @@
     m_LastFailure = "all backend servers leave or want no requests for now";
   else
     m_LastFailure = Usage.isRateLimited()
-                        ? "all backend servers are at their rate limit"
+                        ? Usage.m_ColdServers > 0
+                              ? "all backend servers are cold or at their rate "
+                                "limit"
+                              : "all backend servers are at their rate limit"
                         : "all backend servers are at capacity";
   sendError(base::ResultCode::Overloaded, m_LastFailure,
             m_Forwarder.retryAfter(m_Parameters.m_Service));
@@ -726,7 +729,7 @@
       static_cast<double>((Now - m_Parameters.m_ArrivalTime).count()));
   const auto Usage = m_Forwarder.usage(m_Parameters.m_Service);
   const auto Limit =
-      m_Forwarder.m_Dependencies.m_Pool.rateLimits().limit(m_Server);
+      m_Forwarder.m_Dependencies.m_Pool.rateTokens().limit(m_Server);
   m_Forwarder.m_Dependencies.m_Events.record(
       Event,
       {{"request", m_Parameters.m_Request.m_Id},
@@ -745,6 +748,7 @@
        {"in_flight", formatNumber(Usage.m_InFlight)},
        {"places", formatNumber(Usage.totalCapacity())},
        {"limited_servers", formatNumber(Usage.m_LimitedServers)},
+       {"cold_servers", formatNumber(Usage.m_ColdServers)},
        {"evacuated_servers", formatNumber(Usage.m_EvacuatedServers)},
        {"server_limit", Limit ? base::formatDecimal(*Limit) : std::string()},
        {"why", m_LastFailure}});
--- a/Source/Direct/RateTokenGranter.cpp
+++ b/Source/Direct/RateTokenGranter.cpp
@@ -15,23 +15,30 @@
 
 } // namespace
 
-void RateTokenGranter::setRates(const std::map<std::string, double> &Rates,
+void RateTokenGranter::setRates(const std::map<std::string, TokenRate> &Rates,
                                 base::Millis Now) {
   std::erase_if(m_Buckets, [&Rates](const auto &Each) {
     return !Rates.contains(Each.first);
   });
-  for (const auto &[Server, PerSecond] : Rates) {
+  for (const auto &[Server, Rate] : Rates) {
     const auto [Found, IsNew] = m_Buckets.try_emplace(Server);
     Bucket &Of = Found->second;
     if (IsNew)
-      Of.m_RefilledAt = Now;
+      Of.m_RefilledAt = std::max(Now, Rate.m_StartsAt);
     if (!IsNew)
       refill(Of, Now);
-    Of.m_PerSecond = PerSecond;
+    Of.m_PerSecond = Rate.m_PerSecond;
+    Of.m_MaxTokens = Rate.m_MaxTokens;
     refill(Of, Now);
   }
 }
 
+void RateTokenGranter::discardBounded() {
+  std::erase_if(m_Buckets, [](const auto &Each) {
+    return Each.second.m_MaxTokens.has_value();
+  });
+}
+
 void RateTokenGranter::request(const std::string &Server,
                                const std::string &Entry,
                                base::Millis RequestedAt, base::Millis Now) {
@@ -60,6 +67,15 @@
     Found->second.m_Tokens += 1;
 }
 
+void RateTokenGranter::used(const std::string &Server, std::uint64_t Number,
+                            base::Millis Now) {
+  const auto Found = m_Buckets.find(Server);
+  if (Found == m_Buckets.end())
+    return;
+  refill(Found->second, Now);
+  Found->second.m_Granted.erase(Number);
+}
+
 std::vector<RateTokenGranter::Grant>
 RateTokenGranter::grantAvailable(base::Millis Now) {
   // A token may arrive as late as its entry accepts it, be held, and be
@@ -95,10 +111,11 @@
                 [Now](const auto &Each) { return Each.second <= Now; });
   std::erase_if(Of.m_Waiting,
                 [Now](const Waiting &Each) { return Each.m_Expiry <= Now; });
-  const auto Elapsed = static_cast<double>((Now - Of.m_RefilledAt).count());
-  Of.m_RefilledAt = Now;
+  const base::Millis Begin = std::min(Of.m_RefilledAt, Now);
+  const auto Elapsed = static_cast<double>((Now - Begin).count());
+  Of.m_RefilledAt = std::max(Of.m_RefilledAt, Now);
   const double Bound =
-      std::max(0.0, BaseTokens + Of.m_PerSecond -
+      std::max(0.0, Of.m_MaxTokens.value_or(BaseTokens + Of.m_PerSecond) -
                         static_cast<double>(Of.m_Granted.size()));
   Of.m_Tokens =
       std::min(Bound, Of.m_Tokens + Of.m_PerSecond * Elapsed / MillisPerSecond);
--- a/Source/Direct/RateTokenGranter.h
+++ b/Source/Direct/RateTokenGranter.h
@@ -37,6 +37,18 @@
   base::Millis m_EntryCountRetention = base::seconds(60);
 };
 
+/// How tokens of one server are added.
+struct TokenRate {
+  double m_PerSecond = 0;
+  /// Tokens that may be available or held at a time; none for one second's
+  /// worth and two more. A token that was used still counts until its user has
+  /// reported it or it can no longer be used.
+  std::optional<double> m_MaxTokens = {};
+  /// When the first token starts to be added to a new bucket; in the past for
+  /// at once.
+  base::Millis m_StartsAt = {};
+};
+
 /// Grants the tokens of the servers that are assigned to this entry.
 ///
 /// A token permits one request to the server. Tokens of a server are added at
@@ -52,8 +64,12 @@
       : m_Settings(Settings), m_NextNumber(FirstNumber) {}
 
   /// Sets the servers whose tokens this entry grants, and the rates at which it
-  /// does so in tokens per second. A new server starts without tokens.
-  void setRates(const std::map<std::string, double> &Rates, base::Millis Now);
+  /// does so. A new server starts without tokens.
+  void setRates(const std::map<std::string, TokenRate> &Rates,
+                base::Millis Now);
+
+  /// Discards the buckets with a maximum number of tokens.
+  void discardBounded();
 
   /// Returns whether this entry grants the tokens of \p Server.
   [[nodiscard]] bool isAssigned(const std::string &Server) const {
@@ -69,6 +85,9 @@
   void returned(const std::string &Server, std::uint64_t Number,
                 base::Millis Now);
 
+  /// Records that a token was used, so that it is no longer held.
+  void used(const std::string &Server, std::uint64_t Number, base::Millis Now);
+
   /// One granted token.
   struct Grant {
     std::string m_Server;
@@ -91,6 +110,7 @@
   };
   struct Bucket {
     double m_PerSecond = 0;
+    std::optional<double> m_MaxTokens;
     double m_Tokens = 0;
     base::Millis m_RefilledAt{};
     std::deque<Waiting> m_Waiting;
--- a/Source/Direct/RateTokens.h
+++ b/Source/Direct/RateTokens.h
@@ -3,6 +3,7 @@
 
 #include "Direct/RateTokenGranter.h"
 #include "Direct/ServerRateLimits.h"
+#include "Direct/WarmUpLimits.h"
 
 #include <optional>
 
@@ -13,7 +14,8 @@
   enum class Kind {
     Request, ///< Asks for a token; carries the limit that the sender knows.
     Grant,
-    Return ///< Returns a token that was not used.
+    Return, ///< Returns a token that was not used.
+    Used    ///< Reports that a token of a cold server was used.
   };
   Kind m_Kind = Kind::Request;
   RateLimitStatement m_Limit;
@@ -46,6 +48,10 @@
       : m_Limits(Limits), m_Settings(Settings),
         m_Granter(Settings, FirstNumber) {}
 
+  /// Applies the limits of cold servers, too.
+  /// \param WarmUp has to outlive this object.
+  void useWarmUp(const WarmUpLimits &WarmUp) { m_WarmUp = &WarmUp; }
+
   void onSend(SendHook Send) { m_Send = std::move(Send); }
   /// Sets the function that is called when a token has been received. It must
   /// not use a token before it returns.
@@ -60,9 +66,16 @@
   void setEntries(const std::string &Self, std::vector<std::string> Live,
                   base::Millis Now);
 
+  /// Returns the limit of \p Server in requests per second: the lower one of
+  /// that which it names and that of a cold server; nothing if it has none.
+  [[nodiscard]] std::optional<double> limit(const std::string &Server) const;
+
   /// Returns whether a request may be sent to \p Server: it has no limit, or
   /// this entry has a token.
   [[nodiscard]] bool permits(const std::string &Server) const;
+  /// The same at the time \p Now. The token of a cold server that has expired
+  /// while this process did not run does not permit a request.
+  [[nodiscard]] bool permits(const std::string &Server, base::Millis Now) const;
 
   /// Uses the token of \p Server, if it has a limit. Requests the next one if
   /// this entry needs them often.
@@ -117,6 +130,20 @@
     std::uint64_t m_LastNumber = 0;
   };
 
+  [[nodiscard]] std::optional<double>
+  coldLimit(const std::string &Server) const;
+  /// Returns the limit of a server as a statement; nothing if it has no limit.
+  /// That of a server that is only cold names no limit.
+  [[nodiscard]] std::optional<RateLimitStatement>
+  statement(const std::string &Server, base::Millis Now) const;
+  /// Adds the rates of the cold servers whose tokens this entry grants.
+  void addColdRates(std::map<std::string, TokenRate> &Rates,
+                    base::Millis Now) const;
+  /// Updates the part of the limits of cold servers that this entry grants.
+  void updateColdPart(base::Millis Now);
+  /// Starts as a new granter of cold servers if this process has not run for so
+  /// long that others may have replaced it.
+  void checkFreeze(base::Millis Now);
   void receiveGrant(const std::string &From, const RateTokenMessage &Message,
                     base::Millis Now);
   void returnToken(const std::string &Server, std::uint64_t Number,
@@ -128,6 +155,8 @@
   void updateRates(base::Millis Now);
 
   ServerRateLimits &m_Limits;
+  /// Null if cold servers have no limits.
+  const WarmUpLimits *m_WarmUp = nullptr;
   const RateTokenSettings m_Settings;
   RateTokenGranter m_Granter;
   SendHook m_Send;
@@ -139,6 +168,12 @@
   /// Largest number of live entries within the retention.
   std::size_t m_MaxEntries = 1;
   base::Millis m_MaxEntriesAt{};
+  /// When the live entries changed last.
+  base::Millis m_LiveChangedAt{};
+  /// The live entries' part of the limits of cold servers. It falls at once and
+  /// rises once the live entries have not changed for some time.
+  double m_ColdPart = 1;
+  std::optional<base::Millis> m_UpdatedAt;
   std::map<std::string, ServerTokens> m_Servers;
   Counts m_Counts;
 };
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -28,11 +28,13 @@
 ServerPool::ServerPool(std::string Zone, ServerPoolSettings Settings,
                        std::uint64_t FirstTokenNumber)
     : m_Zone(std::move(Zone)), m_Settings(Settings),
-      m_Notices(Settings.m_Notices),
-      m_RateTokens(m_RateLimits, Settings.m_RateTokens, FirstTokenNumber) {}
+      m_Notices(Settings.m_Notices), m_WarmUp(Settings.m_WarmUp),
+      m_RateTokens(m_RateLimits, Settings.m_RateTokens, FirstTokenNumber) {
+  m_RateTokens.useWarmUp(m_WarmUp);
+}
 
 void ServerPool::replaceServers(const std::vector<BackendServer> &Servers,
-                                base::Millis Now) {
+                                base::Millis Now, std::uint64_t WallTime) {
   std::map<std::string, ServerState, std::less<>> Next;
   for (const BackendServer &Each : Servers) {
     ServerState &Added = Next[Each.m_Id];
@@ -49,13 +51,20 @@
   m_ByService.clear();
   std::map<std::string, std::uint64_t> StartTimes;
   std::map<std::string, ServerRateLimits::Instance> Instances;
+  std::map<std::string, WarmUpLimits::Listed> Listed;
   for (auto &[Id, Each] : m_States) {
     m_ByService[Each.m_Server.m_Service].push_back(&Each);
     StartTimes[Id] = Each.m_Server.m_StartTime;
     Instances[Id] = {Each.m_Server.m_Address, Each.m_Server.m_StartTime};
+    const BackendServer &Server = Each.m_Server;
+    Listed[Id] = {Server.m_Service,   Server.m_Zone, Server.m_Address,
+                  Server.m_StartTime, std::nullopt,  Server.m_WarmUpRecord};
+    if (Server.m_NamesWarmUp)
+      Listed[Id].m_Remaining = Server.m_WarmUpRemaining;
   }
   m_Notices.replaceServers(std::move(StartTimes), Now);
   m_RateLimits.replaceServers(std::move(Instances), Now);
+  m_WarmUp.replaceServers(Listed, Now, WallTime);
 }
 
 const std::vector<ServerPool::ServerState *> &
@@ -78,31 +87,13 @@
   if (Candidate.m_Server.m_Draining || !m_Notices.permits(Id, Now) ||
       m_EvacuatedZones.contains(Candidate.m_Server.m_Zone))
     return ServerAvailability::Unavailable;
-  const bool HasToken = m_RateTokens.permits(Id);
+  const bool HasToken = m_RateTokens.permits(Id, Now);
   if (Candidate.m_Health.m_BackoffUntil > Now)
     return HasToken ? ServerAvailability::InBackoff
                     : ServerAvailability::Unavailable;
   return HasToken ? ServerAvailability::Available : ServerAvailability::NoToken;
 }
 
-std::vector<EvacuatedZones::Change>
-ServerPool::evacuate(const std::set<std::string> &Zones, base::Millis Now) {
-  return m_EvacuatedZones.replace(Zones, Now);
-}
-
-bool ServerPool::isEvacuated(const std::string &Id) const {
-  const auto Found = m_States.find(Id);
-  return Found != m_States.end() &&
-         m_EvacuatedZones.contains(Found->second.m_Server.m_Zone);
-}
-
-std::size_t ServerPool::serversInZone(const std::string &Zone) const {
-  return static_cast<std::size_t>(std::count_if(
-      m_States.begin(), m_States.end(), [&Zone](const auto &Each) {
-        return Each.second.m_Server.m_Zone == Zone;
-      }));
-}
-
 bool ServerPool::isStopping(const std::string &Id) const {
   const auto Found = m_States.find(Id);
   return (Found != m_States.end() && Found->second.m_Server.m_Draining) ||
@@ -153,7 +144,7 @@
                         })
            ->m_Server;
   // No other entry can use this entry's token.
-  if (m_RateLimits.limit(Best.m_Server.m_Id))
+  if (m_RateTokens.limit(Best.m_Server.m_Id))
     return &Best.m_Server;
   return &draw(std::move(Permitted), unreportedRequests(Service, Now), Rng)
               .m_Server;
@@ -253,7 +244,7 @@
     Score += WarmUpPenalty;
   if (Server.m_Zone != m_Zone)
     Score += m_Settings.m_OtherZonePenalty;
-  if (m_RateLimits.limit(Server.m_Id))
+  if (m_RateTokens.limit(Server.m_Id))
     Score -= TokenPreference;
   return {&Rated, Score, PerRequest};
 }
@@ -429,13 +420,14 @@
     case ServerAvailability::NoToken:
       break;
     }
-    const auto Limit = m_RateLimits.limit(Id);
+    const auto Limit = m_RateTokens.limit(Id);
     if (!Limit) {
       ++Usage.m_Servers;
       Usage.m_Capacity += IsOnTrial ? 1 : Server.m_Capacity;
       continue;
     }
     ++Usage.m_LimitedServers;
+    Usage.m_ColdServers += m_WarmUp.limit(Id) ? 1 : 0;
     Usage.m_LimitPerSecond += *Limit;
     const bool HasPlace = InFlight < Server.m_Capacity;
     Usage.m_LimitedCapacity +=
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -32,6 +32,11 @@
   bool m_Draining = false;
   /// Remaining warm-up time when the record was read.
   base::Millis m_WarmUpRemaining{};
+  /// Whether the record names a remaining warm-up time.
+  bool m_NamesWarmUp = false;
+  /// Number of a record that names a time left, so that one that names the same
+  /// time again differs; otherwise 0.
+  std::uint64_t m_WarmUpRecord = 0;
   /// Wall-clock time of its start in milliseconds; 0 if unknown.
   std::uint64_t m_StartTime = 0;
   /// Version of its software; 0 if unknown.
@@ -106,6 +111,7 @@
   base::Millis m_InitialBackoff = base::Millis(500);
   base::Millis m_MaxBackoff = base::seconds(4);
   RateTokenSettings m_RateTokens;
+  WarmUpBounds m_WarmUp;
   ServerNoticeSettings m_Notices;
 };
 
@@ -140,8 +146,10 @@
 
   /// Replaces the list of servers. The health state of servers whose id and
   /// address are unchanged is kept.
+  /// \param WallTime wall-clock time in milliseconds, by which the age of the
+  /// servers is known; 0 if unknown.
   void replaceServers(const std::vector<BackendServer> &Servers,
-                      base::Millis Now);
+                      base::Millis Now, std::uint64_t WallTime = 0);
 
   /// Replaces the zones to whose servers nothing may be sent.
   /// \returns the evacuations that have ended or begun.
@@ -210,6 +218,8 @@
   /// Returns the notices in the servers' responses.
   [[nodiscard]] ServerNotices &notices() { return m_Notices; }
   [[nodiscard]] const ServerNotices &notices() const { return m_Notices; }
+  /// Returns the limits of the cold servers.
+  [[nodiscard]] WarmUpLimits &warmUp() { return m_WarmUp; }
   /// Returns the tokens of the servers with a rate limit.
   [[nodiscard]] RateTokens &rateTokens() { return m_RateTokens; }
   [[nodiscard]] const RateTokens &rateTokens() const { return m_RateTokens; }
@@ -225,12 +235,15 @@
     unsigned m_Servers = 0;
     unsigned m_Capacity = 0;
     unsigned m_InFlight = 0;
-    /// Servers with a rate limit that neither drain nor are in backoff.
+    /// Servers with a rate limit, named or as a cold server, that neither drain
+    /// nor are in backoff.
     unsigned m_LimitedServers = 0;
     /// Requests in flight at these, and those that this entry's tokens permit.
     unsigned m_LimitedCapacity = 0;
     /// Sum of their limits, in requests per second.
     double m_LimitPerSecond = 0;
+    /// Cold servers with a limit among them.
+    unsigned m_ColdServers = 0;
     /// Servers in backoff.
     unsigned m_ServersInBackoff = 0;
     /// Servers that leave, are in a pause or were just on trial.
@@ -353,6 +366,7 @@
   EvacuatedZones m_EvacuatedZones;
   ServerNotices m_Notices;
   ServerRateLimits m_RateLimits;
+  WarmUpLimits m_WarmUp;
   RateTokens m_RateTokens;
 };
 
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -76,6 +76,12 @@
   return Options;
 }
 
+direct::ServerPoolSettings poolSettings(const GatewaySettings &Settings) {
+  direct::ServerPoolSettings Pool;
+  Pool.m_WarmUp = Settings.m_WarmUp;
+  return Pool;
+}
+
 /// Returns the first number of the tokens of a process. A later process has
 /// higher numbers, unless an earlier one granted a token every microsecond.
 std::uint64_t firstTokenNumber(std::uint64_t Incarnation) {
@@ -115,7 +121,7 @@
             std::hash<std::string>()(m_Settings.m_Fleet.m_Node)),
       m_PeerClient(Context, peerClientOptions()),
       m_ServerClient(Context, serverClientOptions(m_Settings)),
-      m_Pool(m_Settings.m_Fleet.m_Zone, {},
+      m_Pool(m_Settings.m_Fleet.m_Zone, poolSettings(m_Settings),
              firstTokenNumber(m_Settings.m_Fleet.m_Incarnation)),
       m_RetryBudget(m_Settings.m_RetryBudget),
       m_ServerEnds(m_Clock,
@@ -182,7 +188,7 @@
       m_RateLimits(Context, m_Pool, m_Fleet, Events, Metrics,
                    [this] { m_Forwarder.processQueues(); }),
       m_ServerNotices(m_Pool, Events, Metrics),
-      m_Evacuations(m_Pool, Events, Metrics),
+      m_Evacuations(m_Pool, Events, Metrics), m_WarmUp(m_Pool, Events, Metrics),
       m_QuarantineExchange(
           Context, m_Quarantine, m_Fleet, Events, Metrics, m_Rng,
           [this](const std::string &Service, std::uint64_t Part) {
@@ -243,6 +249,7 @@
   m_Servers.updateReaderRole(Self, Live);
   m_RetryBudget.setEntryCount(Live.size() + 1);
   m_Fleet.setReady(ready());
+  m_WarmUp.update();
   m_RateLimits.update();
   m_ServerNotices.update();
   if (m_Stopping)
@@ -329,6 +336,7 @@
   ServerOptions.m_HeadTimeout = Decoded.m_Limits.m_HeadTimeout;
   ServerOptions.m_IdleTimeout = Decoded.m_Limits.m_IdleTimeout;
   m_CallerServer->setOptions(ServerOptions);
+  m_Pool.warmUp().setRules(Decoded.warmUpRules(), m_Clock.now());
   m_Forwarder.setRoutes(
       std::make_shared<const direct::RouteTable>(std::move(Decoded)));
   m_Metrics
@@ -384,7 +392,8 @@
        {"offset", std::to_string(m_Servers.state().contentPosition().m_Offset)},
        {"log_age_ms", std::to_string(m_Servers.staleness().count())}});
   recordUnreadable(std::move(Unreadable));
-  m_Pool.replaceServers(Servers, m_Clock.now());
+  m_Pool.replaceServers(Servers, m_Clock.now(),
+                        static_cast<std::uint64_t>(base::wallTime().count()));
   updateVersions(Servers);
   m_ServerByHash.clear();
   for (const direct::BackendServer &Each : Servers)
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -7,6 +7,7 @@
 #include "Gateway/RateLimitExchange.h"
 #include "Gateway/ServerNoticeExchange.h"
 #include "Gateway/SharedFeed.h"
+#include "Gateway/WarmUpReport.h"
 #include "Gateway/ZoneEvacuations.h"
 #include "Membership/AddressSelector.h"
 #include "Net/HttpServer.h"
@@ -27,6 +28,7 @@
   std::string m_ConfigurationTopic;
   std::string m_ServersTopic;
   direct::SharedRetryBudgetSettings m_RetryBudget;
+  direct::WarmUpBounds m_WarmUp;
   /// Maximum time that callers may cache addresses.
   base::Millis m_AddressLifetime = base::seconds(2);
   std::size_t m_MaxAddresses = 64;
@@ -153,6 +155,7 @@
   RateLimitExchange m_RateLimits;
   ServerNoticeExchange m_ServerNotices;
   ZoneEvacuations m_Evacuations;
+  WarmUpReport m_WarmUp;
   QuarantineExchange m_QuarantineExchange;
   membership::AddressSelector m_Advisor;
   std::unique_ptr<net::HttpServer> m_CallerServer;
--- a/Source/Gateway/RateLimitExchange.cpp
+++ b/Source/Gateway/RateLimitExchange.cpp
@@ -121,6 +121,9 @@
   case wire::RateToken::RETURN:
     Decoded.m_Kind = Kind::Return;
     break;
+  case wire::RateToken::USED:
+    Decoded.m_Kind = Kind::Used;
+    break;
   default:
     return;
   }
@@ -146,6 +149,9 @@
   case Kind::Return:
     Token.set_kind(wire::RateToken::RETURN);
     break;
+  case Kind::Used:
+    Token.set_kind(wire::RateToken::USED);
+    break;
   }
   Token.set_entry(m_Fleet.self().node());
   *Token.mutable_rate() = encode(Message.m_Limit);
--- a/Tests/Platform/DecoderTest.cpp
+++ b/Tests/Platform/DecoderTest.cpp
@@ -54,6 +54,41 @@
   EXPECT_EQ(Decoded.m_Errors.size(), 1U);
 }
 
+// Failure: a warm-up field that cannot be used prevented a version, or the use
+// of a server; a missing one was taken for a warm server.
+TEST(Decoders, DecodeWarmUp) {
+  const auto Rule = [](const std::string &Fields) {
+    const auto Read = decodeConfiguration(
+        R"({"version":1,"routes":[],"backends":[{"name":"s")" + Fields + "}]}");
+    EXPECT_TRUE(Read.has_value()) << Fields;
+    return std::pair(Read->m_Services.at(0).m_WarmUp, Read->m_Errors.size());
+  };
+  const auto [Bounded, None] = Rule(R"(,"warmup-s":12,"warmup-per-s":2.5)");
+  EXPECT_EQ(Bounded, (direct::WarmUpRule{base::seconds(12), 2.5}));
+  EXPECT_EQ(None, 0U);
+  for (const char *Unbounded :
+       {"", R"(,"warmup-s":12)", R"(,"warmup-s":12,"warmup-per-s":0)",
+        R"(,"warmup-s":0,"warmup-per-s":3)",
+        R"(,"warmup-s":12,"warmup-per-s":null)"}) {
+    const auto [Read, Errors] = Rule(Unbounded);
+    EXPECT_FALSE(Read.isBounded()) << Unbounded;
+    EXPECT_EQ(Errors, 0U) << Unbounded;
+  }
+  for (const char *Unreadable : {R"(,"warmup-s":12,"warmup-per-s":-1)",
+                                 R"(,"warmup-s":12,"warmup-per-s":"3")",
+                                 R"(,"warmup-s":[],"warmup-per-s":3)"}) {
+    const auto [Read, Errors] = Rule(Unreadable);
+    EXPECT_FALSE(Read.isBounded()) << Unreadable;
+    EXPECT_EQ(Errors, 1U) << Unreadable;
+  }
+  EXPECT_TRUE(decodeServer("i-1", Server)->m_NamesWarmUp);
+  EXPECT_EQ(decodeServer("i-1", Server)->m_WarmUpRecord, 4U);
+  const auto Without = decodeServer(
+      "i-1",
+      R"({"backend":"s","address":"10.0.0.9:80","lifecycle-state":"ready"})");
+  EXPECT_FALSE(Without->m_NamesWarmUp);
+}
+
 TEST(Decoders, DecodeAnEngineReport) {
   const auto Read = decodeState(Report);
   ASSERT_TRUE(Read.has_value());
@@ -128,6 +163,31 @@
     EXPECT_NE(Read.error().m_Message.find(Part), std::string::npos) << Part;
 }
 
+// Failure: a deployment that does not name the bounds of cold servers got
+// others than the defaults, or its settings were invalid.
+TEST(NodeSettings, BoundsOfColdServersAreOptional) {
+  const auto Read = [](const std::string &WarmUp) {
+    return readNodeSettings(settings::Reader::fromText(
+        "node: n\nzone: z\nip: 1.2.3.4\npeer_port: 1\nseeds: []\n"
+        "log: 1.2.3.4:5\nretries:\n  ratio: 1\n  window_s: 1\n  extra: 1\n"
+        "address_lifetime_s: 1\ngrace_period_s: 1\nmax_open_files: 100\n"
+        "link_mbps: 1\n" +
+            WarmUp,
+        "s.yaml"));
+  };
+  for (const char *Missing : {"", "warm_up:\n"}) {
+    const auto Default = Read(Missing);
+    ASSERT_TRUE(Default.has_value()) << Default.error().m_Message;
+    EXPECT_EQ(Default->m_WarmUp.m_Overshoot, 1.5);
+    EXPECT_EQ(Default->m_WarmUp.m_Tolerance, 5);
+  }
+  const auto Named = Read("warm_up:\n  overshoot: 2\n  tolerance: 3\n");
+  ASSERT_TRUE(Named.has_value());
+  EXPECT_EQ(Named->m_WarmUp.m_Overshoot, 2);
+  EXPECT_EQ(Named->m_WarmUp.m_Tolerance, 3);
+  EXPECT_FALSE(Read("warm_up:\n  overshoot: 0.5\n").has_value());
+}
+
 // Failure: a record from an older copy of the log counted as newer.
 TEST(Decoders, OrderTheRecordsOfOneWriter) {
   std::string Next = Config;
--- a/Tests/Platform/EntryFixture.cpp
+++ b/Tests/Platform/EntryFixture.cpp
@@ -119,6 +119,9 @@
   for (json &Each : Routes)
     Each["timeout-ms"] = m_RouteTimeout.count();
   json Service = {{"name", "svc"}, {"max-connections", 50}};
+  if (m_WarmUpPerSecond != 0)
+    Service.update(
+        {{"warmup-s", m_WarmUpSeconds}, {"warmup-per-s", m_WarmUpPerSecond}});
   if (m_HasEngines) {
     Service["engine"] = {{"capacity", 8},     {"step_ms", 1.0},
                          {"per_seq_ms", 0.1}, {"stride", 4},
--- a/Tests/Platform/EntryFixture.h
+++ b/Tests/Platform/EntryFixture.h
@@ -91,6 +91,9 @@
   bool m_IsPublishedAtStart = true;
   /// The availability zones that the servers register with.
   std::vector<std::string> m_ServerZones = {"a", "a", "a"};
+  /// Fields of the service's warm-up; none if the rate is zero.
+  double m_WarmUpSeconds = 60;
+  double m_WarmUpPerSecond = 0;
   /// The capacity that each server registers with.
   unsigned m_ServerCapacity = 8;
   /// Timeout of the routes, and the deadline that callers set.
--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -603,11 +603,13 @@
 
 std::string StandinServer::record(const std::string &State,
                                   int Sequence) const {
-  return nlohmann::json{{"backend", m_Service},     {"address", m_Address},
-                        {"zone", m_Zone},           {"capacity", m_Capacity},
-                        {"lifecycle-state", State}, {"sequence", Sequence},
-                        {"born", m_StartTime}}
-      .dump();
+  nlohmann::json Record = {{"backend", m_Service},     {"address", m_Address},
+                           {"zone", m_Zone},           {"capacity", m_Capacity},
+                           {"lifecycle-state", State}, {"sequence", Sequence},
+                           {"born", m_StartTime}};
+  if (m_WarmUpRemaining >= 0)
+    Record["warmup-remaining-ms"] = m_WarmUpRemaining;
+  return Record.dump();
 }
 
 int StandinServer::runs(const std::string &Request) const {
--- a/Tests/Platform/StandinServer.h
+++ b/Tests/Platform/StandinServer.h
@@ -120,6 +120,9 @@
   std::size_t m_BodyBytes = 0;
   /// The availability zone that the server registers with.
   std::string m_Zone = "a";
+  /// Remaining warm-up time that the record names, in milliseconds; none if
+  /// negative.
+  int m_WarmUpRemaining = -1;
   /// The capacity that the server registers with.
   unsigned m_Capacity = 8;
   /// Seconds in which the server wants no requests after a refusal; empty for
