Direct: choose the rank group before the rank

Cause: chooseServer compared the ranks of all groups by their own load. A request lengthens the passes of all ranks of its group, so an empty rank of a slow or full group got requests that a rank of a fast group could have run.

Change: in a divided service the group is drawn first: by its requests in flight relative to its limit and by its pass time relative to the target interval, so that slow groups get fewer requests and all groups reach their limits together; then one of its ranks as before. The draw that spreads entries with the same reports is now drawByLevel() and serves groups and ranks. A closed group is not chosen unless all are closed; a group whose ranks all fail is avoided. Other services draw the same servers from the same random numbers.

Ruled out: the sum of used limit and pass time as score.

Tests: GroupChoiceTest (9) of the load of one slow group, closed and failing groups, retries, and 30 entries with the same reports. DirectTest (138) passes, and so do GatewayTest, PlatformTest, PlatformRateLimitTest, PlatformServerNoticeTest and PlatformPlannerTest.

--- a/Source/Direct/ConcurrencyLimiter.cpp
+++ b/Source/Direct/ConcurrencyLimiter.cpp
@@ -99,6 +99,15 @@
   return std::clamp(Requests, m_Settings.m_MinUtilization * Capacity, Capacity);
 }
 
+double ConcurrencyLimiter::passMillis(const RankGroup &Group,
+                                      const EngineProfile &Engine,
+                                      double InFlight) const {
+  const Sum Known = sumOf(Group);
+  const double Ratio = Known.m_Count > 0 ? Known.m_Mean / Known.m_Count
+                                         : m_Settings.m_InitialRatio;
+  return Ratio * balancedPassMillis(Engine, InFlight);
+}
+
 void ConcurrencyLimiter::discardUnused(base::Millis Now) {
   std::map<std::string, base::Millis, std::less<>> LastOfService;
   for (const auto &[Group, UpdatedAt] : m_UpdatedAt)
--- a/Source/Direct/ConcurrencyLimiter.h
+++ b/Source/Direct/ConcurrencyLimiter.h
@@ -69,6 +69,12 @@
                              const EngineProfile &Engine,
                              base::Millis TargetInterval) const;
 
+  /// Returns the expected mean duration of a pass in milliseconds.
+  /// \param InFlight mean number of requests per engine of the group.
+  [[nodiscard]] double passMillis(const RankGroup &Group,
+                                  const EngineProfile &Engine,
+                                  double InFlight) const;
+
   /// Discards the estimates of this entry for groups whose streams it has not
   /// seen for some time, while it has seen those of another group of the
   /// service.
--- a/Source/Direct/GroupCapacity.cpp
+++ b/Source/Direct/GroupCapacity.cpp
@@ -4,6 +4,14 @@
 
 namespace corneldeck::direct {
 
+namespace {
+
+/// Upper bound of the relative pass time in a rating. Below 1, so that each
+/// request raises the score.
+constexpr double MaxPassTime = 0.9;
+
+} // namespace
+
 void GroupCapacity::applyLimit(ServerPool::ServiceUsage &Usage,
                                const RankGroup &Group,
                                const EngineProfile &Engine,
@@ -41,6 +49,38 @@
   return Total;
 }
 
+std::optional<LoadOption> GroupCapacity::rate(const RankGroup &Group,
+                                              const GroupLoad &Load,
+                                              const EngineProfile *Engine,
+                                              base::Millis TargetInterval,
+                                              base::Millis Now) const {
+  if (m_Availability.isGroupClosed(Group.m_Service, Group.m_Name, Now))
+    return std::nullopt;
+  const double Servers = std::max(1U, Load.m_Servers);
+  const double Limit =
+      Engine ? std::min<double>(
+                   Load.m_Capacity,
+                   Servers * m_Limiter.limit(Group, *Engine, TargetInterval))
+             : Load.m_Capacity;
+  LoadOption Rated;
+  Rated.m_ScorePerRequest = 1 / std::max(1.0, Limit);
+  Rated.m_Score = (Load.m_Requests + 1) * Rated.m_ScorePerRequest;
+  if (!Engine || TargetInterval <= base::Millis(0))
+    return Rated;
+  const auto Target = static_cast<double>(TargetInterval.count());
+  const auto Score = [&](double Requests) {
+    const double Used = Requests * Rated.m_ScorePerRequest;
+    const double PassTime = std::min(
+        MaxPassTime,
+        m_Limiter.passMillis(Group, *Engine, Requests / Servers) / Target);
+    return Used + PassTime * std::max(0.0, 1 - Used);
+  };
+  const double Before = Score(Load.m_Requests);
+  Rated.m_Score = Score(Load.m_Requests + 1);
+  Rated.m_ScorePerRequest = Rated.m_Score - Before;
+  return Rated;
+}
+
 std::vector<GroupCapacity::GroupState>
 GroupCapacity::states(const std::string &Service, const EngineProfile &Engine,
                       base::Millis TargetInterval, base::Millis Now) const {
--- a/Source/Direct/GroupCapacity.h
+++ b/Source/Direct/GroupCapacity.h
@@ -5,6 +5,7 @@
 #include "Direct/GroupAvailability.h"
 #include "Direct/ServerPool.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,17 @@
                                                base::Millis TargetInterval,
                                                base::Millis Now) const;
 
+  /// Rates a rank group for one more request. The score of an idle group is its
+  /// pass time relative to the target; it rises to 1 at the limit. So slow
+  /// groups get fewer requests, and all groups reach their limits together.
+  /// \param Engine null if the service has no engine.
+  /// \returns nothing if the group is closed.
+  [[nodiscard]] std::optional<LoadOption> rate(const RankGroup &Group,
+                                               const GroupLoad &Load,
+                                               const EngineProfile *Engine,
+                                               base::Millis TargetInterval,
+                                               base::Millis Now) const;
+
   /// Records the interval between two events of a stream from the server with
   /// the id \p Server.
   void recordInterval(const std::string &Service, const std::string &Server,
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -83,9 +83,15 @@
       "corneldeck_response_bytes_largest_server",
       "The part of corneldeck_response_bytes that one server holds.",
       [this] { return static_cast<double>(m_ResponseMemory.largestShare()); });
+  Objects.m_Pool.setGroupRating(
+      [this](const RankGroup &Group, const GroupLoad &Load) {
+        return rateGroup(Group, Load);
+      });
 }
 
-RequestForwarder::~RequestForwarder() = default;
+RequestForwarder::~RequestForwarder() {
+  m_Dependencies.m_Pool.setGroupRating(nullptr);
+}
 
 void RequestForwarder::setRoutes(std::shared_ptr<const RouteTable> Routes) {
   m_Routes = std::move(Routes);
@@ -324,6 +330,16 @@
                                m_Routes->targetEventInterval(Service), Now);
 }
 
+std::optional<LoadOption>
+RequestForwarder::rateGroup(const RankGroup &Group,
+                            const GroupLoad &Load) const {
+  const direct::Service *Found =
+      m_Routes->configuration().findService(Group.m_Service);
+  return m_GroupCapacity.rate(
+      Group, Load, Found && Found->m_Engine ? &*Found->m_Engine : nullptr,
+      m_Routes->targetEventInterval(Group.m_Service), m_Clock.now());
+}
+
 void RequestForwarder::recordEventInterval(const std::string &Service,
                                            const std::string &Server,
                                            base::Millis Interval) {
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -187,6 +187,9 @@
   /// is limited so that event intervals stay within their target.
   [[nodiscard]] ServerPool::ServiceUsage
   usage(const std::string &Service) const;
+  /// See ServerPool::RateGroup.
+  [[nodiscard]] std::optional<LoadOption>
+  rateGroup(const RankGroup &Group, const GroupLoad &Load) const;
   void recordEventInterval(const std::string &Service,
                            const std::string &Server, base::Millis Interval);
 
--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -128,6 +128,9 @@
     m_RateTokens.request(BestLimited.m_Server->m_Server.m_Id, Now);
   if (Permitted.empty())
     return FirstAvailable ? &FirstAvailable->m_Server : nullptr;
+  double Unreported = unreportedRequests(Service, Now);
+  if (m_Groups.isDivided(Service))
+    Unreported = keepBestGroup(Service, Permitted, Unreported, Rng);
   const ServerState &Best =
       *std::min_element(Permitted.begin(), Permitted.end(),
                         [](const Candidate &A, const Candidate &B) {
@@ -137,38 +140,12 @@
   // No other entry can use this entry's token.
   if (m_RateLimits.limit(Best.m_Server.m_Id))
     return &Best.m_Server;
-  return &draw(std::move(Permitted), unreportedRequests(Service, Now), Rng)
-              .m_Server;
-}
-
-const ServerPool::ServerState &
-ServerPool::draw(std::vector<Candidate> Candidates, double Unreported,
-                 base::Random &Rng) {
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const Candidate &A, const Candidate &B) {
-              return A.m_Score < B.m_Score;
-            });
-  // The score up to which the unreported requests raise the best servers.
-  double Level = 0;
-  double RequestsPerScore = 0;
-  double BaseRequests = 0;
-  std::size_t Count = 0;
-  for (const Candidate &Each : Candidates) {
-    if (Count > 0 && Each.m_Score >= Level)
-      break;
-    RequestsPerScore += 1 / Each.m_ScorePerRequest;
-    BaseRequests += Each.m_Score / Each.m_ScorePerRequest;
-    Level = (Unreported + BaseRequests) / RequestsPerScore;
-    ++Count;
-  }
-  double Drawn = Unreported * Rng.uniform();
-  for (std::size_t Index = 0; Index + 1 < Count; ++Index) {
-    const Candidate &Each = Candidates[Index];
-    Drawn -= (Level - Each.m_Score) / Each.m_ScorePerRequest;
-    if (Drawn <= 0)
-      return *Each.m_Server;
-  }
-  return *Candidates[Count - 1].m_Server;
+  std::vector<LoadOption> Options;
+  Options.reserve(Permitted.size());
+  for (const Candidate &Each : Permitted)
+    Options.push_back({Each.m_Score, Each.m_ScorePerRequest});
+  const std::size_t Drawn = drawByLevel(Options, Unreported, Rng).m_Index;
+  return &Permitted[Drawn].m_Server->m_Server;
 }
 
 void ServerPool::recordArrival(const std::string &Service, base::Millis Now) {
@@ -227,17 +204,17 @@
     PerRequest *=
         std::clamp(Latency / MeanLatency, m_Settings.m_MinLatencyRatio,
                    m_Settings.m_MaxLatencyRatio);
-  double Score =
+  const double Score =
       PerRequest * (Load.m_Requests +
                     Load.m_PromptTokens / m_Settings.m_TokensPerRequest + 1);
-  Score += failureRate(State, Now) * m_Settings.m_FailurePenalty;
+  double Penalty = failureRate(State, Now) * m_Settings.m_FailurePenalty;
   if (State.m_WarmUpUntil > Now)
-    Score += WarmUpPenalty;
+    Penalty += WarmUpPenalty;
   if (Server.m_Zone != m_Zone)
-    Score += m_Settings.m_OtherZonePenalty;
+    Penalty += m_Settings.m_OtherZonePenalty;
   if (m_RateLimits.limit(Server.m_Id))
-    Score -= TokenPreference;
-  return {&Rated, Score, PerRequest};
+    Penalty -= TokenPreference;
+  return {&Rated, Score + Penalty, PerRequest, Penalty};
 }
 
 void ServerPool::attemptStarted(const std::string &Id, double PromptTokens,
@@ -422,24 +399,6 @@
   return Usage;
 }
 
-const std::string &ServerPool::groupOf(const ServerState &Member) const {
-  return m_Groups.groupOf(Member.m_Server.m_Service, Member.m_AddressHash);
-}
-
-const std::string *ServerPool::groupOf(const std::string &Id) const {
-  const auto Found = m_States.find(Id);
-  return Found == m_States.end() ? nullptr : &groupOf(Found->second);
-}
-
-std::set<std::string> ServerPool::groupsOf(std::string_view Service) const {
-  std::set<std::string> Groups;
-  if (!m_Groups.isDivided(Service))
-    return {std::string()};
-  for (const ServerState *Each : serversOf(Service))
-    Groups.insert(groupOf(*Each));
-  return Groups;
-}
-
 void ServerPool::addNotice(ServiceUsage &Usage, const std::string &Id,
                            base::Millis Now) const {
   ++Usage.m_ServersWithNotice;
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -3,6 +3,7 @@
 
 #include "Base/Random.h"
 #include "Direct/Configuration.h"
+#include "Direct/LevelDraw.h"
 #include "Direct/RankGroups.h"
 #include "Direct/RateTokens.h"
 #include "Direct/ServerNotices.h"
@@ -69,6 +70,16 @@
   Unavailable ///< It drains, leaves or is in a pause, or was just on trial.
 };
 
+/// Load of the servers of a rank group over all entries.
+struct GroupLoad {
+  /// Requests in flight at all servers; unprocessed prompt tokens count as
+  /// requests, too.
+  double m_Requests = 0;
+  /// Number and capacity of the servers that may be chosen.
+  unsigned m_Servers = 0;
+  unsigned m_Capacity = 0;
+};
+
 /// Settings of ServerPool.
 struct ServerPoolSettings {
   /// Smoothing factor of the failure rate. After two consecutive failures a
@@ -122,6 +133,10 @@
 /// server is drawn with a probability in proportion to its part. With recent
 /// reports or few requests this is the server with the lowest score.
 ///
+/// In a service that is divided into rank groups, the group is drawn first in
+/// the same way, and then one of its servers: a request lengthens the passes of
+/// all ranks of its group.
+///
 /// Unreachable and silent servers are not chosen during an exponential backoff.
 /// If all servers of a service are in backoff, the one whose backoff ends first
 /// is chosen, so that a service is never left without a server. A server with a
@@ -158,6 +173,15 @@
                                     const std::vector<std::string> &Excluded,
                                     base::Millis Now, base::Random &Rng);
 
+  /// Rates a rank group for the next request. The group with the lowest score
+  /// costs the requests that run there least.
+  /// \returns nothing if the group must not be used.
+  using RateGroup = std::function<std::optional<LoadOption>(
+      const RankGroup &Group, const GroupLoad &Load)>;
+  /// Sets the rating of rank groups. Without one, their requests in flight
+  /// relative to their capacity count.
+  void setGroupRating(RateGroup Rate) { m_RateGroup = std::move(Rate); }
+
   /// Requests a token of one of the servers of \p Service that have a rate
   /// limit and no token here, for a request that waits.
   void requestToken(std::string_view Service, base::Millis Now,
@@ -282,6 +306,8 @@
     double m_Score = 0;
     /// Increase of the score by one more request.
     double m_ScorePerRequest = 0;
+    /// The part of the score that does not depend on its load.
+    double m_Penalty = 0;
   };
   /// Decaying count of the attempts at a service.
   struct ArrivalCount {
@@ -321,10 +347,13 @@
   /// changed since the last reports of the other entries.
   [[nodiscard]] double unreportedRequests(std::string_view Service,
                                           base::Millis Now) const;
-  /// Draws one of \p Candidates.
+  /// Keeps the candidates of one rank group, drawn in proportion to what each
+  /// takes of the unreported requests.
   /// \param Unreported see unreportedRequests().
-  static const ServerState &draw(std::vector<Candidate> Candidates,
-                                 double Unreported, base::Random &Rng);
+  /// \returns the unreported requests of this group.
+  double keepBestGroup(std::string_view Service,
+                       std::vector<Candidate> &Candidates, double Unreported,
+                       base::Random &Rng) const;
 
   const std::string m_Zone;
   const ServerPoolSettings m_Settings;
@@ -347,6 +376,7 @@
   /// When the oldest report in m_Peers may reach its lifetime.
   base::Millis m_NextExpiry{};
   RankGroups m_Groups;
+  RateGroup m_RateGroup;
   ServerNotices m_Notices;
   ServerRateLimits m_RateLimits;
   RateTokens m_RateTokens;
