Direct: divide the capacity of a class fairly between customers

Within a class the order of arrival decided, so a customer with 50 times the requests of the others got its part of the arrivals under overload, and the others were refused as often as it was.

CustomerShares bounds the starts of a customer by a level, by max-min fairness over the recent arrivals, while the class cannot serve all of them. Queued requests start in the order of what their customers were served. Requests count, not tokens, so large ones are served as often as small ones.

--- a/Source/Direct/AdmissionQueue.cpp
+++ b/Source/Direct/AdmissionQueue.cpp
@@ -38,19 +38,42 @@
   return m_ClassShares.shares(Service, classUsage(Usage), Now);
 }
 
+AdmissionQueue::Division
+AdmissionQueue::divide(const std::string &Service,
+                       const ServerPool::ServiceUsage &Usage,
+                       base::Millis Now) {
+  return {shares(Service, Usage, Now), m_ClassShares.isShared(Service, Now)};
+}
+
+bool AdmissionQueue::mayStart(const Division &Divided, int Class,
+                              const ServerPool::ServiceUsage &Usage) const {
+  return Divided.m_IsShared ? ClassShares::mayStart(Divided.m_Classes, Class,
+                                                    classUsage(Usage))
+                            : hasCapacity(Usage);
+}
+
+CustomerShares::ClassView AdmissionQueue::customers(const std::string &Service,
+                                                    const Division &Divided,
+                                                    int Class,
+                                                    base::Millis Now) {
+  double ServedFraction = 1;
+  for (const ClassShares::Share &Each : Divided.m_Classes)
+    if (Each.m_Class == Class && Each.m_Allocated > 0 && Each.m_Need > 0)
+      ServedFraction = Each.m_Allocated / Each.m_Need;
+  return m_CustomerShares.view(Service, Class, ServedFraction, Now);
+}
+
 AdmissionQueue::Decision
 AdmissionQueue::admit(const std::string &Service, const Arrival &Request,
                       const ServerPool::ServiceUsage &Usage, base::Millis Now) {
-  ServiceQueue &Queue = m_Queues[Service];
-  updateRate(Queue, Now);
+  updateRate(m_Queues[Service], Now);
+  const std::size_t Customer = m_CustomerShares.number(Request.m_Customer);
   m_ClassShares.recordArrival(Service, Request.m_Priority, Now);
-  const ClassShares::Shares All = m_ClassShares.isShared(Service, Now)
-                                      ? shares(Service, Usage, Now)
-                                      : ClassShares::Shares();
-  const Decision Result = decide(Queue, Request, Usage, All, Now);
+  m_CustomerShares.recordArrival(Service, Request.m_Priority, Customer, Now);
+  const Decision Result = decide(Service, Request, Customer, Usage, Now);
   switch (Result) {
   case Decision::Admit:
-    recordStart(Service, Request.m_Token, Request.m_Priority, Now);
+    recordStart(Service, Request.m_Token, Request.m_Priority, Customer, Now);
     break;
   case Decision::Wait:
     m_ClassShares.recordWaiting(Service, Request.m_Priority, 1);
@@ -62,33 +85,48 @@
   return Result;
 }
 
-AdmissionQueue::Decision
-AdmissionQueue::decide(ServiceQueue &Queue, const Arrival &Request,
-                       const ServerPool::ServiceUsage &Usage,
-                       const ClassShares::Shares &All, base::Millis Now) {
-  const auto Ahead = static_cast<std::size_t>(
-      std::count_if(Queue.m_Waiting.begin(), Queue.m_Waiting.end(),
-                    [&Request](const Waiting &Each) {
-                      return Each.m_Priority <= Request.m_Priority;
-                    }));
-  const bool MayStart =
-      All.empty() ? Queue.m_Waiting.empty() && hasCapacity(Usage)
-                  : Ahead == 0 && ClassShares::mayStart(All, Request.m_Priority,
-                                                        classUsage(Usage));
-  if (MayStart)
+AdmissionQueue::Decision AdmissionQueue::decide(
+    const std::string &Service, const Arrival &Request, std::size_t Customer,
+    const ServerPool::ServiceUsage &Usage, base::Millis Now) {
+  ServiceQueue &Queue = m_Queues[Service];
+  const Division Divided = divide(Service, Usage, Now);
+  const CustomerShares::ClassView Customers =
+      customers(Service, Divided, Request.m_Priority, Now);
+  std::size_t Ahead = 0;
+  std::size_t StartableAhead = 0;
+  std::size_t OfCustomer = 0;
+  for (const Waiting &Each : Queue.m_Waiting) {
+    const bool IsSameClass = Each.m_Priority == Request.m_Priority;
+    const bool IsAhead = Each.m_Priority <= Request.m_Priority;
+    const bool IsHeldBack = IsSameClass && !Customers.mayStart(Each.m_Customer);
+    Ahead += IsAhead ? 1 : 0;
+    // With one class, none of the queued requests may be passed.
+    StartableAhead += (IsAhead || !Divided.m_IsShared) && !IsHeldBack ? 1 : 0;
+    OfCustomer += IsSameClass && Each.m_Customer == Customer ? 1 : 0;
+  }
+  if (StartableAhead == 0 && Customers.mayStart(Customer) &&
+      mayStart(Divided, Request.m_Priority, Usage))
     return Decision::Admit;
   const base::Millis TimeLeft =
       std::min(Request.m_TargetLatency, Request.m_Deadline - Now);
   double LongestWait =
       static_cast<double>(TimeLeft.count()) * m_Settings.m_MaxWaitRatio;
   std::optional<double> Expected;
-  if (const auto Wait = ClassShares::expectedWait(All, Request.m_Priority))
-    Expected = static_cast<double>(Wait->count());
+  const auto ClassWait =
+      Divided.m_IsShared
+          ? ClassShares::expectedWait(Divided.m_Classes, Request.m_Priority)
+          : std::nullopt;
+  if (ClassWait)
+    Expected = static_cast<double>(ClassWait->count());
   else if (Queue.m_Rate > 0)
     Expected = static_cast<double>(Ahead + 1) / Queue.m_Rate * MillisPerSecond;
-  const bool TooLong =
+  const bool ClassIsSlow =
       Expected ? *Expected > LongestWait : Ahead >= MaxWaitingWithoutRate;
-  if (TooLong) {
+  const bool CustomerIsSlow =
+      static_cast<double>(
+          Customers.expectedWait(Customer, OfCustomer).count()) > LongestWait;
+  if ((ClassIsSlow && !Customers.isPreferred(Customer, OfCustomer)) ||
+      CustomerIsSlow) {
     const bool MayGetToken =
         Usage.m_LimitedServers > 0 && Ahead < MaxWaitingWithoutRate;
     if (!MayGetToken)
@@ -102,16 +140,18 @@
                      return Each.m_Priority > Request.m_Priority;
                    });
   Queue.m_Waiting.insert(
-      Position, {Request.m_Token, Request.m_Priority,
-                 Now + base::Millis(static_cast<std::int64_t>(LongestWait))});
+      Position,
+      {Request.m_Token, Request.m_Priority,
+       Now + base::Millis(static_cast<std::int64_t>(LongestWait)), Customer});
   return Decision::Wait;
 }
 
 void AdmissionQueue::recordStart(const std::string &Service,
                                  std::uint64_t Token, int Priority,
-                                 base::Millis Now) {
+                                 std::size_t Customer, base::Millis Now) {
   m_Queues[Service].m_Running[Token] = {Priority, Now};
   m_ClassShares.recordStart(Service, Priority);
+  m_CustomerShares.recordStart(Service, Priority, Customer, Now);
 }
 
 void AdmissionQueue::recordEnd(const std::string &Service, std::uint64_t Token,
@@ -141,22 +181,34 @@
   ++Queue.m_Count;
 }
 
-std::size_t
-AdmissionQueue::firstStartable(const ServiceQueue &Queue,
-                               const ClassShares::Shares &All,
-                               const ServerPool::ServiceUsage &Usage) const {
-  std::optional<int> Blocked;
-  const auto Found = std::find_if(
-      Queue.m_Waiting.begin(), Queue.m_Waiting.end(), [&](const Waiting &Each) {
-        if (Each.m_Priority == Blocked)
-          return false;
-        if (All.empty() ||
-            ClassShares::mayStart(All, Each.m_Priority, classUsage(Usage)))
-          return true;
-        Blocked = Each.m_Priority;
-        return false;
-      });
-  return static_cast<std::size_t>(Found - Queue.m_Waiting.begin());
+std::size_t AdmissionQueue::nextToStart(const std::string &Service,
+                                        const ServiceQueue &Queue,
+                                        const ServerPool::ServiceUsage &Usage,
+                                        base::Millis Now) {
+  const Division Divided = divide(Service, Usage, Now);
+  const std::size_t None = Queue.m_Waiting.size();
+  std::size_t Begin = 0;
+  while (Begin < None) {
+    const int Class = Queue.m_Waiting[Begin].m_Priority;
+    const bool ClassMayStart = mayStart(Divided, Class, Usage);
+    const CustomerShares::ClassView Customers =
+        customers(Service, Divided, Class, Now);
+    std::size_t Best = None;
+    std::size_t Index = Begin;
+    for (; Index < None && Queue.m_Waiting[Index].m_Priority == Class;
+         ++Index) {
+      const std::size_t Customer = Queue.m_Waiting[Index].m_Customer;
+      if (!ClassMayStart || !Customers.mayStart(Customer))
+        continue;
+      if (Best == None ||
+          Customers.precedes(Customer, Queue.m_Waiting[Best].m_Customer))
+        Best = Index;
+    }
+    if (Best != None)
+      return Best;
+    Begin = Index;
+  }
+  return None;
 }
 
 AdmissionQueue::Dequeued AdmissionQueue::dequeue(const std::string &Service,
@@ -164,11 +216,8 @@
                                                  base::Millis Now) {
   Dequeued Result;
   ServiceQueue &Queue = m_Queues[Service];
-  const bool IsShared = m_ClassShares.isShared(Service, Now);
   while (!Queue.m_Waiting.empty() && hasCapacity(Usage)) {
-    const std::size_t Index = firstStartable(
-        Queue, IsShared ? shares(Service, Usage, Now) : ClassShares::Shares(),
-        Usage);
+    const std::size_t Index = nextToStart(Service, Queue, Usage, Now);
     if (Index == Queue.m_Waiting.size())
       break;
     const Waiting Admitted = Queue.m_Waiting[Index];
@@ -176,7 +225,8 @@
     Queue.m_Waiting.erase(Queue.m_Waiting.begin() +
                           static_cast<std::ptrdiff_t>(Index));
     m_ClassShares.recordWaiting(Service, Admitted.m_Priority, -1);
-    recordStart(Service, Admitted.m_Token, Admitted.m_Priority, Now);
+    recordStart(Service, Admitted.m_Token, Admitted.m_Priority,
+                Admitted.m_Customer, Now);
     ++Usage.m_InFlight;
   }
   std::erase_if(Queue.m_Waiting, [&](const Waiting &Each) {
--- a/Source/Direct/AdmissionQueue.h
+++ b/Source/Direct/AdmissionQueue.h
@@ -3,6 +3,7 @@
 
 #include "Base/Error.h"
 #include "Direct/ClassShares.h"
+#include "Direct/CustomerShares.h"
 #include "Direct/ServerPool.h"
 
 #include <cstdint>
@@ -42,7 +43,8 @@
 /// over all entries. Urgent requests are dequeued first; requests of the same
 /// priority are dequeued in the order of arrival, so large requests are not
 /// starved. If a service has requests of several priorities, ClassShares
-/// decides which of these classes may take a free slot. Retry-after times are
+/// decides which of these classes may take a free slot; under overload,
+/// CustomerShares decides which customers of a class. Retry-after times are
 /// randomized, so that refused callers do not all return at the same time.
 class AdmissionQueue {
 public:
@@ -56,6 +58,8 @@
     /// The target latency of the route.
     base::Millis m_TargetLatency{};
     base::Millis m_Deadline{};
+    /// Empty if unknown.
+    std::string m_Customer = {};
   };
 
   /// A queued request.
@@ -64,6 +68,8 @@
     int m_Priority = 0;
     /// When the request is refused if it has not been admitted.
     base::Millis m_Deadline{};
+    /// See CustomerShares::number().
+    std::size_t m_Customer = 0;
   };
 
   enum class Decision { Admit, Wait, Refuse };
@@ -145,24 +151,40 @@
   [[nodiscard]] bool hasCapacity(const ServerPool::ServiceUsage &Usage) const;
   [[nodiscard]] ClassShares::Usage
   classUsage(const ServerPool::ServiceUsage &Usage) const;
+  /// The division of the capacity of a service between its classes.
+  struct Division {
+    ClassShares::Shares m_Classes;
+    /// Whether the service has requests of several classes.
+    bool m_IsShared = false;
+  };
+  Division divide(const std::string &Service,
+                  const ServerPool::ServiceUsage &Usage, base::Millis Now);
+  /// Returns whether the classes leave room for a request of \p Class.
+  [[nodiscard]] bool mayStart(const Division &Divided, int Class,
+                              const ServerPool::ServiceUsage &Usage) const;
+  /// Returns the customers of a class.
+  CustomerShares::ClassView customers(const std::string &Service,
+                                      const Division &Divided, int Class,
+                                      base::Millis Now);
   /// Decides on a request and queues it if it has to wait.
-  /// \param All the classes of the service; empty if it has only one.
-  Decision decide(ServiceQueue &Queue, const Arrival &Request,
-                  const ServerPool::ServiceUsage &Usage,
-                  const ClassShares::Shares &All, base::Millis Now);
-  /// Returns the index of the first queued request that may start, or the
-  /// number of queued requests.
-  [[nodiscard]] std::size_t
-  firstStartable(const ServiceQueue &Queue, const ClassShares::Shares &All,
-                 const ServerPool::ServiceUsage &Usage) const;
+  Decision decide(const std::string &Service, const Arrival &Request,
+                  std::size_t Customer, const ServerPool::ServiceUsage &Usage,
+                  base::Millis Now);
+  /// Returns the index of the queued request that starts next, or the number of
+  /// queued requests if none may start.
+  [[nodiscard]] std::size_t nextToStart(const std::string &Service,
+                                        const ServiceQueue &Queue,
+                                        const ServerPool::ServiceUsage &Usage,
+                                        base::Millis Now);
   void recordStart(const std::string &Service, std::uint64_t Token,
-                   int Priority, base::Millis Now);
+                   int Priority, std::size_t Customer, base::Millis Now);
   /// Adds a sample to the moving average once the sample interval is over.
   void updateRate(ServiceQueue &Queue, base::Millis Now) const;
 
   const AdmissionQueueSettings m_Settings;
   std::map<std::string, ServiceQueue> m_Queues;
   ClassShares m_ClassShares;
+  CustomerShares m_CustomerShares;
 };
 
 } // namespace corneldeck::direct
--- a/Source/Direct/ClassShares.cpp
+++ b/Source/Direct/ClassShares.cpp
@@ -11,24 +11,31 @@
 constexpr double MillisPerSecond = 1000;
 constexpr std::int64_t BucketMillis = 100;
 
-/// Adds \p Added to \p Sum. The time that a slot is held is averaged over the
-/// arrivals.
-void add(ClassCounts &Sum, const ClassCounts &Added) {
-  const double Before = Sum.m_HoldTime == base::Millis(0) ? 0 : Sum.m_Arrivals;
-  const double Weight =
-      Added.m_HoldTime == base::Millis(0) ? 0 : std::max(Added.m_Arrivals, 1U);
-  if (Before + Weight > 0)
-    Sum.m_HoldTime = base::Millis(
-        std::llround((static_cast<double>(Sum.m_HoldTime.count()) * Before +
-                      static_cast<double>(Added.m_HoldTime.count()) * Weight) /
-                     (Before + Weight)));
-  Sum.m_InFlight += Added.m_InFlight;
-  Sum.m_Arrivals += Added.m_Arrivals;
-  Sum.m_Refused += Added.m_Refused;
-  Sum.m_Waiting += Added.m_Waiting;
+} // namespace
+
+void ClassShares::Sum::add(const ClassCounts &Added, int Sign) {
+  m_Reports += static_cast<unsigned>(Sign);
+  m_InFlight += Sign * static_cast<std::int64_t>(Added.m_InFlight);
+  m_Arrivals += Sign * static_cast<std::int64_t>(Added.m_Arrivals);
+  m_Refused += Sign * static_cast<std::int64_t>(Added.m_Refused);
+  m_Waiting += Sign * static_cast<std::int64_t>(Added.m_Waiting);
+  if (Added.m_HoldTime <= base::Millis(0))
+    return;
+  const std::int64_t Weight = std::max(Added.m_Arrivals, 1U);
+  m_HoldTimes += Sign * Weight * Added.m_HoldTime.count();
+  m_HoldWeights += Sign * Weight;
 }
 
-} // namespace
+ClassCounts ClassShares::Sum::counts() const {
+  ClassCounts Result;
+  Result.m_InFlight = static_cast<unsigned>(m_InFlight);
+  Result.m_Arrivals = static_cast<unsigned>(m_Arrivals);
+  Result.m_Refused = static_cast<unsigned>(m_Refused);
+  Result.m_Waiting = static_cast<unsigned>(m_Waiting);
+  if (m_HoldWeights > 0)
+    Result.m_HoldTime = base::Millis(m_HoldTimes / m_HoldWeights);
+  return Result;
+}
 
 void ClassShares::Window::advance(base::Millis Now) {
   const std::int64_t Bucket = Now.count() / BucketMillis;
@@ -104,51 +111,59 @@
 
 void ClassShares::setPeerReport(const std::string &Peer, ClassReport Report,
                                 base::Millis ReportedAt, unsigned Entries) {
-  m_Peers[Peer] = {std::move(Report), ReportedAt, Entries};
-  m_SumsChanged = true;
+  removePeer(Peer);
+  PeerReport &Added = m_Peers[Peer];
+  Added = {std::move(Report), ReportedAt, Entries};
+  countReport(Added, 1);
 }
 
 void ClassShares::removePeer(const std::string &Peer) {
-  if (m_Peers.erase(Peer) > 0)
-    m_SumsChanged = true;
+  const auto Found = m_Peers.find(Peer);
+  if (Found == m_Peers.end())
+    return;
+  countReport(Found->second, -1);
+  m_Peers.erase(Found);
 }
 
 void ClassShares::keepOnlyPeer(const std::string &Peer) {
-  if (std::erase_if(m_Peers, [&Peer](const auto &Each) {
-        return Each.first != Peer;
-      }) > 0)
-    m_SumsChanged = true;
+  std::erase_if(m_Peers, [&](const auto &Each) {
+    if (Each.first == Peer)
+      return false;
+    countReport(Each.second, -1);
+    return true;
+  });
 }
 
-void ClassShares::dropExpired(base::Millis Now) {
-  if (Now >= m_NextExpiry) {
-    const base::Millis Oldest = Now - m_Settings.m_ReportLifetime;
-    m_NextExpiry = Now + m_Settings.m_ReportLifetime / 10;
-    if (std::erase_if(m_Peers, [Oldest](const auto &Each) {
-          return Each.second.m_ReportedAt < Oldest;
-        }) > 0)
-      m_SumsChanged = true;
-    for (auto &[Service, Classes] : m_Local)
-      std::erase_if(Classes, [&](const auto &Each) {
-        const LocalClass &Counted = Each.second;
-        return Counted.m_InFlight == 0 && Counted.m_Waiting == 0 &&
-               Now - Counted.m_LastArrival > m_Settings.m_ClassLifetime;
-      });
+void ClassShares::countReport(const PeerReport &Report, int Sign) {
+  m_ReportingEntries += static_cast<unsigned>(Sign) * Report.m_Entries;
+  for (const auto &[Service, Classes] : Report.m_Report) {
+    std::map<int, Sum> &Sums = m_PeerSums[Service];
+    for (const auto &[Class, Counted] : Classes) {
+      Sum &Changed = Sums[Class];
+      Changed.add(Counted, Sign);
+      if (Changed.m_Reports == 0)
+        Sums.erase(Class);
+    }
   }
-  if (m_SumsChanged)
-    updateSums();
 }
 
-void ClassShares::updateSums() {
-  m_SumsChanged = false;
-  m_PeerSums.clear();
-  m_ReportingEntries = 0;
-  for (const auto &[Peer, Each] : m_Peers) {
-    m_ReportingEntries += Each.m_Entries;
-    for (const auto &[Service, Classes] : Each.m_Report)
-      for (const auto &[Class, Counted] : Classes)
-        add(m_PeerSums[Service][Class], Counted);
-  }
+void ClassShares::dropExpired(base::Millis Now) {
+  if (Now < m_NextExpiry)
+    return;
+  const base::Millis Oldest = Now - m_Settings.m_ReportLifetime;
+  m_NextExpiry = Now + m_Settings.m_ReportLifetime / 10;
+  std::erase_if(m_Peers, [&](const auto &Each) {
+    if (Each.second.m_ReportedAt >= Oldest)
+      return false;
+    countReport(Each.second, -1);
+    return true;
+  });
+  for (auto &[Service, Classes] : m_Local)
+    std::erase_if(Classes, [&](const auto &Each) {
+      const LocalClass &Counted = Each.second;
+      return Counted.m_InFlight == 0 && Counted.m_Waiting == 0 &&
+             Now - Counted.m_LastArrival > m_Settings.m_ClassLifetime;
+    });
 }
 
 ClassCounts ClassShares::counts(LocalClass &Counted, base::Millis Now) const {
@@ -165,15 +180,14 @@
   dropExpired(Now);
   ClassReport Report;
   for (auto &[Service, Classes] : m_Local) {
-    ServiceClasses Merged;
+    std::map<int, Sum> Merged;
     for (auto &[Class, Counted] : Classes) {
-      const bool IsFull =
-          Merged.size() == MaxClasses && !Merged.contains(Class);
-      add(IsFull ? std::prev(Merged.end())->second : Merged[Class],
-          counts(Counted, Now));
+      const bool IsFull = Merged.size() == MaxClasses;
+      Sum &Target = IsFull ? std::prev(Merged.end())->second : Merged[Class];
+      Target.add(counts(Counted, Now));
     }
-    if (!Merged.empty())
-      Report[Service] = std::move(Merged);
+    for (const auto &[Class, Each] : Merged)
+      Report[Service][Class] = Each.counts();
   }
   return Report;
 }
@@ -195,25 +209,26 @@
 ClassShares::Shares ClassShares::shares(const std::string &Service, Usage Given,
                                         base::Millis Now) {
   dropExpired(Now);
-  ServiceClasses Sums;
+  std::map<int, Sum> Sums;
   if (const auto Found = m_PeerSums.find(Service); Found != m_PeerSums.end())
     Sums = Found->second;
   if (const auto Found = m_Local.find(Service); Found != m_Local.end())
     for (auto &[Class, Counted] : Found->second)
-      add(Sums[Class], counts(Counted, Now));
+      Sums[Class].add(counts(Counted, Now));
   // Entries that send no reports are assumed to have the same requests.
   const double Scale =
       static_cast<double>(std::max(m_Entries, m_ReportingEntries + 1)) /
       (m_ReportingEntries + 1);
   double Counted = 0;
   for (const auto &[Class, Each] : Sums)
-    Counted += Each.m_InFlight;
+    Counted += static_cast<double>(Each.m_InFlight);
   // The pool counts the requests in flight of all entries, also of those that
   // do not report their classes.
   const double InFlightScale = Counted > 0 ? Given.m_InFlight / Counted : 0;
   Shares All;
   All.reserve(Sums.size());
-  for (const auto &[Class, Each] : Sums) {
+  for (const auto &[Class, Summed] : Sums) {
+    const ClassCounts Each = Summed.counts();
     Share &Added = All.emplace_back();
     Added.m_Class = Class;
     Added.m_InFlight = Each.m_InFlight * InFlightScale;
--- a/Source/Direct/ClassShares.h
+++ b/Source/Direct/ClassShares.h
@@ -183,11 +183,28 @@
     unsigned m_Entries = 0;
   };
 
+  /// Sums over the reports of several entries.
+  struct Sum {
+    unsigned m_Reports = 0;
+    std::int64_t m_InFlight = 0;
+    std::int64_t m_Arrivals = 0;
+    std::int64_t m_Refused = 0;
+    std::int64_t m_Waiting = 0;
+    /// Sum of the hold times in milliseconds, weighted with the arrivals, and
+    /// of the weights.
+    std::int64_t m_HoldTimes = 0;
+    std::int64_t m_HoldWeights = 0;
+
+    /// Adds the counts of an entry, or removes them if \p Sign is negative.
+    void add(const ClassCounts &Added, int Sign = 1);
+    [[nodiscard]] ClassCounts counts() const;
+  };
+
   LocalClass &local(const std::string &Service, int Class);
   [[nodiscard]] ClassCounts counts(LocalClass &Counted, base::Millis Now) const;
   void dropExpired(base::Millis Now);
-  /// Adds the reports of the other entries up again after a change.
-  void updateSums();
+  /// Adds a report to the sums, or removes it if \p Sign is negative.
+  void countReport(const PeerReport &Report, int Sign);
   static void allocate(Shares &All, double Capacity, double ReactionSeconds,
                        double MinServedShare);
 
@@ -195,8 +212,7 @@
   std::map<std::string, std::map<int, LocalClass>> m_Local;
   std::map<std::string, PeerReport> m_Peers;
   /// Sums over m_Peers, so that a decision does not read each report.
-  ClassReport m_PeerSums;
-  bool m_SumsChanged = false;
+  std::map<std::string, std::map<int, Sum>> m_PeerSums;
   unsigned m_ReportingEntries = 0;
   unsigned m_Entries = 1;
   base::Millis m_NextExpiry{};
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -212,7 +212,8 @@
   const auto Decision = m_Dependencies.m_AdmissionQueue.admit(
       Service,
       {Parameters.m_Token, Parameters.m_Priority,
-       Parameters.m_Route->m_TargetLatency, Parameters.m_Deadline},
+       Parameters.m_Route->m_TargetLatency, Parameters.m_Deadline,
+       Parameters.m_Customer},
       usage(Service), Now);
   if (Decision == AdmissionQueue::Decision::Admit)
     Admitted.start();
