PromptQuarantine: check and record long prompts

Cause: parsePromptParts() returned an empty list for such prompts to bound the memory that callers can claim, and an empty list is neither checked nor recorded. Behind it, an end kept the first 64 parts and told the other entries the first 16, one long prompt displaced half of the served parts, and a repeat counted as a second quarantined part.

Each part is checked, with a table of bits before the search. Limits keep the most suspicious parts (never served first, then served longest ago). An end lists up to 1,024 unknown parts in its first 250 ms, afterwards 16 as before. Parts that are in one end alone are skipped by an index. Of parts with the same ends 16 are quarantined, and unconfirmed quarantines make room first.

The scenario checks "servers_ended <= 2" in addition.

--- a/Source/Bench/QuarantineModel.cpp
+++ b/Source/Bench/QuarantineModel.cpp
@@ -1,6 +1,10 @@
 #include "Bench/QuarantineModel.h"
 
+#include "platform/CallerCodec.h"
+
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <cmath>
 #include <utility>
 
@@ -11,6 +15,11 @@
 const std::string Service = "llm";
 constexpr std::uint64_t CommonParts = 60;
 constexpr std::uint64_t FirstFatalPart = 500;
+/// Parts of one document and of one session in long prompts.
+constexpr std::uint64_t DocumentParts = 80;
+constexpr std::uint64_t SessionParts = 100;
+/// Precedes ids of over 16 digits.
+const std::string LongIdPrefix = "0123456789abcdef01234567";
 constexpr base::Millis HeartbeatInterval{200};
 /// Time in which messages of fleets with relays pass them.
 constexpr base::Millis MaxRelayDelay{600};
@@ -33,6 +42,25 @@
 /// Estimated size of an end and of a part in a message, beside its parts.
 constexpr std::uint64_t StatementBytes = 60;
 
+/// Returns an element of the header field that lists the parts of a prompt.
+std::string formatPart(std::uint64_t Part, PromptShape Shape) {
+  constexpr int HexBase = 16;
+  std::array<char, 16> Digits{};
+  const auto End = std::to_chars(Digits.data(), Digits.data() + Digits.size(),
+                                 Part, HexBase);
+  return (Shape == PromptShape::LongIds ? LongIdPrefix : std::string()) +
+         std::string(Digits.data(), End.ptr) + ":12,";
+}
+
+/// Returns the key of a part that follows the documents of a prompt.
+std::uint64_t keyOf(std::uint64_t Part, PromptShape Shape) {
+  if (Shape == PromptShape::Short)
+    return Part;
+  const auto Keys = platform::parsePromptParts(
+      formatPart(Part * DocumentParts, Shape) + "0:1");
+  return Keys.empty() ? Part : Keys.front();
+}
+
 } // namespace
 
 std::size_t QuarantineModel::Outcomes::lateArrivals(base::Millis Window) const {
@@ -53,7 +81,8 @@
 
 QuarantineModel::QuarantineModel(QuarantineOptions Options)
     : m_Options(Options), m_Rng(Options.m_Seed), m_Entries(Options.m_Entries),
-      m_Servers(Options.m_Servers) {
+      m_Servers(Options.m_Servers),
+      m_FatalKey(keyOf(FirstFatalPart, Options.m_Prompts)) {
   for (std::size_t Index = 0; Index < m_Entries.size(); ++Index) {
     startEntry(Index);
     m_Time.after(uniform(base::Millis(0), HeartbeatInterval),
@@ -105,10 +134,11 @@
 }
 
 bool QuarantineModel::allRefuseFatalPart() const {
-  return std::all_of(m_Entries.begin(), m_Entries.end(), [](const Entry &Each) {
-    return Each.m_Quarantine->findQuarantined(Service, {FirstFatalPart})
-        .has_value();
-  });
+  return std::all_of(
+      m_Entries.begin(), m_Entries.end(), [this](const Entry &Each) {
+        return Each.m_Quarantine->findQuarantined(Service, {m_FatalKey})
+            .has_value();
+      });
 }
 
 void QuarantineModel::startEntry(std::size_t Index) {
@@ -195,7 +225,8 @@
 void QuarantineModel::arriveSound() {
   const auto Arrived = std::make_shared<Request>();
   Arrived->m_Entry = m_Rng.below(m_Entries.size());
-  Arrived->m_Parts = {drawCommonPart(), CommonParts + drawCommonPart()};
+  Arrived->m_Parts =
+      promptOf({drawCommonPart(), CommonParts + drawCommonPart()});
   arrive(Arrived);
   m_Time.after(base::Millis(static_cast<std::int64_t>(
                    m_Rng.exponential(1000 / m_Options.m_SoundPerSecond))),
@@ -207,8 +238,9 @@
     return;
   const auto Arrived = std::make_shared<Request>();
   Arrived->m_Entry = m_Rng.below(m_Entries.size());
-  Arrived->m_Parts = {drawCommonPart(), CommonParts + drawCommonPart(),
-                      FirstFatalPart + m_Rng.below(m_Options.m_FatalParts)};
+  Arrived->m_Parts =
+      promptOf({drawCommonPart(), CommonParts + drawCommonPart(),
+                FirstFatalPart + m_Rng.below(m_Options.m_FatalParts)});
   Arrived->m_IsFatal = true;
   arrive(Arrived);
   m_Time.after(base::Millis(static_cast<std::int64_t>(
@@ -368,9 +400,31 @@
                                     static_cast<double>(CommonParts));
 }
 
+direct::PromptParts
+QuarantineModel::promptOf(const direct::PromptParts &Parts) {
+  const PromptShape Shape = m_Options.m_Prompts;
+  if (Shape == PromptShape::Short)
+    return Parts;
+  std::string Text;
+  for (std::size_t Index = 0; Index < Parts.size(); ++Index) {
+    const std::uint64_t First = Parts[Index] * DocumentParts;
+    const bool IsDocument = Index < 2;
+    std::string Document;
+    for (std::uint64_t Part = 0; Part < (IsDocument ? DocumentParts : 1);
+         ++Part)
+      Document += formatPart(First + Part, Shape);
+    const bool IsRepeated = Shape == PromptShape::Repeated && Index == 0;
+    Text += IsRepeated ? Document + Document : Document;
+  }
+  for (std::uint64_t Part = 0; Part <= SessionParts; ++Part)
+    Text += formatPart(m_NextPart++, Shape);
+  Text.pop_back();
+  return platform::parsePromptParts(Text);
+}
+
 direct::PromptParts
 QuarantineModel::considered(direct::PromptParts Parts) const {
-  if (m_Options.m_Mode == QuarantineMode::FirstPart)
+  if (m_Options.m_Mode == QuarantineMode::FirstPart && !Parts.empty())
     Parts.resize(1);
   return Parts;
 }
--- a/Source/Bench/QuarantineModel.h
+++ b/Source/Bench/QuarantineModel.h
@@ -22,6 +22,14 @@
   TrialsAlone    ///< Entries do not exchange quarantines, so each one tries.
 };
 
+/// What the prompts of requests look like.
+enum class PromptShape {
+  Short,    ///< Two parts, and the fatal one.
+  Long,     ///< Two documents of many parts, and many parts of one session.
+  Repeated, ///< The same, with the parts of the first document twice.
+  LongIds   ///< The same, with ids of over 16 digits.
+};
+
 /// Parameters of QuarantineModel.
 struct QuarantineOptions {
   std::size_t m_Entries = 9;
@@ -32,6 +40,7 @@
   std::size_t m_FatalParts = 1;
   std::uint64_t m_Seed = 1;
   QuarantineMode m_Mode = QuarantineMode::Shared;
+  PromptShape m_Prompts = PromptShape::Short;
 };
 
 /// Entries with the product's quarantine in front of a group of servers that
@@ -137,6 +146,9 @@
   /// Draws one of the parts that many requests share.
   [[nodiscard]] std::uint64_t drawCommonPart();
   [[nodiscard]] direct::PromptParts considered(direct::PromptParts Parts) const;
+  /// Returns the decoded prompt of a request with two common parts and, maybe,
+  /// a fatal one.
+  [[nodiscard]] direct::PromptParts promptOf(const direct::PromptParts &Parts);
 
   const QuarantineOptions m_Options;
   fakes::VirtualTime m_Time;
@@ -145,6 +157,8 @@
   std::vector<Server> m_Servers;
   bool m_IsSendingFatal = false;
   std::uint64_t m_NextPart = 1'000'000;
+  /// The key of the first fatal part.
+  std::uint64_t m_FatalKey;
   /// Whether a rank is lost, and when the others cut off their work.
   bool m_IsStalled = false;
   base::Millis m_CutOffAt{};
--- a/Source/Bench/QuarantineScenario.cpp
+++ b/Source/Bench/QuarantineScenario.cpp
@@ -12,6 +12,8 @@
 constexpr base::Millis Measured = base::seconds(40);
 constexpr base::Millis StableWindow = base::seconds(3);
 constexpr double MaxEnds = 5;
+/// Ends after which a part must be known while nothing else is disturbed.
+constexpr double EndsUntilKnown = 2;
 constexpr double MaxLateArrivals = 3;
 constexpr double MinSoundRatio = 0.5;
 /// Time after which a wrong quarantine must be over.
@@ -83,14 +85,19 @@
 }
 
 void runFatal(ScenarioReport &Report, std::size_t Entries, const Variant &Of,
-              std::uint64_t Seed) {
-  QuarantineModel Model(optionsFor(Entries, Of, Seed));
+              std::uint64_t Seed, PromptShape Prompts = PromptShape::Short,
+              const std::string &Name = "fatal-part") {
+  QuarantineOptions Options = optionsFor(Entries, Of, Seed);
+  Options.m_Prompts = Prompts;
+  QuarantineModel Model(Options);
   Model.runFor(Warming);
   Model.resetOutcomes();
   Model.sendFatal(true);
   Model.runFor(Measured);
-  CaseReport Case(Report, "fatal-part", Entries, Of);
+  CaseReport Case(Report, Name, Entries, Of);
   Case.addFatal(Model.outcomes());
+  const auto Ends = static_cast<double>(Model.outcomes().m_Ends.size());
+  Case.check("servers_ended <= 2", Ends, Ends <= EndsUntilKnown);
   const double Bytes = static_cast<double>(Model.outcomes().m_MaxBytes) /
                        (static_cast<double>(Measured.count()) / 1000);
   Case.add("max_bytes_per_s", Bytes, "bytes/s");
@@ -196,6 +203,14 @@
   for (const std::size_t Entries :
        {std::size_t{7}, std::size_t{46}, std::size_t{149}, std::size_t{360}})
     runFatal(Report, Entries, variants().front(), Options.m_Seed);
+  for (const auto &[Prompts, Name] :
+       {std::pair(PromptShape::Long, "fatal-part-long-prompts"),
+        std::pair(PromptShape::Repeated, "fatal-part-repeated-parts"),
+        std::pair(PromptShape::LongIds, "fatal-part-long-ids")})
+    for (const std::size_t Entries :
+         {std::size_t{7}, std::size_t{46}, std::size_t{149}, std::size_t{360}})
+      runFatal(Report, Entries, variants().front(), Options.m_Seed, Prompts,
+               Name);
   runDisturbed(Report, 149, variants().front(), Options.m_Seed);
   return Report;
 }
--- a/Source/Direct/PromptQuarantine.cpp
+++ b/Source/Direct/PromptQuarantine.cpp
@@ -1,6 +1,8 @@
 #include "Direct/PromptQuarantine.h"
 
 #include <algorithm>
+#include <tuple>
+#include <unordered_set>
 #include <utility>
 
 namespace corneldeck::direct {
@@ -12,17 +14,17 @@
 /// Shortest retry-after time of a refused request.
 constexpr base::Millis MinRetryAfter{1000};
 
-bool contains(const PromptParts &Parts, std::uint64_t Part) {
-  return std::find(Parts.begin(), Parts.end(), Part) != Parts.end();
-}
-
-/// A bijective mix, so that two parts of one service never share a key.
-std::uint64_t servedKey(const std::string &Service, std::uint64_t Part) {
+/// A bijective mix of the bits of a part.
+std::uint64_t mixed(std::uint64_t Part) {
   constexpr std::uint64_t Multiplier = 0x9e3779b97f4a7c15;
   constexpr unsigned Shift = 32;
   Part *= Multiplier;
-  Part ^= Part >> Shift;
-  return Part + std::hash<std::string>()(Service);
+  return Part ^ Part >> Shift;
+}
+
+/// Two parts of one service never share a key.
+std::uint64_t servedKey(const std::string &Service, std::uint64_t Part) {
+  return mixed(Part) + std::hash<std::string>()(Service);
 }
 
 } // namespace
@@ -48,7 +50,8 @@
                                                    bool MayTry) {
   std::vector<State *> Found;
   for (const std::uint64_t Part : Parts)
-    if (State *Known = findActive(Service, Part))
+    if (State *Known = findActive(Service, Part);
+        Known && std::find(Found.begin(), Found.end(), Known) == Found.end())
       Found.push_back(Known);
   if (Found.empty())
     return {};
@@ -98,8 +101,14 @@
                                     const PromptParts &Parts,
                                     base::Millis Now) {
   bool IsReleased = false;
+  std::size_t Added = 0;
   for (const std::uint64_t Part : Parts) {
-    markServed(Service, Part, Now);
+    // One request must not replace all that is known.
+    if (lastServed(Service, Part, Now) ||
+        Added < m_Settings.m_MaxNewServedParts) {
+      Added += lastServed(Service, Part, Now) ? 0 : 1;
+      markServed(Service, Part, Now);
+    }
     if (State *Known = findActive(Service, Part)) {
       release(*Known, Now, {});
       IsReleased = true;
@@ -116,8 +125,11 @@
                                  const PromptParts &Parts, base::Millis Now) {
   expire(Now);
   End &Added = findOrAddEnd(Start, Service, m_Entry, Now);
-  addParts(Added.m_Parts, Parts);
-  addParts(Added.m_OwnParts, Parts);
+  addParts(Added, Parts, Now);
+  Added.m_OwnParts.insert(Added.m_OwnParts.begin(), Parts.begin(), Parts.end());
+  Added.m_OwnParts = mostSuspicious(Service, Added.m_OwnParts,
+                                    m_Settings.m_MaxPartsPerEnd, Now);
+  limitEvidence(Now);
   evaluate(Service, Now);
   announce();
 }
@@ -136,16 +148,17 @@
   expire(Now);
   End &Added = findOrAddEnd(Statement.m_Start, Statement.m_Service,
                             Statement.m_Reporter, Now - Statement.m_Age);
-  const std::size_t Before = Added.m_Parts.size();
-  addParts(Added.m_Parts, Statement.m_Parts);
-  if (Added.m_Parts.size() > Before)
+  const bool IsRelated = addParts(Added, Statement.m_Parts, Now);
+  limitEvidence(Now);
+  if (IsRelated)
     evaluate(Statement.m_Service, Now);
 }
 
 void PromptQuarantine::applyPart(const PartStatement &Statement,
                                  const std::string &From, base::Millis Now) {
   expire(Now);
-  const auto Found = m_Parts.find({Statement.m_Service, Statement.m_Part});
+  const auto Found =
+      m_Parts.find(PartKeyOrder::View(Statement.m_Service, Statement.m_Part));
   if (Found == m_Parts.end() ||
       Statement.m_Number > Found->second.m_Statement.m_Number) {
     adopt(Statement, From, Now);
@@ -197,6 +210,7 @@
   Known.m_FirstEndAt = Now - Statement.m_FirstEndAge;
   Known.m_ChangedAt = Now;
   Known.m_NextTrialAt = Known.m_Since + trialDelay(Statement);
+  updateFilter();
   if (Statement.m_IsReleased) {
     markServed(Key.m_Service, Key.m_Part, Known.m_Since);
     if (WasActive)
@@ -232,6 +246,7 @@
 PromptQuarantine::endStatements(base::Millis Now) {
   expire(Now);
   std::vector<ServerEndStatement> Statements;
+  std::size_t NewParts = 0;
   for (auto Each = m_Ends.rbegin(); Each != m_Ends.rend(); ++Each) {
     if (Each->m_OwnParts.empty() ||
         Statements.size() >= m_Settings.m_MaxEndStatements)
@@ -239,12 +254,24 @@
     const base::Millis Age = Now - Each->m_At;
     ServerEndStatement Statement{
         Each->m_Start, Each->m_Service, m_Entry, Age, {}};
+    const std::size_t Kept = Age < m_Settings.m_LongStatements
+                                 ? m_Settings.m_MaxNewPartsPerStatement
+                                 : m_Settings.m_MinPartsPerEnd;
+    const PromptParts Parts =
+        mostSuspicious(Each->m_Service, Each->m_OwnParts, Kept, Now);
+    if (Age >= m_Settings.m_NewStatements)
+      Each->m_OwnParts = Parts;
     // Later, only parts are repeated that may still turn out to be the cause.
-    for (const std::uint64_t Part : Each->m_OwnParts)
-      if (Statement.m_Parts.size() < m_Settings.m_MaxPartsPerStatement &&
-          (Age < m_Settings.m_NewStatements ||
-           !lastServed(Each->m_Service, Part, Now)))
+    for (const std::uint64_t Part : Parts) {
+      const bool IsServed = lastServed(Each->m_Service, Part, Now).has_value();
+      const bool IsLong =
+          Statement.m_Parts.size() >= m_Settings.m_MaxPartsPerStatement;
+      if (IsLong && (IsServed || Age >= m_Settings.m_LongStatements ||
+                     ++NewParts > m_Settings.m_MaxNewPartsPerMessage))
+        break;
+      if (Age < m_Settings.m_NewStatements || !IsServed)
         Statement.m_Parts.push_back(Part);
+    }
     if (!Statement.m_Parts.empty())
       Statements.push_back(std::move(Statement));
   }
@@ -310,25 +337,106 @@
                    [&](const End &Each) { return Each.m_Start == Start; });
   if (Found != m_Ends.end())
     return *Found;
-  if (m_Ends.size() >= m_Settings.m_MaxEnds)
+  if (m_Ends.size() >= m_Settings.m_MaxEnds) {
     m_Ends.erase(m_Ends.begin());
+    countParts();
+  }
   const auto Later =
       std::find_if(m_Ends.begin(), m_Ends.end(),
                    [At](const End &Each) { return Each.m_At > At; });
   return *m_Ends.insert(Later, {Start, Service, Reporter, At, {}, {}});
 }
 
-void PromptQuarantine::addParts(PromptParts &Target,
-                                const PromptParts &Added) const {
-  for (const std::uint64_t Part : Added)
-    if (Target.size() < m_Settings.m_MaxPartsPerEnd && !contains(Target, Part))
-      Target.push_back(Part);
+bool PromptQuarantine::addParts(End &Target, const PromptParts &Added,
+                                base::Millis Now) {
+  PromptParts New(Added);
+  std::sort(New.begin(), New.end());
+  New.erase(std::unique(New.begin(), New.end()), New.end());
+  PromptParts &Known = Target.m_Parts;
+  std::erase_if(New, [&Known](std::uint64_t Part) {
+    return std::binary_search(Known.begin(), Known.end(), Part);
+  });
+  if (New.empty())
+    return false;
+  const auto Middle = static_cast<std::ptrdiff_t>(Known.size());
+  Known.insert(Known.end(), New.begin(), New.end());
+  std::inplace_merge(Known.begin(), Known.begin() + Middle, Known.end());
+  if (Known.size() > m_Settings.m_MaxPartsPerEnd) {
+    Known = mostSuspicious(Target.m_Service, Known, m_Settings.m_MaxPartsPerEnd,
+                           Now);
+    std::sort(Known.begin(), Known.end());
+    countParts();
+    return true;
+  }
+  bool IsRelated = false;
+  for (const std::uint64_t Part : New)
+    if (++m_EndCounts[Part] > 1) {
+      m_RepeatedParts.insert(Part);
+      IsRelated = true;
+    }
+  return IsRelated;
+}
+
+void PromptQuarantine::countParts() {
+  m_EndCounts.clear();
+  m_RepeatedParts.clear();
+  for (const End &Each : m_Ends)
+    for (const std::uint64_t Part : Each.m_Parts)
+      if (++m_EndCounts[Part] > 1)
+        m_RepeatedParts.insert(Part);
+}
+
+PromptParts PromptQuarantine::mostSuspicious(const std::string &Service,
+                                             const PromptParts &Parts,
+                                             std::size_t MaxCount,
+                                             base::Millis Now) const {
+  struct Rated {
+    /// Nothing sorts before every time.
+    std::optional<base::Millis> m_Served;
+    std::uint64_t m_Part = 0;
+  };
+  std::vector<Rated> All;
+  All.reserve(Parts.size());
+  std::unordered_set<std::uint64_t> Seen;
+  for (auto Each = Parts.rbegin(); Each != Parts.rend(); ++Each)
+    if (Seen.insert(mixed(*Each)).second)
+      All.push_back({lastServed(Service, *Each, Now), *Each});
+  std::stable_sort(All.begin(), All.end(), [](const Rated &A, const Rated &B) {
+    return A.m_Served < B.m_Served;
+  });
+  PromptParts Kept;
+  for (const Rated &Each : All)
+    if (Kept.size() < MaxCount)
+      Kept.push_back(Each.m_Part);
+  return Kept;
+}
+
+void PromptQuarantine::limitEvidence(base::Millis Now) {
+  std::size_t Sum = 0;
+  for (const End &Each : m_Ends)
+    Sum += Each.m_Parts.size() + Each.m_OwnParts.size();
+  if (Sum <= m_Settings.m_MaxPartsOfEnds)
+    return;
+  for (End &Each : m_Ends) {
+    if (Sum <= m_Settings.m_MaxPartsOfEnds)
+      break;
+    for (PromptParts *Parts : {&Each.m_Parts, &Each.m_OwnParts}) {
+      Sum -= Parts->size();
+      *Parts = mostSuspicious(Each.m_Service, *Parts,
+                              m_Settings.m_MinPartsPerEnd, Now);
+      Parts->shrink_to_fit();
+      Sum += Parts->size();
+    }
+    std::sort(Each.m_Parts.begin(), Each.m_Parts.end());
+  }
+  countParts();
 }
 
 void PromptQuarantine::expire(base::Millis Now) {
-  std::erase_if(m_Ends, [&](const End &Each) {
-    return Now - Each.m_At >= m_Settings.m_Memory;
-  });
+  if (std::erase_if(m_Ends, [&](const End &Each) {
+        return Now - Each.m_At >= m_Settings.m_Memory;
+      }) > 0)
+    countParts();
   std::erase_if(m_Parts, [&](const auto &Each) {
     return Each.second.m_Statement.m_IsReleased &&
            Now - Each.second.m_Since >= m_Settings.m_Memory;
@@ -339,19 +447,21 @@
 PromptQuarantine::collectEvidence(const std::string &Service,
                                   base::Millis Now) const {
   EvidenceByPart Found;
-  for (const End &Each : m_Ends) {
-    if (Each.m_Service != Service)
-      continue;
-    for (const std::uint64_t Part : Each.m_Parts) {
-      const auto Served = lastServed(Service, Part, Now);
-      if (Served && *Served >= Each.m_At)
+  // A part of one end alone is never enough.
+  for (const std::uint64_t Part : m_RepeatedParts) {
+    const auto Served = lastServed(Service, Part, Now);
+    Evidence OfPart;
+    for (const End &Each : m_Ends) {
+      if (Each.m_Service != Service || (Served && *Served >= Each.m_At) ||
+          !std::binary_search(Each.m_Parts.begin(), Each.m_Parts.end(), Part))
         continue;
-      Evidence &OfPart = Found[Part];
       if (OfPart.m_Ends.empty() || Each.m_At - OfPart.m_Ends.back()->m_At >=
                                        m_Settings.m_SimultaneousEnds)
         ++OfPart.m_Times;
       OfPart.m_Ends.push_back(&Each);
     }
+    if (!OfPart.m_Ends.empty())
+      Found.emplace(Part, std::move(OfPart));
   }
   return Found;
 }
@@ -372,6 +482,8 @@
   std::map<std::vector<const End *>, std::size_t> PartsByEnds;
   for (const auto &[Part, Found] : Candidates)
     ++PartsByEnds[Found.m_Ends];
+  std::map<std::vector<const End *>, std::size_t> Begun;
+  std::size_t BegunSum = 0;
   for (const auto &[Part, Found] : Candidates) {
     const bool IsAmbiguous = PartsByEnds[Found.m_Ends] > 1;
     // The ends are in the order of their times, so the lists can be compared.
@@ -393,8 +505,12 @@
         !IsAmbiguous && (IsTried || !lastServed(Service, Part, Now)) &&
         (Found.m_Times > 1 || Found.m_Ends.size() > m_Settings.m_MinEnds);
     if (!Known) {
-      if (!IsExplained)
-        beginQuarantine({Service, Part}, Found, IsConfirmed, Now);
+      if (IsExplained || BegunSum == m_Settings.m_MaxParts ||
+          Begun[Found.m_Ends] == m_Settings.m_MaxAmbiguousParts)
+        continue;
+      ++BegunSum;
+      ++Begun[Found.m_Ends];
+      beginQuarantine({Service, Part}, Found, IsConfirmed, Now);
       continue;
     }
     PartStatement &Statement = Known->m_Statement;
@@ -421,10 +537,11 @@
   if (!m_Parts.contains(Key) && m_Parts.size() >= m_Settings.m_MaxParts) {
     const auto Oldest = std::min_element(
         m_Parts.begin(), m_Parts.end(), [](const auto &A, const auto &B) {
-          return std::pair(!A.second.m_Statement.m_IsReleased,
-                           A.second.m_Since) <
-                 std::pair(!B.second.m_Statement.m_IsReleased,
-                           B.second.m_Since);
+          const auto Rank = [](const State &Known) {
+            return std::tuple(!Known.m_Statement.m_IsReleased,
+                              Known.m_Statement.m_IsConfirmed, Known.m_Since);
+          };
+          return Rank(A.second) < Rank(B.second);
         });
     m_Parts.erase(Oldest);
   }
@@ -448,6 +565,7 @@
   Known.m_ChangedAt = Now;
   Known.m_FirstEndAt = Found.m_Ends.front()->m_At;
   Known.m_NextTrialAt = Now + trialDelay(Statement);
+  updateFilter();
   report(Change::Type::Quarantined, Known, {}, Now);
 }
 
@@ -472,15 +590,27 @@
   Statement.m_IsReleased = true;
   Known.m_Since = Now;
   Known.m_ChangedAt = Now;
+  updateFilter();
   markServed(Statement.m_Service, Statement.m_Part, Now);
   report(Change::Type::Released, Known, From, Now);
 }
 
+std::size_t PromptQuarantine::filterIndex(std::uint64_t Part) {
+  return mixed(Part) % FilterBits;
+}
+
+void PromptQuarantine::updateFilter() {
+  m_Filter.reset();
+  for (const auto &[Key, Known] : m_Parts)
+    if (!Known.m_Statement.m_IsReleased)
+      m_Filter.set(filterIndex(Key.m_Part));
+}
+
 PromptQuarantine::State *
 PromptQuarantine::findActive(const std::string &Service, std::uint64_t Part) {
-  if (m_Parts.empty())
+  if (!m_Filter[filterIndex(Part)])
     return nullptr;
-  const auto Found = m_Parts.find({Service, Part});
+  const auto Found = m_Parts.find(PartKeyOrder::View(Service, Part));
   return Found == m_Parts.end() || Found->second.m_Statement.m_IsReleased
              ? nullptr
              : &Found->second;
--- a/Source/Direct/PromptQuarantine.h
+++ b/Source/Direct/PromptQuarantine.h
@@ -4,19 +4,21 @@
 #include "Base/Millis.h"
 #include "Direct/ServerEnds.h"
 
+#include <bitset>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace corneldeck::direct {
 
-/// Ids of parts of prompts.
+/// Keys of parts of prompts, in the order of the prompt. Keys may repeat.
 using PromptParts = std::vector<std::uint64_t>;
 
 /// The end of a backend server, for the other entries.
@@ -84,13 +86,30 @@
   /// each m_StatementInterval.
   base::Millis m_NewStatements = base::seconds(3);
   base::Millis m_StatementInterval = base::seconds(1);
-  // Limits of memory and messages. Callers choose the parts.
-  std::size_t m_MaxServedParts = 8192;
+  // Limits of memory and messages. Callers choose the parts. A header section
+  // of 16,384 bytes has up to 4,096 parts.
+  std::size_t m_MaxServedParts = 65'536;
+  /// Parts of one request that are added to the served ones. Those that are
+  /// known are always updated.
+  std::size_t m_MaxNewServedParts = 512;
   std::size_t m_MaxEnds = 64;
-  std::size_t m_MaxPartsPerEnd = 64;
+  std::size_t m_MaxPartsPerEnd = 4096;
+  /// Parts of all ends together; above that, the oldest keep
+  /// m_MinPartsPerEnd each.
+  std::size_t m_MaxPartsOfEnds = 32'768;
+  std::size_t m_MinPartsPerEnd = 64;
   std::size_t m_MaxParts = 64;
+  /// Parts with the same ends that are quarantined by this entry; the next end
+  /// tells them apart.
+  std::size_t m_MaxAmbiguousParts = 16;
   std::size_t m_MaxEndStatements = 8;
   std::size_t m_MaxPartsPerStatement = 16;
+  /// The same while an end is younger than m_LongStatements, which is one
+  /// message at the end and one heartbeat, and for all ends of a message
+  /// together. Keeps messages below the size of a datagram.
+  std::size_t m_MaxNewPartsPerStatement = 1024;
+  std::size_t m_MaxNewPartsPerMessage = 2048;
+  base::Millis m_LongStatements = base::Millis(250);
 };
 
 /// Finds the part of prompts that ends backend servers, and keeps requests with
@@ -145,7 +164,8 @@
   /// entries at once.
   void onNews(std::function<void()> OnNews) { m_OnNews = std::move(OnNews); }
 
-  /// Decides on a new request.
+  /// Decides on a new request. The cost of a part that is not quarantined is
+  /// that of one access to a table of bits.
   /// \param MayTry whether a trial can be sent, since servers accept requests.
   Decision check(const std::string &Service, const PromptParts &Parts,
                  base::Millis Now, bool MayTry);
@@ -202,10 +222,17 @@
   struct PartKey {
     std::string m_Service;
     std::uint64_t m_Part = 0;
+  };
+  /// Compares keys without copying the name of the service.
+  struct PartKeyOrder {
+    using is_transparent = void;
+    using View = std::pair<std::string_view, std::uint64_t>;
 
-    bool operator<(const PartKey &Other) const {
-      return std::tie(m_Service, m_Part) <
-             std::tie(Other.m_Service, Other.m_Part);
+    static View view(const PartKey &Key) { return {Key.m_Service, Key.m_Part}; }
+    static View view(const View &Key) { return Key; }
+    template <typename A, typename B>
+    bool operator()(const A &Left, const B &Right) const {
+      return view(Left) < view(Right);
     }
   };
   struct End {
@@ -213,8 +240,9 @@
     std::string m_Service;
     std::string m_Reporter;
     base::Millis m_At{};
+    /// In ascending order, each once.
     PromptParts m_Parts;
-    /// Those of requests of this entry.
+    /// Those of requests of this entry, the most suspicious first.
     PromptParts m_OwnParts;
   };
   struct State {
@@ -233,6 +261,11 @@
     std::size_t m_Times = 0;
   };
   using EvidenceByPart = std::map<std::uint64_t, Evidence>;
+  /// Enough that with m_MaxParts parts 63 of 64 others need no search.
+  static constexpr std::size_t FilterBits = 4096;
+
+  static std::size_t filterIndex(std::uint64_t Part);
+  void updateFilter();
 
   [[nodiscard]] std::optional<base::Millis>
   lastServed(const std::string &Service, std::uint64_t Part,
@@ -241,7 +274,20 @@
                   base::Millis At);
   End &findOrAddEnd(const ServerStart &Start, const std::string &Service,
                     const std::string &Reporter, base::Millis At);
-  void addParts(PromptParts &Target, const PromptParts &Added) const;
+  /// Adds parts to an end.
+  /// \returns whether one of them is in another end too.
+  bool addParts(End &Target, const PromptParts &Added, base::Millis Now);
+  /// Returns up to \p MaxCount of \p Parts without repeats: those that were
+  /// never served first, then those that were served longest ago. Prompts grow
+  /// at their end, so the later of several come first.
+  [[nodiscard]] PromptParts mostSuspicious(const std::string &Service,
+                                           const PromptParts &Parts,
+                                           std::size_t MaxCount,
+                                           base::Millis Now) const;
+  /// Keeps fewer parts of the oldest ends if all together have too many.
+  void limitEvidence(base::Millis Now);
+  /// Counts the parts of all ends again.
+  void countParts();
   void expire(base::Millis Now);
 
   [[nodiscard]] EvidenceByPart collectEvidence(const std::string &Service,
@@ -275,7 +321,12 @@
   const std::string m_Entry;
   const PromptQuarantineSettings m_Settings;
   std::vector<End> m_Ends;
-  std::map<PartKey, State> m_Parts;
+  /// Number of ends that contain a part, and the parts that several contain.
+  std::unordered_map<std::uint64_t, std::uint32_t> m_EndCounts;
+  std::set<std::uint64_t> m_RepeatedParts;
+  std::map<PartKey, State, PartKeyOrder> m_Parts;
+  /// The bit filterIndex() of each part in quarantine.
+  std::bitset<FilterBits> m_Filter;
   /// When requests with a part were served last. The recent and the earlier
   /// half, so that the oldest are dropped first.
   std::unordered_map<std::uint64_t, base::Millis> m_Served;
--- a/Source/Fleet/FleetSummary.cpp
+++ b/Source/Fleet/FleetSummary.cpp
@@ -15,7 +15,9 @@
 /// Number of entries whose position is written for each feed and reason.
 constexpr std::size_t PositionsPerReason = 2;
 
-/// Maximum number of parts that are forwarded for the end of one server.
+/// Maximum number of parts that are forwarded for the end of one server. Longer
+/// lists have reached all entries directly, and the summary must fit a
+/// datagram.
 constexpr int MaxPartsPerEnd = 64;
 
 std::uint32_t shortHash(std::string_view Text) {
@@ -80,6 +82,7 @@
   wire::ServerEnd &Sum = Found->second;
   if (IsNew) {
     Sum.set_age_ms(Sum.age_ms() + static_cast<std::uint32_t>(Age.count()));
+    Sum.mutable_parts()->Truncate(std::min(Sum.parts_size(), MaxPartsPerEnd));
     return;
   }
   for (const std::uint64_t Each : End.parts())
--- a/Source/Gateway/QuarantineExchange.cpp
+++ b/Source/Gateway/QuarantineExchange.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Limits of received statements.
-constexpr int MaxParts = 64;
+constexpr int MaxParts = 1024;
 constexpr int MaxServers = 8;
 constexpr std::size_t MaxNameBytes = 256;
 
