Fleet: use relays from 17 entries on if they are in several zones

Relays already exist for fleets of more than 64 entries. Within a zone their traffic is the same; between zones two relays of each zone exchange summaries: with three zones and two relays each, 24 messages in an interval in place of 170 with 16 entries and 726 with 33. Fleets in one zone keep the limit of 64, and small ones exchange heartbeats directly as before.

--- a/Source/Bench/FleetEmulation.cpp
+++ b/Source/Bench/FleetEmulation.cpp
@@ -86,6 +86,8 @@
   Settings.m_LinkKbps =
       static_cast<std::uint32_t>(m_Nodes[Node].m_BytesPerMs * KbpsPerByteMs);
   Settings.m_MaxDirectEntries = m_Options.m_MaxDirectEntries;
+  Settings.m_MaxDirectEntriesAcrossZones =
+      m_Options.m_MaxDirectEntriesAcrossZones;
   for (std::size_t Seed = 0; Seed < Seeds; ++Seed)
     Settings.m_Seeds.push_back(addressOf(Seed));
   if (!isEntry(Node)) {
--- a/Source/Bench/FleetEmulation.h
+++ b/Source/Bench/FleetEmulation.h
@@ -24,6 +24,8 @@
   std::size_t m_Servers = 66;
   /// Largest number of entries that exchange heartbeats without relays.
   std::size_t m_MaxDirectEntries = 64;
+  /// The same if they are in several availability zones.
+  std::size_t m_MaxDirectEntriesAcrossZones = 16;
   /// Number of seeds that are down.
   std::size_t m_DeadSeeds = 0;
   double m_LossRate = 0.002;
--- a/Source/Fleet/FleetCore.cpp
+++ b/Source/Fleet/FleetCore.cpp
@@ -376,12 +376,23 @@
   }
   // After a power failure all nodes rediscover each other. A heartbeat now
   // avoids waiting for the next interval.
-  if (IsNew && m_Known.size() <= m_Settings.m_MaxDirectEntries)
+  if (IsNew && m_Known.size() <= maxDirectEntries())
     sendHeartbeat(News.peer_address(), {}, false);
 }
 
 // Relays
 
+std::size_t FleetCore::maxDirectEntries() const {
+  const bool HasOtherZone =
+      std::any_of(m_Known.begin(), m_Known.end(), [this](const auto &Each) {
+        return describesEntry(Each.second.m_News) &&
+               Each.second.m_News.zone() != m_Settings.m_Zone;
+      });
+  return HasOtherZone ? std::min(m_Settings.m_MaxDirectEntries,
+                                 m_Settings.m_MaxDirectEntriesAcrossZones)
+                      : m_Settings.m_MaxDirectEntries;
+}
+
 void FleetCore::updateRole() {
   const auto Entries = static_cast<std::size_t>(std::count_if(
                            m_Known.begin(), m_Known.end(),
@@ -391,8 +402,8 @@
                        (isEntry() ? 1 : 0);
   // Below the limit by some margin, so that the fleet does not change its way
   // of exchange with each entry that starts or stops.
-  const std::size_t Limit = usesRelays() ? m_Settings.m_MaxDirectEntries / 4 * 3
-                                         : m_Settings.m_MaxDirectEntries;
+  const std::size_t Limit =
+      usesRelays() ? maxDirectEntries() / 4 * 3 : maxDirectEntries();
   // An agent knows a part of the entries only.
   const bool HasSummary =
       m_LastSummaryAt && m_Clock.now() - *m_LastSummaryAt <= SummaryMemory;
--- a/Source/Fleet/FleetCore.h
+++ b/Source/Fleet/FleetCore.h
@@ -49,6 +49,10 @@
   /// Up to this many entries, each sends its heartbeats to each other one. More
   /// entries exchange summaries over relays.
   std::size_t m_MaxDirectEntries = 64;
+  /// The same for entries in several availability zones, since bytes between
+  /// zones are charged. With three zones, 16 entries that send to each other
+  /// send 170 messages between zones in an interval, and the relays 24.
+  std::size_t m_MaxDirectEntriesAcrossZones = 16;
   std::size_t m_RelaysPerZone = 2;
   /// Every this many summaries, the lists of live nodes are sent even if they
   /// have not changed.
@@ -215,6 +219,9 @@
                                    base::Millis Age) const;
 
   // Relays.
+  /// Returns the number of entries up to which each sends its heartbeats to
+  /// each other one.
+  [[nodiscard]] std::size_t maxDirectEntries() const;
   /// Chooses the relays and this node's role.
   void updateRole();
   [[nodiscard]] std::map<std::string, std::vector<std::string>>
