Bench: cold servers

The scenario runs the product's pool, tokens and admission queue at 7, 46, 149 and 360 entries before four servers that tolerate 8 requests a second, while a granter restarts, a third of the entries is cut off, another granter is frozen and returns, and a third one is lost. Bounds: no second above 17 arrivals, and 0.8 of the rate used.

--- a/Source/Bench/Registry.cpp
+++ b/Source/Bench/Registry.cpp
@@ -27,6 +27,7 @@
   All.push_back(retriesScenario());
   All.push_back(routingScenario());
   All.push_back(silentScenario());
+  All.push_back(warmUpScenario());
   return All;
 }
 
--- a/Source/Bench/Scenarios.h
+++ b/Source/Bench/Scenarios.h
@@ -36,6 +36,7 @@
 Scenario atMostOnceScenario();
 Scenario drainScenario();
 Scenario silentScenario();
+Scenario warmUpScenario();
 
 } // namespace corneldeck::bench
 
--- a/Source/Bench/ServerLimitModel.cpp
+++ b/Source/Bench/ServerLimitModel.cpp
@@ -67,6 +67,15 @@
   });
 }
 
+void ServerLimitModel::coolServers(Millis Duration) {
+  for (Server &Each : m_Servers)
+    Each.m_ColdUntil = now() + Duration;
+  m_Time.after(ListDelay, [this] {
+    for (const auto &Each : m_Entries)
+      listServers(*Each);
+  });
+}
+
 void ServerLimitModel::leaveServer(std::size_t Server) {
   m_Servers[Server].m_IsLeaving = true;
 }
@@ -168,6 +177,7 @@
   Started.m_Pool = std::make_unique<direct::ServerPool>(
       "zone", Settings,
       static_cast<std::uint64_t>(now().count()) << NumberBits);
+  Started.m_Pool->warmUp().setRules({{Service, m_Options.m_WarmUp}}, now());
   listServers(Started);
   Started.m_Pool->rateTokens().onSend(
       [this, &Started](const std::string &To,
@@ -210,6 +220,8 @@
     Listed.m_Zone = "zone";
     Listed.m_Capacity = m_Options.m_ServerCapacity;
     Listed.m_StartTime = Each.m_StartTime;
+    Listed.m_NamesWarmUp = true;
+    Listed.m_WarmUpRemaining = std::max(Millis(0), Each.m_ColdUntil - now());
     List.push_back(Listed);
   }
   At.m_Pool->replaceServers(List, now());
@@ -288,6 +300,7 @@
   for (const auto &[Name, HeardAt] : At.m_HeardAt)
     if (!IsAlone && now() - HeardAt <= SilenceTimeout)
       Live.push_back(Name);
+  At.m_Pool->warmUp().update(now());
   At.m_Pool->rateTokens().setEntries(At.m_Name, Live, now());
   At.m_Pool->rateTokens().update(now());
 }
@@ -351,6 +364,8 @@
   At.m_Pool->attemptStarted(Chosen->m_Id, 0, now());
   Server &To = m_Servers[Sent.m_Server];
   ++To.m_Arrivals;
+  if (To.m_ColdUntil > now())
+    To.m_ArrivalTimes.push_back(now());
   const auto Left = At.m_LeavingStarts.find(Sent.m_Server);
   const auto Paused = At.m_PausedUntil.find(Sent.m_Server);
   const bool IsUnwanted =
--- a/Source/Bench/ServerLimitModel.h
+++ b/Source/Bench/ServerLimitModel.h
@@ -41,6 +41,8 @@
   std::uint64_t m_Seed = 1;
   ServerLimitMode m_Mode = ServerLimitMode::Shared;
   ServerNoticeMode m_NoticeMode = ServerNoticeMode::Shared;
+  /// How the servers warm up; without a bound if not set.
+  direct::WarmUpRule m_WarmUp;
   /// The planted mistake; empty for none.
   std::string m_Plant;
 };
@@ -56,6 +58,8 @@
   void endLimit(std::size_t Server);
   /// Restarts a server under its id, without a limit or notice.
   void restartServer(std::size_t Server);
+  /// Lets all servers be cold from now on; the entries learn of it later.
+  void coolServers(base::Millis Duration);
   /// Lets all responses of a server say that it leaves.
   void leaveServer(std::size_t Server);
   /// Lets a server refuse the requests beyond \p Places in flight, and name
@@ -110,6 +114,12 @@
   };
   [[nodiscard]] const Outcomes &outcomes() const { return m_Outcomes; }
   void resetOutcomes() { m_Outcomes = {}; }
+  /// Returns when requests reached a server, of all entries. Only
+  /// recorded while it is cold.
+  [[nodiscard]] const std::vector<base::Millis> &
+  arrivalTimes(std::size_t Server) const {
+    return m_Servers[Server].m_ArrivalTimes;
+  }
   /// Returns the requests that a server got since the start.
   [[nodiscard]] std::uint64_t arrivals(std::size_t Server) const {
     return m_Servers[Server].m_Arrivals;
@@ -121,6 +131,8 @@
     std::uint64_t m_StartTime = 1;
     std::optional<double> m_Limit;
     std::uint64_t m_Arrivals = 0;
+    base::Millis m_ColdUntil{};
+    std::vector<base::Millis> m_ArrivalTimes;
     fakes::RateLimitOracle m_Oracle;
     bool m_IsLeaving = false;
     unsigned m_InFlight = 0;
