Direct: estimate of pass times from the distribution of intervals

Cause: the smoothed ratio averages over about a thousand intervals, some seconds of an entry's streams. It follows a lasting change late, and its margin of two deviations limits requests also where no limit keeps the passes within the target.

Change: ConcurrencyLimiterSettings::m_Estimate selects Smoothed (as before) or Distribution (default). Entries exchange histograms of the recent ratios and of the largest ratio of each recent stream, by group; the limit is the one with the best product of places^0.4 and streams in time. The limit falls within a second of a lasting change, stays low between frequent shifts, and stays high if fewer requests would not help.

The largest ratio of a stream contains the noise of the requests in flight, so the limit is lower than needed.

Tests of the smoothed estimate select it; their bounds are unchanged.

--- a/Source/Direct/ConcurrencyLimiter.h
+++ b/Source/Direct/ConcurrencyLimiter.h
@@ -3,14 +3,39 @@
 
 #include "Direct/Configuration.h"
 #include "Direct/RankGroups.h"
+#include "Direct/RatioHistogram.h"
 
 #include <map>
 #include <string>
 
 namespace corneldeck::direct {
 
+/// How ConcurrencyLimiter estimates the pass time ratio.
+enum class PassTimeEstimate {
+  Smoothed,    ///< Mean and deviation over about a thousand intervals.
+  Distribution ///< Distributions of recent intervals and of recent streams.
+};
+
 /// Settings of ConcurrencyLimiter.
 struct ConcurrencyLimiterSettings {
+  PassTimeEstimate m_Estimate = PassTimeEstimate::Distribution;
+  /// Time after which an interval counts 1/e in the distribution. If passes
+  /// become longer for good, the limit follows within half a second; in the
+  /// second that an expert map takes to follow a shift, it falls little.
+  base::Millis m_IntervalTime = base::seconds(2);
+  /// Time after which a stream counts 1/e in the distribution. Covers several
+  /// shifts of experts, which come every 1 to 4 s; with 4 s the limit rose just
+  /// before the next shift.
+  base::Millis m_StreamTime = base::seconds(12);
+  /// Exponent of the limit in the comparison of limits. Below 1, since demand
+  /// does not always use a higher limit, and a late stream costs more than a
+  /// refused one. With 1, groups took turns at the highest limit.
+  double m_LimitExponent = 0.4;
+  /// With fewer intervals in the distributions of all entries, the smoothed
+  /// estimate is used. A stream has about 23 intervals.
+  double m_MinIntervals = 23;
+  /// Fewer streams in the distributions of all entries are ignored.
+  double m_MinStreams = 4;
   /// Smoothing factor of the mean and variance. The average covers about a
   /// thousand intervals, some seconds of an entry's streams, which is longer
   /// than expert popularity stays the same.
@@ -40,6 +65,15 @@
 /// entries measure. The entries share their estimates, because an entry with a
 /// higher limit would use up the capacity that the others leave free.
 ///
+/// Pattern: newsvendor. A higher limit lets more streams run, a lower one lets
+/// more of them be in time; the limit with the best product of both is used.
+/// Two distributions say how many are in time: of the largest ratio of each
+/// stream, since one long interval makes a stream late, and of the recent
+/// ratios, so that a lasting change counts before the streams that it meets
+/// have ended. If passes are so long, because experts have just shifted, that
+/// no limit keeps them within the target, all limits lose the same and the
+/// highest one remains.
+///
 /// The estimates of other entries without the name of a group are of a whole
 /// service: these entries know no groups.
 class ConcurrencyLimiter {
@@ -51,6 +85,11 @@
     double m_Variance = 0;
     /// Number of entries of which it is the mean.
     unsigned m_Entries = 1;
+    /// Distribution of recent ratios, over all intervals of these entries, and
+    /// of the largest ratio of each recent stream. Empty for entries of earlier
+    /// releases.
+    RatioHistogram m_Recent{};
+    RatioHistogram m_Streams{};
   };
   /// Ratios by rank group.
   using PassTimeRatios = std::map<RankGroup, PassTimeRatio>;
@@ -60,8 +99,13 @@
   /// Records the interval between two events of a stream.
   /// \param InFlight mean number of requests per engine of the group at that
   /// time.
-  void recordInterval(const RankGroup &Group, const EngineProfile &Engine,
-                      base::Millis Interval, double InFlight, base::Millis Now);
+  /// \returns the pass time ratio; 0 if the interval does not count.
+  double recordInterval(const RankGroup &Group, const EngineProfile &Engine,
+                        base::Millis Interval, double InFlight,
+                        base::Millis Now);
+
+  /// Records the largest ratio of the intervals of a stream that has ended.
+  void recordStream(const RankGroup &Group, double LargestRatio);
 
   /// Returns the maximum number of concurrent requests for one engine.
   /// \param TargetInterval the target of the route; zero if it has none.
@@ -75,10 +119,10 @@
                                   const EngineProfile &Engine,
                                   double InFlight) const;
 
-  /// Discards the estimates of this entry for groups whose streams it has not
-  /// seen for some time, while it has seen those of another group of the
-  /// service.
-  void discardUnused(base::Millis Now);
+  /// Lets the distributions of this entry decay, and discards its estimates for
+  /// groups whose streams it has not seen for some time, while it has seen
+  /// those of another group of the service. Called several times a second.
+  void advance(base::Millis Now);
 
   /// Returns the estimates of this entry.
   [[nodiscard]] const PassTimeRatios &localRatios() const {
@@ -97,9 +141,20 @@
     double m_Mean = 0;
     double m_Variance = 0;
     double m_Count = 0;
+    RatioHistogram m_Recent;
+    RatioHistogram m_Streams;
 
     void add(const PassTimeRatio &Estimate);
   };
+  /// Returns whether the distribution is used.
+  [[nodiscard]] bool usesDistribution(const Sum &Known) const;
+  [[nodiscard]] double smoothedLimit(const Sum &Known,
+                                     const EngineProfile &Engine,
+                                     base::Millis TargetInterval) const;
+  /// Returns the limit with which most streams are expected in time.
+  [[nodiscard]] double bestLimit(const Sum &Known, const EngineProfile &Engine,
+                                 base::Millis TargetInterval) const;
+  void discardUnused(base::Millis Now);
   /// Adds the estimates that apply to \p Group.
   [[nodiscard]] Sum sumOf(const RankGroup &Group) const;
 
@@ -107,6 +162,8 @@
   PassTimeRatios m_LocalRatios;
   /// When the estimates of this entry were last updated.
   std::map<RankGroup, base::Millis> m_UpdatedAt;
+  /// Until when the distributions of this entry have decayed.
+  base::Millis m_DecayedAt{};
   std::map<std::string, PassTimeRatios> m_PeerRatios;
 };
 
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -368,7 +368,9 @@
   } else {
     const base::Millis Pause = now() - m_LastForwardedAt;
     m_LongestPause = std::max(m_LongestPause, Pause);
-    m_Forwarder.recordEventInterval(m_Parameters.m_Service, m_Server, Pause);
+    m_LargestRatio =
+        std::max(m_LargestRatio, m_Forwarder.recordEventInterval(
+                                     m_Parameters.m_Service, m_Server, Pause));
   }
   m_LastForwardedAt = now();
   if (m_UnprocessedPromptTokens > 0) {
@@ -712,6 +714,9 @@
   m_Timer.cancel();
   m_TrialTimer.cancel();
   releaseBody();
+  if (m_LargestRatio > 0)
+    m_Forwarder.m_GroupCapacity.recordStream(m_Parameters.m_Service, m_Server,
+                                             m_LargestRatio);
   const base::Millis Now = now();
   const base::Millis Waited =
       (m_Queued ? Now : std::max(m_AdmittedAt, m_Parameters.m_ArrivalTime)) -
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -144,6 +144,8 @@
   /// between two writes of events.
   base::Millis m_FirstEventDelay{};
   base::Millis m_LongestPause{};
+  /// Largest pass time ratio of its intervals; 0 if there are none.
+  double m_LargestRatio = 0;
   /// Media type of the stream whose head was forwarded.
   std::string m_MediaType;
   bool m_Finished = false;
--- a/Source/Direct/GroupCapacity.cpp
+++ b/Source/Direct/GroupCapacity.cpp
@@ -95,24 +95,39 @@
   return States;
 }
 
-void GroupCapacity::recordInterval(const std::string &Service,
-                                   const std::string &Server,
-                                   const EngineProfile &Engine,
-                                   base::Millis Interval, base::Millis Now) {
-  const bool IsDivided = m_Pool.groups().isDivided(Service);
-  const std::string *Group = IsDivided ? m_Pool.groupOf(Server) : nullptr;
-  // A server that is not listed any more has no known group.
-  if (IsDivided && !Group)
-    return;
-  const auto Usage = m_Pool.usage(Service, Now, Group);
+std::optional<RankGroup>
+GroupCapacity::groupOf(const std::string &Service,
+                       const std::string &Server) const {
+  if (!m_Pool.groups().isDivided(Service))
+    return RankGroup{Service};
+  const std::string *Group = m_Pool.groupOf(Server);
+  return Group ? std::optional(RankGroup{Service, *Group}) : std::nullopt;
+}
+
+double GroupCapacity::recordInterval(const std::string &Service,
+                                     const std::string &Server,
+                                     const EngineProfile &Engine,
+                                     base::Millis Interval, base::Millis Now) {
+  const auto Group = groupOf(Service, Server);
+  if (!Group)
+    return 0;
+  const auto Usage = m_Pool.usage(Service, Now, &Group->m_Name);
   // Servers with a rate limit or a notice take part in every pass of their
   // group.
   const unsigned Servers =
       Usage.m_Servers + Usage.m_LimitedServers + Usage.m_ServersWithNotice;
-  if (Servers > 0)
-    m_Limiter.recordInterval(
-        {Service, Group ? *Group : std::string()}, Engine, Interval,
-        static_cast<double>(Usage.m_InFlight) / Servers, Now);
+  if (Servers == 0)
+    return 0;
+  return m_Limiter.recordInterval(
+      *Group, Engine, Interval, static_cast<double>(Usage.m_InFlight) / Servers,
+      Now);
+}
+
+void GroupCapacity::recordStream(const std::string &Service,
+                                 const std::string &Server,
+                                 double LargestRatio) {
+  if (const auto Group = groupOf(Service, Server))
+    m_Limiter.recordStream(*Group, LargestRatio);
 }
 
 } // namespace corneldeck::direct
--- a/Source/Direct/GroupCapacity.h
+++ b/Source/Direct/GroupCapacity.h
@@ -44,9 +44,13 @@
 
   /// Records the interval between two events of a stream from the server with
   /// the id \p Server.
-  void recordInterval(const std::string &Service, const std::string &Server,
-                      const EngineProfile &Engine, base::Millis Interval,
-                      base::Millis Now);
+  /// \returns see ConcurrencyLimiter::recordInterval().
+  double recordInterval(const std::string &Service, const std::string &Server,
+                        const EngineProfile &Engine, base::Millis Interval,
+                        base::Millis Now);
+  /// Records the largest ratio of a stream that has ended.
+  void recordStream(const std::string &Service, const std::string &Server,
+                    double LargestRatio);
 
   /// State of one rank group of a service.
   struct GroupState {
@@ -65,6 +69,10 @@
                                                base::Millis Now) const;
 
 private:
+  /// Returns the group of a server; nothing if it is not known, since the
+  /// server is not listed any more.
+  [[nodiscard]] std::optional<RankGroup>
+  groupOf(const std::string &Service, const std::string &Server) const;
   /// Lowers the capacity to the limit of \p Group.
   void applyLimit(ServerPool::ServiceUsage &Usage, const RankGroup &Group,
                   const EngineProfile &Engine,
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -340,14 +340,15 @@
       m_Routes->targetEventInterval(Group.m_Service), m_Clock.now());
 }
 
-void RequestForwarder::recordEventInterval(const std::string &Service,
-                                           const std::string &Server,
-                                           base::Millis Interval) {
+double RequestForwarder::recordEventInterval(const std::string &Service,
+                                             const std::string &Server,
+                                             base::Millis Interval) {
   m_EventIntervals.record(static_cast<double>(Interval.count()));
   const direct::Service *Found = m_Routes->configuration().findService(Service);
-  if (Found && Found->m_Engine)
-    m_GroupCapacity.recordInterval(Service, Server, *Found->m_Engine, Interval,
-                                   m_Clock.now());
+  if (!Found || !Found->m_Engine)
+    return 0;
+  return m_GroupCapacity.recordInterval(Service, Server, *Found->m_Engine,
+                                        Interval, m_Clock.now());
 }
 
 bool RequestForwarder::holdResponse(std::uint64_t Token,
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -190,8 +190,9 @@
   /// See ServerPool::RateGroup.
   [[nodiscard]] std::optional<LoadOption>
   rateGroup(const RankGroup &Group, const GroupLoad &Load) const;
-  void recordEventInterval(const std::string &Service,
-                           const std::string &Server, base::Millis Interval);
+  /// \returns the pass time ratio; 0 if the interval does not count.
+  double recordEventInterval(const std::string &Service,
+                             const std::string &Server, base::Millis Interval);
 
   Dependencies m_Dependencies;
   GroupCapacity m_GroupCapacity;
--- a/Source/Fleet/FleetSummary.cpp
+++ b/Source/Fleet/FleetSummary.cpp
@@ -35,6 +35,32 @@
 
 } // namespace
 
+namespace {
+
+/// Adds the counts of a histogram. No more bins than of this release, so that a
+/// sum stays bounded.
+template <typename Counts> void addCounts(Counts &Sum, const Counts &Added) {
+  constexpr int MaxBins = 32;
+  for (int Bin = 0; Bin < std::min(Added.size(), MaxBins); ++Bin) {
+    if (Bin == Sum.size())
+      Sum.Add(0);
+    Sum.Set(Bin, Sum.Get(Bin) + Added.Get(Bin));
+  }
+}
+
+/// Adds the estimate of one entry, or the sums of several.
+template <typename Estimate>
+void addStretch(wire::StretchSum &Sum, const Estimate &Added,
+                std::uint32_t Entries) {
+  Sum.set_entries(Sum.entries() + Entries);
+  Sum.set_mean(Sum.mean() + Added.mean());
+  Sum.set_variance(Sum.variance() + Added.variance());
+  addCounts(*Sum.mutable_counts(), Added.counts());
+  addCounts(*Sum.mutable_stream_counts(), Added.stream_counts());
+}
+
+} // namespace
+
 std::uint32_t serverHash(std::string_view Id) { return shortHash(Id); }
 
 std::uint32_t nodeHash(const wire::NodeNews &News) {
@@ -50,12 +76,8 @@
     Sum.m_Requests += Each.requests();
     Sum.m_PromptTokens += Each.prompt_tokens();
   }
-  for (const wire::PassStretch &Each : Beat.stretches()) {
-    wire::StretchSum &Sum = m_Stretches[{Each.service(), Each.group()}];
-    Sum.set_entries(Sum.entries() + 1);
-    Sum.set_mean(Sum.mean() + Each.mean());
-    Sum.set_variance(Sum.variance() + Each.variance());
-  }
+  for (const wire::PassStretch &Each : Beat.stretches())
+    addStretch(m_Stretches[{Each.service(), Each.group()}], Each, 1);
   wire::NodePositions &Positions = m_Positions.emplace_back();
   Positions.set_node(Beat.sender().node());
   *Positions.mutable_configuration() = Beat.configuration();
@@ -147,12 +169,9 @@
     Sum.m_Requests += Summary.requests(Index);
     Sum.m_PromptTokens += Summary.prompt_tokens(Index);
   }
-  for (const wire::StretchSum &Each : Summary.stretches()) {
-    wire::StretchSum &Sum = m_Stretches[{Each.service(), Each.group()}];
-    Sum.set_entries(Sum.entries() + Each.entries());
-    Sum.set_mean(Sum.mean() + Each.mean());
-    Sum.set_variance(Sum.variance() + Each.variance());
-  }
+  for (const wire::StretchSum &Each : Summary.stretches())
+    addStretch(m_Stretches[{Each.service(), Each.group()}], Each,
+               Each.entries());
   m_Positions.insert(m_Positions.end(), Summary.positions().begin(),
                      Summary.positions().end());
   for (const wire::ForwardedNotices &Each : Summary.notices()) {
--- a/Source/Gateway/GroupExchange.cpp
+++ b/Source/Gateway/GroupExchange.cpp
@@ -26,10 +26,10 @@
                            const direct::GroupCapacity &Capacity,
                            base::Millis Now) {
   m_Dependencies.m_Groups.discardExpired(Now);
+  m_Dependencies.m_Limiter.advance(Now);
   if (Now - m_LoggedAt < LogInterval)
     return;
   m_LoggedAt = Now;
-  m_Dependencies.m_Limiter.discardUnused(Now);
   recordSizes();
   if (Routes)
     recordLimits(*Routes, Capacity, Now);
@@ -132,13 +132,20 @@
     Stretch.set_group(Group.m_Name);
     Stretch.set_mean(Ratio.m_Mean);
     Stretch.set_variance(Ratio.m_Variance);
+    for (const std::uint32_t Each : Ratio.m_Recent.encode())
+      Stretch.add_counts(Each);
+    for (const std::uint32_t Each : Ratio.m_Streams.encode())
+      Stretch.add_stream_counts(Each);
   }
 }
 
 void GroupExchange::handleRatios(const wire::FleetBeat &Beat) {
   direct::ConcurrencyLimiter::PassTimeRatios Ratios;
   for (const wire::PassStretch &Each : Beat.stretches())
-    Ratios[{Each.service(), Each.group()}] = {Each.mean(), Each.variance()};
+    Ratios[{Each.service(), Each.group()}] = {
+        Each.mean(), Each.variance(), 1,
+        direct::RatioHistogram::decode(Each.counts()),
+        direct::RatioHistogram::decode(Each.stream_counts())};
   m_Dependencies.m_Limiter.setPeerRatios(Beat.sender().node(),
                                          std::move(Ratios));
 }
@@ -151,7 +158,8 @@
     if (Each.entries() > 0)
       Ratios[{Each.service(), Each.group()}] = {
           Each.mean() / Each.entries(), Each.variance() / Each.entries(),
-          Each.entries()};
+          Each.entries(), direct::RatioHistogram::decode(Each.counts()),
+          direct::RatioHistogram::decode(Each.stream_counts())};
   m_Dependencies.m_Limiter.setPeerRatios(Peer, std::move(Ratios));
   for (const wire::GroupTally &Each : Summary.groups()) {
     m_Dependencies.m_Groups.update(
--- a/Tests/Direct/AdmissionTest.cpp
+++ b/Tests/Direct/AdmissionTest.cpp
@@ -22,6 +22,14 @@
   return Engine;
 }
 
+/// Returns settings with the estimate that depends on the number of intervals
+/// and not on their times.
+ConcurrencyLimiterSettings smoothed() {
+  ConcurrencyLimiterSettings Settings;
+  Settings.m_Estimate = PassTimeEstimate::Smoothed;
+  return Settings;
+}
+
 /// Returns the shortest and the longest retry-after time of many requests.
 std::pair<base::Millis, base::Millis>
 retryAfterRange(const AdmissionQueue &Queue,
@@ -149,7 +157,7 @@
 
 // Load: so many streams that passes exceed the target interval.
 TEST(ConcurrencyLimiter, LongIntervalsLowerTheLimit) {
-  ConcurrencyLimiter Limiter;
+  ConcurrencyLimiter Limiter(smoothed());
   const double Before = Limiter.limit({"s"}, engine(), base::Millis(120));
   for (int Count = 0; Count < 1000; ++Count)
     Limiter.recordInterval({"s"}, engine(), base::Millis(150), 12, {});
@@ -167,7 +175,7 @@
   constexpr int Shifts = 20;
   constexpr int IntervalsAfterShift = 120;
   constexpr int IntervalsBetweenShifts = 600;
-  ConcurrencyLimiter Limiter;
+  ConcurrencyLimiter Limiter(smoothed());
   for (int Shift = 0; Shift < Shifts; ++Shift) {
     for (int Count = 0; Count < IntervalsAfterShift; ++Count)
       Limiter.recordInterval({"s"}, engine(), base::Millis(130), 8, {});
@@ -179,7 +187,7 @@
 
 // Load: entries measure different intervals but must use similar limits.
 TEST(ConcurrencyLimiter, EstimatesOfOtherEntriesCount) {
-  ConcurrencyLimiter Limiter;
+  ConcurrencyLimiter Limiter(smoothed());
   for (int Count = 0; Count < 1000; ++Count)
     Limiter.recordInterval({"s"}, engine(), base::Millis(65), 12, {});
   const double Alone = Limiter.limit({"s"}, engine(), base::Millis(120));
@@ -190,7 +198,7 @@
 }
 
 TEST(ConcurrencyLimiter, StallsAreNotCounted) {
-  ConcurrencyLimiter Limiter;
+  ConcurrencyLimiter Limiter(smoothed());
   for (int Count = 0; Count < 1000; ++Count)
     Limiter.recordInterval({"s"}, engine(), base::Millis(65), 12, {});
   const double Before = Limiter.limit({"s"}, engine(), base::Millis(120));
--- a/Tests/Direct/GroupCapacityTest.cpp
+++ b/Tests/Direct/GroupCapacityTest.cpp
@@ -8,6 +8,14 @@
 
 constexpr base::Millis Target{120};
 
+/// Returns settings with the estimate that depends on the number of intervals
+/// and not on their times.
+ConcurrencyLimiterSettings smoothed() {
+  ConcurrencyLimiterSettings Settings;
+  Settings.m_Estimate = PassTimeEstimate::Smoothed;
+  return Settings;
+}
+
 EngineProfile engine() {
   EngineProfile Engine;
   Engine.m_Capacity = 10;
@@ -66,7 +74,7 @@
 
   base::Millis m_Now = base::seconds(10);
   ServerPool m_Pool{"z"};
-  ConcurrencyLimiter m_Limiter;
+  ConcurrencyLimiter m_Limiter{smoothed()};
   GroupAvailability m_Availability;
   GroupCapacity m_Capacity{m_Pool, m_Limiter, m_Availability};
 };
@@ -80,7 +88,7 @@
   start("g0", 8);
   start("h0", 12);
   record("h0", base::Millis(90));
-  ConcurrencyLimiter Expected;
+  ConcurrencyLimiter Expected(smoothed());
   for (int Count = 0; Count < 8000; ++Count)
     Expected.recordInterval({"s"}, engine(), base::Millis(90), 5, m_Now);
   const double Limit = Expected.limit({"s"}, engine(), Target);
@@ -158,14 +166,14 @@
   m_Now += base::seconds(9);
   divide();
   record("g0", base::Millis(31));
-  m_Limiter.discardUnused(m_Now);
+  m_Limiter.advance(m_Now);
   EXPECT_DOUBLE_EQ(m_Limiter.limit({"s", "h"}, engine(), Target), Slow);
   m_Now += base::seconds(2);
-  m_Limiter.discardUnused(m_Now);
+  m_Limiter.advance(m_Now);
   EXPECT_GT(m_Limiter.limit({"s", "h"}, engine(), Target), Slow);
   // A service without any streams keeps its estimate.
   m_Now += base::seconds(60);
-  m_Limiter.discardUnused(m_Now);
+  m_Limiter.advance(m_Now);
   EXPECT_EQ(m_Limiter.localRatios().size(), 1U);
 }
 
--- a/Tests/Direct/GroupChoiceTest.cpp
+++ b/Tests/Direct/GroupChoiceTest.cpp
@@ -7,6 +7,14 @@
 namespace {
 
 constexpr base::Millis Target{120};
+
+/// Returns settings with the estimate that depends on the number of intervals
+/// and not on their times.
+ConcurrencyLimiterSettings smoothed() {
+  ConcurrencyLimiterSettings Settings;
+  Settings.m_Estimate = PassTimeEstimate::Smoothed;
+  return Settings;
+}
 constexpr int Ranks = 4;
 
 EngineProfile engine() {
@@ -74,7 +82,7 @@
   EngineProfile m_Engine = engine();
   std::vector<BackendServer> m_Servers;
   ServerPool m_Pool{""};
-  ConcurrencyLimiter m_Limiter;
+  ConcurrencyLimiter m_Limiter{smoothed()};
   GroupAvailability m_Availability;
   GroupCapacity m_Capacity{m_Pool, m_Limiter, m_Availability};
 };
--- a/Tests/Gateway/GroupExchangeTest.cpp
+++ b/Tests/Gateway/GroupExchangeTest.cpp
@@ -8,6 +8,22 @@
 
 namespace {
 
+/// Returns settings with the estimate that all releases exchange.
+direct::ConcurrencyLimiterSettings smoothed() {
+  direct::ConcurrencyLimiterSettings Settings;
+  Settings.m_Estimate = direct::PassTimeEstimate::Smoothed;
+  return Settings;
+}
+
+direct::EngineProfile engine() {
+  direct::EngineProfile Engine;
+  Engine.m_Capacity = 10;
+  Engine.m_StepMillis = 5;
+  Engine.m_StepMillisPerRequest = 0.43;
+  Engine.m_StepsPerPass = 6;
+  return Engine;
+}
+
 class GroupExchangeTest : public ::testing::Test {
 protected:
   /// Returns the heartbeat of the agent beside the server at \p Address.
@@ -59,7 +75,7 @@
   direct::ServerPool m_Pool{"z"};
   direct::RankGroups &m_Groups = m_Pool.groups();
   direct::GroupAvailability m_Availability;
-  direct::ConcurrencyLimiter m_Limiter;
+  direct::ConcurrencyLimiter m_Limiter{smoothed()};
   direct::GroupCapacity m_Capacity{m_Pool, m_Limiter, m_Availability};
   base::Timeline m_Events{"e", 16};
   metrics::Registry m_Metrics;
@@ -156,11 +172,7 @@
 // and relays, or that of an entry of an earlier release, which sends no group,
 // was lost.
 TEST_F(GroupExchangeTest, RatiosAreExchangedByGroup) {
-  direct::EngineProfile Engine;
-  Engine.m_Capacity = 10;
-  Engine.m_StepMillis = 5;
-  Engine.m_StepMillisPerRequest = 0.43;
-  Engine.m_StepsPerPass = 6;
+  const direct::EngineProfile Engine = engine();
   m_Exchange.handleAgent(agent("10.0.0.1:80", "g"), m_Now);
   m_Exchange.handleAgent(agent("10.0.0.2:80", "h"), m_Now);
   // A ratio of three in one group only.
@@ -175,7 +187,7 @@
     EXPECT_GT(m_Limiter.limit({"s", "g"}, Engine, base::Millis(120)), 9);
     EXPECT_LT(m_Limiter.limit({"s", "h"}, Engine, base::Millis(120)), 6);
   };
-  m_Limiter = direct::ConcurrencyLimiter();
+  m_Limiter = direct::ConcurrencyLimiter(smoothed());
   m_Exchange.handleRatios(Beat);
   ExpectLimits();
   fleet::SummarySum Sum;
@@ -183,16 +195,60 @@
   Sum.addEntry(Beat, {});
   wire::FleetSummary Summary;
   Sum.write(Summary);
-  m_Limiter = direct::ConcurrencyLimiter();
+  m_Limiter = direct::ConcurrencyLimiter(smoothed());
   m_Exchange.handleSummary("all", Summary, m_Now);
   ExpectLimits();
   wire::FleetBeat Earlier;
   *Earlier.add_stretches() = Beat.stretches(1);
   Earlier.mutable_stretches(0)->clear_group();
-  m_Limiter = direct::ConcurrencyLimiter();
+  m_Limiter = direct::ConcurrencyLimiter(smoothed());
   m_Exchange.handleRatios(Earlier);
   for (const char *Group : {"g", "h"})
     EXPECT_LT(m_Limiter.limit({"s", Group}, Engine, base::Millis(120)), 6);
 }
 
+// Failure: the distributions of the groups were mixed or lost on their way
+// through heartbeats and relays, or added to those that were received before.
+TEST_F(GroupExchangeTest, DistributionsAreExchangedByGroup) {
+  m_Exchange.handleAgent(agent("10.0.0.1:80", "g"), m_Now);
+  m_Exchange.handleAgent(agent("10.0.0.2:80", "h"), m_Now);
+  m_Limiter = direct::ConcurrencyLimiter();
+  // Ratios of 1 and 2.4.
+  for (int Count = 0; Count < 100; ++Count) {
+    m_Limiter.recordInterval({"s", "g"}, engine(), base::Millis(56), 10, m_Now);
+    m_Limiter.recordInterval({"s", "h"}, engine(), base::Millis(134), 10,
+                             m_Now);
+    m_Limiter.recordStream({"s", "h"}, 2.4);
+  }
+  wire::FleetBeat Beat;
+  m_Exchange.fillHeartbeat(Beat);
+  fleet::SummarySum Sum;
+  Sum.addEntry(Beat, {});
+  Sum.addEntry(Beat, {});
+  wire::FleetSummary Partial;
+  Sum.write(Partial);
+  fleet::SummarySum Whole;
+  Whole.addSummary(Partial, {});
+  wire::FleetSummary Summary;
+  Whole.write(Summary);
+  const auto ExpectLimits = [&] {
+    EXPECT_DOUBLE_EQ(m_Limiter.limit({"s", "g"}, engine(), base::Millis(120)),
+                     10);
+    EXPECT_LT(m_Limiter.limit({"s", "h"}, engine(), base::Millis(120)), 7.8);
+  };
+
+  m_Limiter = direct::ConcurrencyLimiter();
+  m_Exchange.handleRatios(Beat);
+  m_Exchange.handleRatios(Beat);
+  ExpectLimits();
+  m_Limiter = direct::ConcurrencyLimiter();
+  m_Exchange.handleSummary("all", Summary, m_Now);
+  ExpectLimits();
+  ASSERT_EQ(Summary.stretches_size(), 2);
+  std::uint32_t Total = 0;
+  for (const std::uint32_t Each : Summary.stretches(1).stream_counts())
+    Total += Each;
+  EXPECT_EQ(Total, 2U * 100 * 16);
+}
+
 } // namespace corneldeck::gateway
