Net, Direct, Gateway: one account of the memory held for callers

Each limit belonged to one request and none to the process. Trailers, extensions of chunks, responses to pipelined requests and receive buffers had none at all; header fields need up to 20 times their bytes; a body was held three times, and an idle connection to a server kept a copy.

net::MemoryAccount has what connections and responses of servers hold, as allocated, with a bound of three eighths of memory_mb. Above it the holder with the largest bytes x time is cut off: 503, not run, if its request is incomplete. Trailers and chunk extensions have the limit of header sections; the next pipelined request waits until less than 64 KiB is queued; receive buffers have an eighth of the memory; idle connections of the callers with most connections make room for new ones. The body is shared by a request and its attempts and not copied. Event 1432, corneldeck_held_bytes, corneldeck_callers_cut_off_total.

HttpPipelineTest turns Nagle's algorithm off, so that its pieces arrive one by one.

--- a/Source/Base/Events.cpp
+++ b/Source/Base/Events.cpp
@@ -115,6 +115,8 @@
               "A dependency of the process does not respond."},
     EventInfo{EventId::DependencyBack, "dependency-back",
               "A dependency of the process responds again."},
+    EventInfo{EventId::CallerCutOff, "caller-cut-off",
+              "A caller was cut off because of a limit."},
     EventInfo{
         EventId::PartQuarantined, "part-quarantined",
         "Requests with a part in their prompts are refused, since several "
--- a/Source/Base/Events.h
+++ b/Source/Base/Events.h
@@ -67,6 +67,7 @@
   ServerEnded = 1428,
   DependencyLost = 1430,
   DependencyBack = 1431,
+  CallerCutOff = 1432,
   PartQuarantined = 1440,
   PartConfirmed = 1441,
   PartOnTrial = 1442,
--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -90,7 +90,7 @@
         Limits.m_Deadline = m_Parameters.m_Deadline;
         return Limits;
       }()),
-      m_Body(m_Exchange->takeBody()),
+      m_Body(std::make_shared<const std::string>(m_Exchange->takeBody())),
       m_Timer(Forwarder.m_Dependencies.m_Context),
       m_TrialTimer(Forwarder.m_Dependencies.m_Context) {}
 
@@ -238,7 +238,7 @@
   Call.m_Address = Chosen->m_Address;
   Call.m_Host = m_Parameters.m_Request.m_Host;
   Call.m_Headers = m_Forwarder.m_Codec.m_EncodeRequest(*m_Exchange, Metadata);
-  Call.m_Body = m_Body;
+  Call.m_SharedBody = m_Body;
   Call.m_Timeout = base::Millis(0);
   Call.m_NeedsNewConnection = m_WasSilent;
 
@@ -347,7 +347,8 @@
 
 void ForwardedRequest::releaseBody() {
   m_Forwarder.m_ResponseMemory.remove(m_Parameters.m_Token);
-  m_ResponseBody = {};
+  // Assigning an empty string would keep the memory.
+  std::string().swap(m_ResponseBody);
   m_DiscardedBytes = 0;
 }
 
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -113,7 +113,7 @@
   std::shared_ptr<net::HttpExchange> m_Exchange;
   const Parameters m_Parameters;
   AttemptTracker m_Tracker;
-  const std::string m_Body;
+  const std::shared_ptr<const std::string> m_Body;
   boost::asio::steady_timer m_Timer;
   boost::asio::steady_timer m_TrialTimer;
 
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -35,9 +35,14 @@
 } // namespace
 
 RequestForwarder::RequestForwarder(Dependencies Objects, RequestCodec Codec,
-                                   std::size_t MaxResponseBytes)
+                                   std::size_t MaxResponseBytes,
+                                   std::shared_ptr<net::MemoryAccount> Memory)
     : m_Dependencies(Objects), m_Codec(std::move(Codec)),
-      m_ResponseMemory(MaxResponseBytes), m_QueueTimer(Objects.m_Context),
+      m_ResponseMemory(MaxResponseBytes,
+                       [Memory = std::move(Memory)](std::size_t Bytes) {
+                         Memory->setResponseBytes(Bytes);
+                       }),
+      m_QueueTimer(Objects.m_Context),
       m_Requests(Objects.m_Metrics.counter("corneldeck_requests_total",
                                            "Requests received from callers.")),
       m_Refused(Objects.m_Metrics.counter(
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -16,6 +16,7 @@
 #include "Metrics/Registry.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpExchange.h"
+#include "Net/MemoryAccount.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -118,8 +119,10 @@
 
   /// \param MaxResponseBytes maximum size of all responses that are held until
   /// they can be forwarded.
+  /// \param Memory the account that the responses are a part of.
   RequestForwarder(Dependencies Objects, RequestCodec Codec,
-                   std::size_t MaxResponseBytes);
+                   std::size_t MaxResponseBytes,
+                   std::shared_ptr<net::MemoryAccount> Memory);
   ~RequestForwarder();
   RequestForwarder(const RequestForwarder &) = delete;
   RequestForwarder &operator=(const RequestForwarder &) = delete;
--- a/Source/Direct/ResponseMemory.cpp
+++ b/Source/Direct/ResponseMemory.cpp
@@ -17,7 +17,7 @@
   auto &Of = m_Servers[Server];
   std::size_t &Held = Of.m_BytesByRequest[Request];
   Of.m_Bytes = Of.m_Bytes - Held + Bytes;
-  m_Total = m_Total - Held + Bytes;
+  setTotal(m_Total - Held + Bytes);
   Held = Bytes;
 }
 
@@ -28,13 +28,19 @@
   const auto Of = m_Servers.find(Known->second);
   const auto Held = Of->second.m_BytesByRequest.find(Request);
   Of->second.m_Bytes -= Held->second;
-  m_Total -= Held->second;
+  setTotal(m_Total - Held->second);
   Of->second.m_BytesByRequest.erase(Held);
   if (Of->second.m_BytesByRequest.empty())
     m_Servers.erase(Of);
   m_ServerByRequest.erase(Known);
 }
 
+void ResponseMemory::setTotal(std::size_t Bytes) {
+  m_Total = Bytes;
+  if (m_OnChanged)
+    m_OnChanged(Bytes);
+}
+
 std::optional<std::uint64_t> ResponseMemory::excess() const {
   if (m_Total <= m_MaxBytes)
     return std::nullopt;
--- a/Source/Direct/ResponseMemory.h
+++ b/Source/Direct/ResponseMemory.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,7 +20,11 @@
 class ResponseMemory {
 public:
   /// \param MaxBytes the limit for all responses together.
-  explicit ResponseMemory(std::size_t MaxBytes) : m_MaxBytes(MaxBytes) {}
+  /// \param OnChanged is called with the bytes of all responses when they have
+  /// changed; optional.
+  explicit ResponseMemory(std::size_t MaxBytes,
+                          std::function<void(std::size_t)> OnChanged = {})
+      : m_MaxBytes(MaxBytes), m_OnChanged(std::move(OnChanged)) {}
 
   /// Records how many bytes of its response a request holds.
   /// \param Request identifies the request.
@@ -47,7 +52,10 @@
 
   [[nodiscard]] const Server *largest() const;
 
+  void setTotal(std::size_t Bytes);
+
   const std::size_t m_MaxBytes;
+  const std::function<void(std::size_t)> m_OnChanged;
   std::size_t m_Total = 0;
   std::unordered_map<std::string, Server> m_Servers;
   std::unordered_map<std::uint64_t, std::string> m_ServerByRequest;
--- a/Source/Gateway/GatewayNode.cpp
+++ b/Source/Gateway/GatewayNode.cpp
@@ -103,6 +103,10 @@
       });
 }
 
+/// Maximum number of lines a second about callers that are cut off: a small
+/// part of the 300 lines a second that a process logs.
+constexpr unsigned CutOffLinesPerSecond = 20;
+
 } // namespace
 
 GatewayNode::GatewayNode(boost::asio::io_context &Context,
@@ -113,6 +117,7 @@
       m_Records(std::move(Records)), m_Events(Events), m_Metrics(Metrics),
       m_Rng(m_Settings.m_Fleet.m_Incarnation ^
             std::hash<std::string>()(m_Settings.m_Fleet.m_Node)),
+      m_Memory(std::make_shared<net::MemoryAccount>(m_Settings.m_MaxHeldBytes)),
       m_PeerClient(Context, peerClientOptions()),
       m_ServerClient(Context, serverClientOptions(m_Settings)),
       m_Pool(m_Settings.m_Fleet.m_Zone, {},
@@ -127,7 +132,7 @@
       m_Forwarder({Context, m_ServerClient, m_Pool, m_AdmissionQueue,
                    m_RetryBudget, m_Limiter, m_GroupAvailability, Events,
                    Metrics, m_Rng, m_ServerEnds, m_Quarantine},
-                  std::move(Requests), m_Settings.m_MaxResponseBytes),
+                  std::move(Requests), m_Settings.m_MaxResponseBytes, m_Memory),
       m_Configuration(
           Context, m_Log, m_PeerClient, Events, Metrics,
           sharedFeedSettings(m_Settings.m_Fleet, "configuration",
@@ -201,16 +206,61 @@
                              : static_cast<double>(
                                    (m_Clock.now() - m_PendingSince).count());
                 });
-  net::HttpServerOptions Options;
-  Options.m_MaxConnections = m_Settings.m_MaxConnections;
+  addMemoryMetrics();
+  m_Memory->onCutOff(
+      [this](const net::CallerCutOff &Cut) { recordCutOff(Cut); });
   m_CallerServer = std::make_unique<net::HttpServer>(
-      Context, Options,
+      Context, callerServerOptions(),
       [this](const std::shared_ptr<net::HttpExchange> &Exchange) {
         m_Forwarder.handle(Exchange);
       });
 }
 
-GatewayNode::~GatewayNode() = default;
+GatewayNode::~GatewayNode() { m_Memory->onCutOff({}); }
+
+net::HttpServerOptions GatewayNode::callerServerOptions() const {
+  net::HttpServerOptions Options;
+  Options.m_MaxConnections = m_Settings.m_MaxConnections;
+  Options.m_ReceiveBufferBytes = m_Settings.m_ReceiveBufferBytes;
+  Options.m_Memory = m_Memory;
+  return Options;
+}
+
+void GatewayNode::addMemoryMetrics() {
+  m_Metrics.gauge("corneldeck_held_bytes",
+                  "Bytes held for callers and backend servers.",
+                  [this] { return static_cast<double>(m_Memory->total()); });
+  m_Metrics.gauge("corneldeck_held_bytes_limit",
+                  "The bound of corneldeck_held_bytes.",
+                  [this] { return static_cast<double>(m_Memory->maxBytes()); });
+}
+
+void GatewayNode::recordCutOff(const net::CallerCutOff &Cut) {
+  const std::string Limit(net::name(Cut.m_Limit));
+  m_Metrics
+      .counter("corneldeck_callers_cut_off_total",
+               "Callers that were cut off because of a limit.",
+               {{"limit", Limit}})
+      .add();
+  const base::Millis Now = m_Clock.now();
+  if (Now - m_CutOffSecond >= base::seconds(1)) {
+    m_CutOffSecond = Now;
+    m_CutOffLines = 0;
+  }
+  if (m_CutOffLines >= CutOffLinesPerSecond) {
+    ++m_CutOffsWithoutLine;
+    return;
+  }
+  ++m_CutOffLines;
+  m_Events.record(base::EventId::CallerCutOff,
+                  {{"caller", Cut.m_Caller},
+                   {"held_bytes", std::to_string(Cut.m_HeldBytes)},
+                   {"limit", Limit},
+                   {"all_bytes", std::to_string(m_Memory->total())},
+                   {"max_bytes", std::to_string(m_Memory->maxBytes())},
+                   {"not_logged", std::to_string(m_CutOffsWithoutLine)}});
+  m_CutOffsWithoutLine = 0;
+}
 
 base::Result<void> GatewayNode::start() {
   if (auto Listening =
@@ -320,8 +370,7 @@
   const std::uint64_t Version = Decoded.m_Version;
   const std::size_t Routes = Decoded.m_Routes.size();
   recordUnreadableParts(Decoded);
-  net::HttpServerOptions ServerOptions;
-  ServerOptions.m_MaxConnections = m_Settings.m_MaxConnections;
+  net::HttpServerOptions ServerOptions = callerServerOptions();
   ServerOptions.m_MaxHeadBytes = Decoded.m_Limits.m_MaxHeadBytes;
   ServerOptions.m_MaxBodyBytes = Decoded.m_Limits.m_MaxBodyBytes;
   ServerOptions.m_HeadTimeout = Decoded.m_Limits.m_HeadTimeout;
--- a/Source/Gateway/GatewayNode.h
+++ b/Source/Gateway/GatewayNode.h
@@ -32,6 +32,11 @@
   /// Time from the start of the shutdown to the latest exit of the process.
   base::Millis m_StopTimeout = base::Millis(7300);
   std::size_t m_MaxConnections = 3000;
+  /// Receive buffer of a caller's connection in the system, in bytes.
+  std::size_t m_ReceiveBufferBytes = 64 * net::KiB;
+  /// Maximum size of all that is held for callers and backend servers,
+  /// including those responses.
+  std::size_t m_MaxHeldBytes = 96 * net::MiB;
   /// Maximum idle connections to each backend server. Lower than the limit that
   /// a backend server has for all clients together.
   std::size_t m_MaxIdlePerServer = 32;
@@ -84,6 +89,11 @@
   /// the entry is not stopping.
   [[nodiscard]] bool ready() const;
 
+  /// Returns the account of what is held for callers and backend servers.
+  [[nodiscard]] std::shared_ptr<net::MemoryAccount> memory() const {
+    return m_Memory;
+  }
+
   /// Returns the addresses of entries for a caller in \p Zone.
   membership::AddressList advise(const std::string &Zone);
 
@@ -124,6 +134,11 @@
   void recordGroup(const std::string &Reporter,
                    const direct::GroupAvailability::Report &Latest);
   void checkStopped();
+  void addMemoryMetrics();
+  /// Logs that a caller was cut off, at most CutOffLinesPerSecond times a
+  /// second.
+  void recordCutOff(const net::CallerCutOff &Cut);
+  [[nodiscard]] net::HttpServerOptions callerServerOptions() const;
 
   const GatewaySettings m_Settings;
   const feed::KeyedLogClient m_Log;
@@ -132,6 +147,8 @@
   metrics::Registry &m_Metrics;
   const base::Clock m_Clock = base::steadyClock();
   base::Random m_Rng;
+  /// Outlives the connections and requests that are in it.
+  const std::shared_ptr<net::MemoryAccount> m_Memory;
   net::HttpClient m_PeerClient;
   net::HttpClient m_ServerClient;
   direct::ServerPool m_Pool;
@@ -167,6 +184,11 @@
   /// Expires with this object, for actions that are posted.
   const std::shared_ptr<const bool> m_Lifetime =
       std::make_shared<const bool>(true);
+  /// Start of the second in which lines of cut off callers are counted, the
+  /// lines in it, and the callers since the last line without one.
+  base::Millis m_CutOffSecond{};
+  unsigned m_CutOffLines = 0;
+  std::uint64_t m_CutOffsWithoutLine = 0;
   bool m_Stopping = false;
   base::Millis m_StopStartedAt{};
   bool m_IsAnsweredBeforeExit = false;
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -25,6 +25,8 @@
   std::string m_Host;
   HttpHeaders m_Headers;
   std::string m_Body;
+  /// Sent instead of m_Body if not null; not copied.
+  std::shared_ptr<const std::string> m_SharedBody;
   /// Maximum time from the start of the request to the end of the response;
   /// zero for no limit.
   base::Millis m_Timeout = base::seconds(10);
--- a/Source/Net/HttpClientConnection.cpp
+++ b/Source/Net/HttpClientConnection.cpp
@@ -3,6 +3,7 @@
 #include "Net/Endpoint.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <chrono>
@@ -19,10 +20,14 @@
 constexpr std::size_t MaxRetainedBufferBytes = 64 * KiB;
 constexpr unsigned FirstFinalStatus = 200;
 
-std::string formatRequest(const HttpCall &Call) {
+const std::string &bodyOf(const HttpCall &Call) {
+  return Call.m_SharedBody ? *Call.m_SharedBody : Call.m_Body;
+}
+
+std::string formatHead(const HttpCall &Call) {
   constexpr std::size_t HeadEstimate = 512;
   std::string Out;
-  Out.reserve(HeadEstimate + Call.m_Body.size());
+  Out.reserve(HeadEstimate);
   Out.append(Call.m_Method).append(" ").append(Call.m_Target);
   Out.append(" HTTP/1.1\r\nHost: ")
       .append(Call.m_Host.empty() ? Call.m_Address : Call.m_Host)
@@ -32,11 +37,11 @@
         .append(": ")
         .append(Header.m_Value)
         .append("\r\n");
-  if (!Call.m_Body.empty() || Call.m_Method != "GET")
+  if (!bodyOf(Call).empty() || Call.m_Method != "GET")
     Out.append("Content-Length: ")
-        .append(std::to_string(Call.m_Body.size()))
+        .append(std::to_string(bodyOf(Call).size()))
         .append("\r\n");
-  Out.append("\r\n").append(Call.m_Body);
+  Out.append("\r\n");
   return Out;
 }
 
@@ -157,11 +162,14 @@
 }
 
 void HttpClientConnection::write() {
-  m_RequestBytes = formatRequest(m_Call->m_Request);
+  m_RequestHead = formatHead(m_Call->m_Request);
   m_WriteStarted = true;
   m_WriteActive = true;
-  asio::async_write(m_Socket, asio::buffer(m_RequestBytes),
-                    [Self = shared_from_this()](
+  // The call keeps the body until it is written.
+  const std::array<asio::const_buffer, 2> Pieces{
+      asio::buffer(m_RequestHead), asio::buffer(bodyOf(m_Call->m_Request))};
+  asio::async_write(m_Socket, Pieces,
+                    [Self = shared_from_this(), Call = m_Call](
                         const boost::system::error_code &Code,
                         std::size_t Count) { Self->onWritten(Code, Count); });
 }
@@ -169,6 +177,7 @@
 void HttpClientConnection::onWritten(const boost::system::error_code &Code,
                                      std::size_t Count) {
   m_WriteActive = false;
+  std::string().swap(m_RequestHead);
   if (m_Closed || !m_Call || !Code)
     return;
   if (Count > 0) {
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -119,7 +119,7 @@
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
   std::shared_ptr<InFlightCall> m_Call;
-  std::string m_RequestBytes;
+  std::string m_RequestHead;
   base::Millis m_StartedAt{};
   base::Millis m_LastReadAt{};
   bool m_Connected = false;
--- a/Source/Net/HttpConnection.cpp
+++ b/Source/Net/HttpConnection.cpp
@@ -17,8 +17,13 @@
 constexpr std::size_t HeadReadBytes = 4 * KiB;
 /// Maximum size of pipelined requests that are buffered while one is handled.
 constexpr std::size_t MaxPipelinedBytes = 64 * KiB;
-/// Larger buffers are freed between requests.
-constexpr std::size_t MaxRetainedBufferBytes = 16 * KiB;
+/// The next pipelined request is parsed once less than this is queued.
+constexpr std::size_t MaxQueuedBeforeNext = 64 * KiB;
+/// Memory of a header field beside its bytes: its node in the list and the tree
+/// of the fields, and the overhead of two allocations.
+constexpr std::size_t FieldOverhead = 96;
+/// Retry-after time of a request that is refused for lack of memory.
+constexpr base::Millis MemoryRetryAfter = base::seconds(1);
 /// Time for the caller to read the response before the connection is closed.
 constexpr base::Millis LingerTimeout = base::seconds(2);
 
@@ -26,6 +31,12 @@
   return Text.find_first_of("\r\n") == std::string_view::npos;
 }
 
+/// \returns the size of the allocation of \p Text; short texts need none.
+std::size_t allocatedBytes(const std::string &Text) {
+  static const std::size_t WithoutAllocation = std::string().capacity();
+  return Text.capacity() > WithoutAllocation ? Text.capacity() : 0;
+}
+
 void appendField(std::string &Out, std::string_view Name,
                  std::string_view Value) {
   Out.append(Name).append(": ").append(Value).append("\r\n");
@@ -35,7 +46,8 @@
 
 HttpConnection::HttpConnection(asio::ip::tcp::socket Socket,
                                std::shared_ptr<HttpServerShared> Shared)
-    : m_Socket(std::move(Socket)), m_Shared(std::move(Shared)) {}
+    : m_Socket(std::move(Socket)), m_Shared(std::move(Shared)),
+      m_Memory(*m_Shared->m_Memory, [this] { cutOff(CallerLimit::Memory); }) {}
 
 void HttpConnection::start() {
   boost::system::error_code Code;
@@ -43,6 +55,8 @@
   m_Socket.non_blocking(true, Code);
   const auto Remote = m_Socket.remote_endpoint(Code);
   m_Remote = formatEndpoint(Remote);
+  m_Address = Remote.address();
+  m_IdleSince = m_Clock.now();
   if (!m_CloseAfterWrite)
     m_Deadline = m_Clock.now() + m_Shared->m_Options.m_IdleTimeout;
   // Most callers send a request directly after the handshake, so that it is
@@ -62,10 +76,59 @@
     Exchange->onPeerClosed();
   }
   runWrittenHook();
+  // What is left is freed with this object, in one of the next handlers.
+  m_Memory.set(0, base::Millis(0));
   if (m_Shared->m_OnClosed)
     m_Shared->m_OnClosed(this);
 }
 
+bool HttpConnection::isIdle() const {
+  return !m_Closed && !m_Exchange && !m_Parser && !m_CloseAfterWrite &&
+         m_Unparsed.empty() && queuedBytes() == 0;
+}
+
+void HttpConnection::cutOff(CallerLimit Limit) {
+  const auto Self = shared_from_this();
+  m_Shared->m_Memory->recordCutOff({m_Remote, m_Memory.bytes(), Limit});
+  if (m_Parser && !m_Exchange && queuedBytes() == 0) {
+    refuse(errorResponse({base::ResultCode::Overloaded,
+                          "too much memory is needed for all requests",
+                          MemoryRetryAfter},
+                         base::Ran::No));
+    return;
+  }
+  // A reset also frees what the system holds for a caller that does not read.
+  boost::system::error_code Ignored;
+  if (queuedBytes() > 0)
+    m_Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  close();
+}
+
+std::size_t HttpConnection::heldBytes() const {
+  if (m_Closed)
+    return 0;
+  std::size_t Bytes = m_RequestBytes + allocatedBytes(m_Unparsed) +
+                      allocatedBytes(m_Pending) + allocatedBytes(m_Writing);
+  if (!m_Parser)
+    return Bytes;
+  // Memory that is reserved for an announced length is not used before the
+  // bytes arrive; without a length, the allocation at most doubles.
+  const std::string &Body = m_Parser->get().body();
+  return Bytes + m_HeadBytes + FieldOverhead * m_Fields +
+         std::min(Body.capacity(), 2 * Body.size());
+}
+
+void HttpConnection::updateAccount() {
+  if (const std::size_t Bytes = heldBytes(); Bytes != m_Memory.bytes())
+    m_Memory.set(Bytes, m_Clock.now());
+  if (!m_Shared->m_Memory->isExceeded())
+    return;
+  // Cutting off a caller ends its request, which the present handler may use.
+  asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
+    Self->m_Shared->m_Memory->reduce(Self->m_Clock.now());
+  });
+}
+
 void HttpConnection::checkTimeouts(base::Millis Now) {
   if (m_WriteActive && Now > m_WriteDeadline) {
     close();
@@ -88,6 +151,8 @@
 
 void HttpConnection::refuse(const HttpResponse &Response) {
   m_Parser.reset();
+  if (!m_Processing)
+    std::string().swap(m_Unparsed);
   m_CloseAfterWrite = true;
   m_Deadline = m_Clock.now() + LingerTimeout;
   m_Chunked = false;
@@ -101,8 +166,7 @@
 void HttpConnection::waitForInput() {
   if (m_WaitingForInput || m_Closed)
     return;
-  const bool Busy = m_Exchange || m_CloseAfterWrite;
-  if (Busy && m_Unparsed.size() >= MaxPipelinedBytes)
+  if (!mayParse() && m_Unparsed.size() >= MaxPipelinedBytes)
     return;
   m_WaitingForInput = true;
   m_Socket.async_wait(
@@ -140,6 +204,9 @@
   }
   process(m_CloseAfterWrite ? std::string_view()
                             : std::string_view(Buffer.data(), Count));
+  // At once, before other connections are read.
+  if (m_Shared->m_Memory->isExceeded())
+    m_Shared->m_Memory->reduce(m_Clock.now());
 }
 
 void HttpConnection::process(std::string_view Received) {
@@ -152,27 +219,47 @@
     m_Unparsed.append(Received);
     Input = m_Unparsed;
   }
-  while (!m_Closed && !m_Exchange && !m_CloseAfterWrite && parseRequest(Input))
+  while (mayParse() && parseRequest(Input))
     dispatch();
   keepUnparsed(m_Closed || m_CloseAfterWrite ? std::string_view() : Input);
   m_Processing = false;
+  updateAccount();
   waitForInput();
 }
 
+bool HttpConnection::mayParse() const {
+  return !m_Closed && !m_Exchange && !m_CloseAfterWrite &&
+         queuedBytes() < MaxQueuedBeforeNext;
+}
+
 bool HttpConnection::parseRequest(std::string_view &Input) {
   if (Input.empty())
     return false;
   if (!m_Parser)
     beginRequest();
   boost::system::error_code Code;
-  Input.remove_prefix(
-      m_Parser->put(asio::buffer(Input.data(), Input.size()), Code));
+  const std::size_t Used =
+      m_Parser->put(asio::buffer(Input.data(), Input.size()), Code);
+  Input.remove_prefix(Used);
+  if (!m_HeadDone || m_Parser->is_done()) {
+    m_HeadBytes +=
+        std::min<std::size_t>(Used, m_Shared->m_Options.m_MaxHeadBytes);
+    m_Fields = static_cast<std::size_t>(
+        std::distance(m_Parser->get().begin(), m_Parser->get().end()));
+  }
   if (Code && Code != http::error::need_more) {
     refuseUnparsable(Code);
     return false;
   }
   if (!m_HeadDone && m_Parser->is_header_done())
     onHead();
+  // What the parser leaves in a body is the section of trailers or the
+  // extension of a chunk, which it has no limit for.
+  if (m_HeadDone && !m_Parser->is_done() &&
+      Input.size() > m_Shared->m_Options.m_MaxHeadBytes) {
+    refuseTooLarge(CallerLimit::FramingBytes);
+    return false;
+  }
   return m_Parser->is_done();
 }
 
@@ -194,6 +281,8 @@
   m_Parser->header_limit(m_Shared->m_Options.m_MaxHeadBytes);
   m_Parser->body_limit(m_Shared->m_Options.m_MaxBodyBytes);
   m_HeadDone = false;
+  m_HeadBytes = 0;
+  m_Fields = 0;
   m_Deadline = m_Clock.now() + m_Shared->m_Options.m_HeadTimeout;
 }
 
@@ -207,12 +296,12 @@
 }
 
 void HttpConnection::refuseUnparsable(const boost::system::error_code &Code) {
-  if (Code == http::error::header_limit || Code == http::error::body_limit) {
-    refuse(errorResponse({base::ResultCode::TooLarge,
-                          "head or body exceeds the size limit; send a smaller "
-                          "request",
-                          {}},
-                         base::Ran::No));
+  if (Code == http::error::header_limit) {
+    refuseTooLarge(CallerLimit::HeadBytes);
+    return;
+  }
+  if (Code == http::error::body_limit) {
+    refuseTooLarge(CallerLimit::BodyBytes);
     return;
   }
   refuse(errorResponse({base::ResultCode::BadRequest,
@@ -221,7 +310,19 @@
                        base::Ran::No));
 }
 
+void HttpConnection::refuseTooLarge(CallerLimit Limit) {
+  m_Shared->m_Memory->recordCutOff({m_Remote, heldBytes(), Limit});
+  refuse(errorResponse({base::ResultCode::TooLarge,
+                        "head or body exceeds the size limit; send a smaller "
+                        "request",
+                        {}},
+                       base::Ran::No));
+}
+
 void HttpConnection::dispatch() {
+  const std::string &Body = m_Parser->get().body();
+  m_RequestBytes = m_HeadBytes + FieldOverhead * m_Fields +
+                   std::min(Body.capacity(), 2 * Body.size());
   auto State = std::make_unique<HttpExchange::Impl>();
   State->m_Request = m_Parser->release();
   State->m_Remote = m_Remote;
@@ -251,15 +352,17 @@
     appendField(m_Pending, "Connection", "close");
 }
 
-void HttpConnection::sendResponse(const HttpResponse &Response,
+void HttpConnection::sendResponse(int Status, const HttpHeaders &Headers,
+                                  std::string_view Body,
                                   const HttpRequest &Request) {
   const bool Close = !Request.keep_alive() || m_Shared->m_CloseAfterResponses;
-  writeHead(Response.m_Status, Response.m_Headers, Close);
-  appendField(m_Pending, "Content-Length",
-              std::to_string(Response.m_Body.size()));
+  writeHead(Status, Headers, Close);
+  appendField(m_Pending, "Content-Length", std::to_string(Body.size()));
   m_Pending.append("\r\n");
-  if (Request.method() != http::verb::head)
-    m_Pending.append(Response.m_Body);
+  if (Request.method() != http::verb::head) {
+    m_Pending.reserve(m_Pending.size() + Body.size());
+    m_Pending.append(Body);
+  }
   m_CloseAfterWrite = Close;
   onResponseDone();
 }
@@ -323,7 +426,9 @@
   if (std::exchange(m_Exchange, nullptr))
     --m_Shared->m_InFlight;
   m_IsHeadRequest = false;
-  m_Deadline = m_Clock.now() + m_Shared->m_Options.m_IdleTimeout;
+  m_RequestBytes = 0;
+  m_IdleSince = m_Clock.now();
+  m_Deadline = m_IdleSince + m_Shared->m_Options.m_IdleTimeout;
   scheduleFlush();
   process();
 }
@@ -338,6 +443,7 @@
 }
 
 void HttpConnection::scheduleFlush() {
+  updateAccount();
   if (m_FlushPosted || m_WriteActive || m_Closed)
     return;
   m_FlushPosted = true;
@@ -408,10 +514,11 @@
   }
   if (m_Exchange)
     return;
-  if (m_Writing.capacity() > MaxRetainedBufferBytes)
-    m_Writing.shrink_to_fit();
-  if (m_Pending.capacity() > MaxRetainedBufferBytes)
-    m_Pending.shrink_to_fit();
+  // An idle connection holds nothing.
+  std::string().swap(m_Writing);
+  std::string().swap(m_Pending);
+  // Pipelined requests may have waited for the queue.
+  process();
 }
 
 void HttpConnection::shutdownSend() {
--- a/Source/Net/HttpConnection.h
+++ b/Source/Net/HttpConnection.h
@@ -26,6 +26,7 @@
   HttpServer::Handler m_Handler;
   /// Called when a connection closes.
   std::function<void(HttpConnection *)> m_OnClosed;
+  std::shared_ptr<MemoryAccount> m_Memory;
   std::size_t m_InFlight = 0;
   bool m_CloseAfterResponses = false;
 };
@@ -49,11 +50,24 @@
   /// closes an idle or stalled connection.
   void checkTimeouts(base::Millis Now);
 
+  /// \returns the address of the caller.
+  [[nodiscard]] const boost::asio::ip::address &address() const {
+    return m_Address;
+  }
+  /// \returns whether no request was begun and no response is being sent.
+  [[nodiscard]] bool isIdle() const;
+  /// \returns the time since which the connection is idle, if it is.
+  [[nodiscard]] base::Millis idleSince() const { return m_IdleSince; }
+  /// Frees what the connection holds, because of \p Limit. A request that is
+  /// not complete is refused; otherwise the connection is closed.
+  void cutOff(CallerLimit Limit);
+
   /// Sends \p Response and closes the connection.
   void refuse(const HttpResponse &Response);
 
   // For HttpExchange.
-  void sendResponse(const HttpResponse &Response, const HttpRequest &Request);
+  void sendResponse(int Status, const HttpHeaders &Headers,
+                    std::string_view Body, const HttpRequest &Request);
   /// Sets a hook that runs once, when all queued bytes have been written or the
   /// connection is closed.
   void onWritten(std::function<void()> Hook);
@@ -84,6 +98,14 @@
   void beginRequest();
   void onHead();
   void refuseUnparsable(const boost::system::error_code &Code);
+  void refuseTooLarge(CallerLimit Limit);
+  /// \returns whether the next request may be parsed.
+  [[nodiscard]] bool mayParse() const;
+  /// \returns the bytes that the connection holds, as allocated.
+  [[nodiscard]] std::size_t heldBytes() const;
+  /// Records what the connection holds. If all hold too much, some are cut off
+  /// in a later handler.
+  void updateAccount();
   void dispatch();
   void onResponseDone();
   void writeHead(int Status, const HttpHeaders &Headers, bool Close);
@@ -101,9 +123,15 @@
   std::shared_ptr<HttpServerShared> m_Shared;
   const base::Clock m_Clock = base::steadyClock();
   std::string m_Remote;
+  boost::asio::ip::address m_Address;
   /// Received bytes that are not parsed yet.
   std::string m_Unparsed;
   std::optional<Parser> m_Parser;
+  /// Size of the header section, and the number of its fields and trailers.
+  std::size_t m_HeadBytes = 0;
+  std::size_t m_Fields = 0;
+  /// Bytes of the request that is handled.
+  std::size_t m_RequestBytes = 0;
   HttpExchange::Impl *m_Exchange = nullptr;
   std::function<void()> m_WrittenHook;
   base::Millis m_Deadline = Never;
@@ -122,6 +150,8 @@
   bool m_CloseAfterEnd = false;
   bool m_Discarding = false;
   bool m_Closed = false;
+  base::Millis m_IdleSince{};
+  MemoryHolder m_Memory;
 };
 
 } // namespace corneldeck::net::detail
--- a/Source/Net/HttpExchange.cpp
+++ b/Source/Net/HttpExchange.cpp
@@ -56,6 +56,12 @@
 
 void HttpExchange::respond(const HttpResponse &Response,
                            std::function<void()> Done) {
+  respond(Response.m_Status, Response.m_Headers, Response.m_Body,
+          std::move(Done));
+}
+
+void HttpExchange::respond(int Status, const HttpHeaders &Headers,
+                           std::string_view Body, std::function<void()> Done) {
   if (m_Impl->m_ResponseStarted || !m_Impl->m_Connection) {
     if (Done)
       Done();
@@ -64,12 +70,7 @@
   m_Impl->m_ResponseStarted = true;
   const auto Connection = m_Impl->releaseConnection();
   Connection->onWritten(std::move(Done));
-  Connection->sendResponse(Response, m_Impl->m_Request);
-}
-
-void HttpExchange::respond(int Status, const HttpHeaders &Headers,
-                           std::string_view Body) {
-  respond({Status, Headers, std::string(Body)});
+  Connection->sendResponse(Status, Headers, Body, m_Impl->m_Request);
 }
 
 void HttpExchange::respondWithError(const base::Error &Failure,
--- a/Source/Net/HttpExchange.h
+++ b/Source/Net/HttpExchange.h
@@ -45,7 +45,8 @@
   /// \param Done runs once, when the operating system has accepted all bytes
   /// of the response or the connection is closed.
   void respond(const HttpResponse &Response, std::function<void()> Done = {});
-  void respond(int Status, const HttpHeaders &Headers, std::string_view Body);
+  void respond(int Status, const HttpHeaders &Headers, std::string_view Body,
+               std::function<void()> Done = {});
   /// Sends the result of errorResponse().
   void respondWithError(const base::Error &Failure,
                         std::optional<base::Ran> Value = std::nullopt);
--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -3,8 +3,10 @@
 #include "Net/Endpoint.h"
 #include "Net/HttpConnection.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -29,7 +31,9 @@
       : m_Acceptor(Context), m_TimeoutTimer(Context),
         m_AcceptRetryTimer(Context),
         m_Shared(std::make_shared<detail::HttpServerShared>()) {
-    m_Shared->m_Options = Options;
+    m_Shared->m_Memory =
+        Options.m_Memory ? Options.m_Memory : std::make_shared<MemoryAccount>();
+    m_Shared->m_Options = std::move(Options);
     m_Shared->m_Handler = std::move(OnRequest);
   }
 
@@ -59,6 +63,11 @@
     m_Acceptor.set_option(tcp::acceptor::reuse_address(true), Code);
     if (m_Shared->m_Options.m_ReusePort)
       m_Acceptor.set_option(ReusePort(true), Code);
+    // Accepted connections inherit the size.
+    if (const std::size_t Bytes = m_Shared->m_Options.m_ReceiveBufferBytes)
+      m_Acceptor.set_option(
+          asio::socket_base::receive_buffer_size(static_cast<int>(Bytes)),
+          Code);
     m_Acceptor.bind(Endpoint, Code);
     if (Code)
       return;
@@ -95,6 +104,8 @@
 
   void addConnection(tcp::socket Socket) {
     const std::size_t Limit = m_Shared->m_Options.m_MaxConnections;
+    if (m_Connections.size() >= Limit)
+      closeIdleConnections();
     // A refused connection stays open until the caller has read the response;
     // beyond MaxRefusedConnections, connections are closed at once.
     if (m_Connections.size() >= Limit + MaxRefusedConnections)
@@ -112,6 +123,30 @@
     Connection->start();
   }
 
+  /// Closes a part of the idle connections of the callers that have most, those
+  /// that have been idle for longest first.
+  void closeIdleConnections() {
+    std::map<asio::ip::address, std::size_t> Counts;
+    for (const auto &[Key, Connection] : m_Connections)
+      ++Counts[Connection->address()];
+    std::vector<std::shared_ptr<detail::HttpConnection>> Idle;
+    for (const auto &[Key, Connection] : m_Connections)
+      if (Connection->isIdle())
+        Idle.push_back(Connection);
+    std::sort(Idle.begin(), Idle.end(),
+              [&](const auto &Left, const auto &Right) {
+                const std::size_t LeftCount = Counts[Left->address()];
+                const std::size_t RightCount = Counts[Right->address()];
+                return LeftCount != RightCount
+                           ? LeftCount > RightCount
+                           : Left->idleSince() < Right->idleSince();
+              });
+    const std::size_t Closed =
+        std::min(Idle.size(), m_Connections.size() / IdleCloseDivisor + 1);
+    for (std::size_t Index = 0; Index < Closed; ++Index)
+      Idle[Index]->cutOff(CallerLimit::Connections);
+  }
+
   void scheduleTimeoutCheck() {
     m_TimeoutTimer.expires_after(TimeoutCheckInterval);
     m_TimeoutTimer.async_wait(
@@ -148,6 +183,9 @@
   }
 
   static constexpr std::size_t MaxRefusedConnections = 64;
+  /// Several idle connections are closed at a time, since finding them takes a
+  /// pass over all.
+  static constexpr std::size_t IdleCloseDivisor = 32;
 
   tcp::acceptor m_Acceptor;
   asio::steady_timer m_TimeoutTimer;
@@ -161,7 +199,8 @@
 
 HttpServer::HttpServer(asio::io_context &Context, HttpServerOptions Options,
                        Handler OnRequest)
-    : m_Impl(std::make_shared<Impl>(Context, Options, std::move(OnRequest))) {}
+    : m_Impl(std::make_shared<Impl>(Context, std::move(Options),
+                                    std::move(OnRequest))) {}
 
 HttpServer::~HttpServer() { m_Impl->stop(); }
 
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -3,6 +3,7 @@
 
 #include "Base/Clock.h"
 #include "Net/HttpExchange.h"
+#include "Net/MemoryAccount.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
@@ -15,6 +16,8 @@
 
 /// The limits and timeouts of an HTTP server.
 struct HttpServerOptions {
+  /// Maximum number of connections. Above it, idle connections of the callers
+  /// that have most are closed; without one, a new connection is refused.
   std::size_t m_MaxConnections = 10000;
   std::uint32_t m_MaxHeadBytes = 16 * KiB;
   std::uint64_t m_MaxBodyBytes = 8 * MiB;
@@ -32,6 +35,12 @@
   /// Sets SO_REUSEPORT, so that several servers, one per thread, can listen on
   /// one address.
   bool m_ReusePort = false;
+  /// Receive buffer of a connection in the system, in bytes; the system's own
+  /// choice if zero. In effect from listen().
+  std::size_t m_ReceiveBufferBytes = 0;
+  /// The account of what connections hold; unbounded if null. Taken by the
+  /// constructor.
+  std::shared_ptr<MemoryAccount> m_Memory;
 };
 
 /// An HTTP/1.1 server. Not thread-safe: it uses one io_context that a single
--- a/Tests/Net/HttpPipelineTest.cpp
+++ b/Tests/Net/HttpPipelineTest.cpp
@@ -58,6 +58,13 @@
     });
   }
 
+  /// Connects without Nagle's algorithm, so that each piece arrives by itself.
+  Socket connectWithoutDelay() {
+    Socket Raw = connect();
+    Raw.set_option(boost::asio::ip::tcp::no_delay(true));
+    return Raw;
+  }
+
   /// Sends a piece and lets the server take it, so that the next read is
   /// outstanding.
   void send(Socket &Raw, std::string_view Piece) {
@@ -109,7 +116,7 @@
 // request ran twice, and the next one got its response.
 TEST_F(HttpPipelineTest, ReadsRequestsSplitAtAnyByte) {
   for (std::size_t Cut = 1; Cut < Requests.size(); ++Cut) {
-    Socket Raw = connect();
+    Socket Raw = connectWithoutDelay();
     send(Raw, std::string_view(Requests).substr(0, Cut));
     respondOnce();
     respondOnce();
@@ -124,7 +131,7 @@
   for (std::uint64_t Seed = 0; Seed < Seeds; ++Seed) {
     base::Random Numbers(Seed);
     const std::size_t Largest = 1 + Numbers.below(Requests.size());
-    Socket Raw = connect();
+    Socket Raw = connectWithoutDelay();
     for (std::string_view Rest = Requests; !Rest.empty();) {
       const std::size_t Count =
           std::min<std::size_t>(1 + Numbers.below(Largest), Rest.size());
--- a/Tests/Platform/HostileClients.cpp
+++ b/Tests/Platform/HostileClients.cpp
@@ -26,6 +26,7 @@
 constexpr std::chrono::milliseconds MeasureInterval{20};
 /// Time in which the entry takes what the crowd has sent last.
 constexpr std::chrono::milliseconds SettleTime{1500};
+constexpr int HandlersPerRound = 200;
 constexpr int Ok = 200;
 
 /// Returns a loopback address of this process alone.
@@ -263,15 +264,17 @@
   auto NextMeasure = Clock::now();
   auto NextConnect = Clock::now();
   auto SettledAt = Clock::now() + SettleTime;
+  bool IsSending = true;
   while (Clock::now() < End && m_Entry->isRunning() &&
-         (Clock::now() < SettledAt || m_Plan.m_ReadInterval.count() > 0)) {
+         (IsSending || Clock::now() < SettledAt ||
+          m_Plan.m_ReadInterval.count() > 0)) {
     // Without an interval all connect first, so that they send at once.
     while (m_Crowd.size() < static_cast<std::size_t>(Count) &&
            Clock::now() >= NextConnect) {
       m_Crowd.emplace_back(m_CallerAddress, m_Plan);
       NextConnect = Clock::now() + m_Plan.m_ConnectInterval;
     }
-    bool IsSending = m_Crowd.size() < static_cast<std::size_t>(Count);
+    IsSending = m_Crowd.size() < static_cast<std::size_t>(Count);
     bool HasSent = false;
     for (HostileClient &Each : m_Crowd) {
       HasSent |= Each.pump();
@@ -279,7 +282,9 @@
     }
     if (IsSending)
       SettledAt = Clock::now() + SettleTime;
-    m_Loop.poll();
+    // A part of what is ready, so that the crowd goes on meanwhile.
+    for (int Handler = 0; Handler < HandlersPerRound && m_Loop.poll_one() > 0;)
+      ++Handler;
     if (!HasSent)
       m_Loop.run_one_for(std::chrono::milliseconds(1));
     if (Clock::now() < NextMeasure)
@@ -295,11 +300,15 @@
 
 void HostileClients::expectSound() {
   std::size_t Sent = 0;
-  for (const HostileClient &Each : m_Crowd)
+  std::size_t Broken = 0;
+  for (const HostileClient &Each : m_Crowd) {
     Sent += Each.sent();
+    Broken += Each.isBroken() ? 1 : 0;
+  }
   std::cout << "memory " << m_IdleMemory / KiB << " KiB at the start, at most "
             << m_LargestMemory / KiB << " KiB; at most " << m_MostDescriptors
-            << " descriptors; the crowd has sent " << Sent / KiB << " KiB\n";
+            << " descriptors; the crowd has sent " << Sent / KiB << " KiB, "
+            << Broken << " of " << m_Crowd.size() << " were cut off\n";
   EXPECT_LE(m_LargestMemory, static_cast<std::size_t>(m_MemoryMb) * MiB);
   EXPECT_LE(m_MostDescriptors, m_MaxOpenFiles);
   // A refusal may be followed by a retry, but not until the idle timeout of the
--- a/Tests/Platform/HostileClients.h
+++ b/Tests/Platform/HostileClients.h
@@ -51,6 +51,8 @@
   /// \returns whether the plan has more to send.
   [[nodiscard]] bool isSending() const;
   [[nodiscard]] std::size_t sent() const { return m_Sent; }
+  /// \returns whether the connection was found closed.
+  [[nodiscard]] bool isBroken() const { return m_IsBroken; }
 
 private:
   const HostilePlan *m_Plan;
