Direct: keep the bound of cold servers with a small overshoot

With an overshoot of 1 and no tolerance, which the settings permit, the one token that has to exist came on top of the whole rate. The rate is lowered to what the bound leaves beside the tokens; with the defaults it is unchanged.

Test: WarmUpLimitsTest.RateAndTokensStayWithinTheBound.

--- a/Source/Direct/RateTokens.cpp
+++ b/Source/Direct/RateTokens.cpp
@@ -225,7 +225,7 @@
     if (!isGranter(Server))
       continue;
     TokenRate &Added = Rates[Server];
-    const double Cold = m_ColdPart * PerSecond;
+    const double Cold = m_ColdPart * m_WarmUp->tokensPerSecond(PerSecond);
     const bool IsLower = m_Limits.limit(Server) && Added.m_PerSecond < Cold;
     Added.m_PerSecond = IsLower ? Added.m_PerSecond : Cold;
     Added.m_MaxTokens =
--- a/Source/Direct/WarmUpLimits.cpp
+++ b/Source/Direct/WarmUpLimits.cpp
@@ -127,4 +127,9 @@
   return std::max(1.0, TokenPart * Beyond);
 }
 
+double WarmUpLimits::tokensPerSecond(double PerSecond) const {
+  const double Bound = PerSecond * m_Bounds.m_Overshoot + m_Bounds.m_Tolerance;
+  return std::clamp(Bound - maxTokens(PerSecond), 0.0, PerSecond);
+}
+
 } // namespace corneldeck::direct
--- a/Source/Direct/WarmUpLimits.h
+++ b/Source/Direct/WarmUpLimits.h
@@ -108,6 +108,10 @@
   /// Returns the tokens that may exist at a time for a server that tolerates
   /// \p PerSecond.
   [[nodiscard]] double maxTokens(double PerSecond) const;
+  /// Returns the tokens that are added per second for a server that tolerates
+  /// \p PerSecond: that rate, or what the bound leaves beside the tokens that
+  /// may exist, if it is less.
+  [[nodiscard]] double tokensPerSecond(double PerSecond) const;
 
 private:
   struct State {
--- a/Tests/Direct/WarmUpLimitsTest.cpp
+++ b/Tests/Direct/WarmUpLimitsTest.cpp
@@ -164,6 +164,19 @@
   }
 }
 
+// Failure: with a small overshoot and tolerance, the one token that has to
+// exist came on top of the whole rate.
+TEST_F(WarmUpLimitsTest, RateAndTokensStayWithinTheBound) {
+  for (const WarmUpBounds &Bounds :
+       {WarmUpBounds{}, WarmUpBounds{1, 0}, WarmUpBounds{1.1, 0.5}})
+    for (const double PerSecond : {1.0, 2.0, 8.0, 100.0}) {
+      const WarmUpLimits Limits(Bounds);
+      EXPECT_LE(Limits.tokensPerSecond(PerSecond) + Limits.maxTokens(PerSecond),
+                PerSecond * Bounds.m_Overshoot + Bounds.m_Tolerance);
+    }
+  EXPECT_EQ(WarmUpLimits().tokensPerSecond(8), 8);
+}
+
 // Failure: a token that had expired while its entry was frozen was used.
 TEST_F(WarmUpLimitsTest, AnExpiredTokenDoesNotPermitARequest) {
   list(seconds(30));
