Tests/Platform: entries learn the servers of a group from its agents

The tests of the group mapping fed heartbeats by hand, so an agent that names no engine would not have been noticed. Real agents and entries on loopback: passes, and fails without set_server_address() in RankAgentNode.

--- a/Tests/Platform/PlannerTest.cpp
+++ b/Tests/Platform/PlannerTest.cpp
@@ -70,4 +70,17 @@
   runUntilMapsChange();
 }
 
+// Failure: an agent did not name its engine, so that no entry knew which server
+// belongs to which group.
+TEST_F(PlatformPlanner, EntriesLearnTheServersOfAGroupFromItsAgents) {
+  startAgents();
+  for (int Entry = 0; Entry < m_EntryCount; ++Entry)
+    runUntil([&] {
+      m_Engines.advance();
+      return metric(Entry, "corneldeck_rank_group_servers") == m_Group.m_Ranks;
+    });
+  for (int Entry = 0; Entry < m_EntryCount; ++Entry)
+    EXPECT_EQ(metric(Entry, "corneldeck_rank_groups"), 1);
+}
+
 } // namespace corneldeck::tests
