PromptQuarantine: require proof that an unframed response was served

Cause: such a stream is complete by the protocol if its connection ends between two events, whoever closed it. ForwardedRequest took that for proof that the request was served: its server was not checked, and recordServed() dropped the known ends of the part.

Change: the caller gets the response as before. UnframedResponses decides on the evidence: a closed port at the end or 100 ms later, or a later start in the server's record, shows an end; a response to a later request and the same start in the record 2 s after that show that the request was served; otherwise nothing is recorded after 10 s. Until then PromptQuarantine does not blame the parts for ends before. ServerEnds::connectionClosed() uses no earlier result.

--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -277,6 +277,9 @@
       m_Server, m_ServerStartTime,
       {m_ResponseInfo.m_IsLeaving, m_ResponseInfo.m_Pause, IsAccepted},
       m_SentAt, now());
+  if (IsAccepted)
+    m_Forwarder.m_UnframedResponses.recordResponse(
+        {m_Server, m_ServerStartTime}, m_SentAt, now());
   const bool IsFailure =
       m_ResponseInfo.m_NotRun || m_Head.m_Status >= FirstServerErrorStatus;
   if (m_HeadForwarded && !IsFailure && !continuesStream()) {
@@ -414,8 +417,11 @@
 
 bool ForwardedRequest::endedBeforeFirstEvent() const {
   return m_Parameters.m_Route->m_Stream && isSuccess(m_Head.m_Status) &&
-         !m_FirstEventAt &&
-         net::findHeader(m_Head.m_Headers, "Content-Length").empty() &&
+         !m_FirstEventAt && isUnframed();
+}
+
+bool ForwardedRequest::isUnframed() const {
+  return net::findHeader(m_Head.m_Headers, "Content-Length").empty() &&
          net::findHeader(m_Head.m_Headers, "Transfer-Encoding").empty();
 }
 
@@ -471,8 +477,12 @@
          {"last_event", m_EventSplitter.lastEventId()},
          {"parts", formatParts(m_Parameters.m_Request.m_PromptParts)},
          {"why", m_LastFailure}});
-  if (Outcome == AttemptOutcome::Complete && isSuccess(m_Head.m_Status))
-    recordServed();
+  if (Outcome == AttemptOutcome::Complete && isSuccess(m_Head.m_Status)) {
+    if (isUnframed())
+      checkUnframed();
+    else
+      recordServed();
+  }
   if (!mayHaveEndedServer(Outcome)) {
     decide(Outcome);
     return;
@@ -502,10 +512,41 @@
       m_Parameters.m_Service, m_Parameters.m_Request.m_PromptParts, now());
 }
 
+bool ForwardedRequest::hasBeenServed() const {
+  return m_FirstEventAt && now() - *m_FirstEventAt >= MinServingTime;
+}
+
+void ForwardedRequest::checkUnframed() {
+  const PromptParts &Parts = m_Parameters.m_Request.m_PromptParts;
+  if (m_IsServedRecorded || Parts.empty() ||
+      m_Forwarder.m_Dependencies.m_Pool.isStopping(m_Server))
+    return;
+  // The caller gets the response at once: by the protocol it is complete, and
+  // another attempt could end another server.
+  m_Forwarder.m_Dependencies.m_ServerEnds.connectionClosed(
+      {m_Server, m_ServerStartTime}, m_ServerAddress,
+      [Self = shared_from_this(), EndedAt = now(),
+       MayBeCause = !hasBeenServed()](ServerLife Life) {
+        const Parameters &Given = Self->m_Parameters;
+        const PromptParts &Prompt = Given.m_Request.m_PromptParts;
+        if (Life == ServerLife::Ended)
+          Self->recordServerEnded(
+              Life, Self->m_Forwarder.m_Dependencies.m_Quarantine.isSuspect(
+                        Given.m_Service, Prompt, Self->now()));
+        Self->m_Forwarder.recordUnframed(
+            {{Self->m_Server, Self->m_ServerStartTime},
+             Given.m_Service,
+             Prompt,
+             EndedAt,
+             Self->m_ServerAddress,
+             MayBeCause},
+            Life);
+      });
+}
+
 bool ForwardedRequest::mayHaveEndedServer(AttemptOutcome Outcome) const {
   return Outcome == AttemptOutcome::Broken &&
-         !m_Parameters.m_Request.m_PromptParts.empty() &&
-         !(m_FirstEventAt && now() - *m_FirstEventAt >= MinServingTime) &&
+         !m_Parameters.m_Request.m_PromptParts.empty() && !hasBeenServed() &&
          !m_Forwarder.m_Dependencies.m_Pool.isStopping(m_Server);
 }
 
@@ -514,6 +555,18 @@
   PromptQuarantine &Quarantine = m_Forwarder.m_Dependencies.m_Quarantine;
   const bool IsSuspect =
       Quarantine.isSuspect(m_Parameters.m_Service, Parts, now());
+  recordServerEnded(Life, IsSuspect);
+  if (Life == ServerLife::Ended)
+    Quarantine.recordEnd({m_Server, m_ServerStartTime}, m_Parameters.m_Service,
+                         Parts, now());
+  if (m_Finished)
+    return;
+  const bool MayBeCause =
+      Life == ServerLife::Ended && IsSuspect && !m_FirstEventAt;
+  decide(MayBeCause ? AttemptOutcome::ServerEnded : Outcome);
+}
+
+void ForwardedRequest::recordServerEnded(ServerLife Life, bool IsSuspect) {
   m_Forwarder.m_Dependencies.m_Events.record(
       base::EventId::ServerEnded,
       {{"request", m_Parameters.m_Request.m_Id},
@@ -524,15 +577,7 @@
        {"begun", m_HasHead ? "yes" : "no"},
        {"events", m_FirstEventAt ? "yes" : "no"},
        {"suspect", IsSuspect ? "yes" : "no"},
-       {"parts", formatParts(Parts)}});
-  if (Life == ServerLife::Ended)
-    Quarantine.recordEnd({m_Server, m_ServerStartTime}, m_Parameters.m_Service,
-                         Parts, now());
-  if (m_Finished)
-    return;
-  const bool MayBeCause =
-      Life == ServerLife::Ended && IsSuspect && !m_FirstEventAt;
-  decide(MayBeCause ? AttemptOutcome::ServerEnded : Outcome);
+       {"parts", formatParts(m_Parameters.m_Request.m_PromptParts)}});
 }
 
 void ForwardedRequest::perform(NextAction Next, AttemptOutcome Outcome) {
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -75,6 +75,8 @@
   /// Returns whether a response that ends with its connection has no event. It
   /// may have been cut off.
   [[nodiscard]] bool endedBeforeFirstEvent() const;
+  /// Returns whether the response ends with its connection.
+  [[nodiscard]] bool isUnframed() const;
   void refuseStopping();
   void attemptEnded(AttemptOutcome Outcome);
   /// Decides what follows an attempt, once it is known whether its server has
@@ -86,6 +88,13 @@
   /// request: its connection broke, and the server had hardly begun to write
   /// the response.
   [[nodiscard]] bool mayHaveEndedServer(AttemptOutcome Outcome) const;
+  /// Finds out whether the server of a complete response that ended with its
+  /// connection has ended, too.
+  void checkUnframed();
+  /// Returns whether the server had written events for long enough to show that
+  /// the request is not the cause if it has ended.
+  [[nodiscard]] bool hasBeenServed() const;
+  void recordServerEnded(ServerLife Life, bool IsSuspect);
   /// Records the result of the check of the server whose connection broke.
   void serverChecked(AttemptOutcome Outcome, ServerLife Life);
   void perform(NextAction Next, AttemptOutcome Outcome);
--- a/Source/Direct/PromptQuarantine.cpp
+++ b/Source/Direct/PromptQuarantine.cpp
@@ -98,8 +98,8 @@
 }
 
 void PromptQuarantine::recordServed(const std::string &Service,
-                                    const PromptParts &Parts,
-                                    base::Millis Now) {
+                                    const PromptParts &Parts, base::Millis Now,
+                                    std::optional<base::Millis> ServedAt) {
   bool IsReleased = false;
   std::size_t Added = 0;
   for (const std::uint64_t Part : Parts) {
@@ -107,9 +107,10 @@
     if (lastServed(Service, Part, Now) ||
         Added < m_Settings.m_MaxNewServedParts) {
       Added += lastServed(Service, Part, Now) ? 0 : 1;
-      markServed(Service, Part, Now);
+      markServed(Service, Part, ServedAt.value_or(Now));
     }
-    if (State *Known = findActive(Service, Part)) {
+    State *Known = findActive(Service, Part);
+    if (Known && (!ServedAt || contradicts(statementOf(*Known, Now), Now))) {
       release(*Known, Now, {});
       IsReleased = true;
     }
@@ -120,6 +121,32 @@
   announce();
 }
 
+void PromptQuarantine::recordUnconfirmed(const std::string &Service,
+                                         const PromptParts &Parts,
+                                         base::Millis At) {
+  if (m_Unconfirmed.size() >= m_Settings.m_MaxUnconfirmedParts)
+    std::erase_if(m_Unconfirmed, [&](const auto &Each) {
+      return At - Each.second >= m_Settings.m_UnconfirmedTime;
+    });
+  for (const std::uint64_t Part : Parts) {
+    const std::uint64_t Key = servedKey(Service, Part);
+    if (m_Unconfirmed.size() >= m_Settings.m_MaxUnconfirmedParts &&
+        !m_Unconfirmed.contains(Key))
+      continue;
+    base::Millis &Last = m_Unconfirmed[Key];
+    Last = std::max(Last, At);
+  }
+}
+
+void PromptQuarantine::dropUnconfirmed(const std::string &Service,
+                                       const PromptParts &Parts,
+                                       base::Millis At) {
+  for (const std::uint64_t Part : Parts)
+    if (const auto Found = m_Unconfirmed.find(servedKey(Service, Part));
+        Found != m_Unconfirmed.end() && Found->second <= At)
+      m_Unconfirmed.erase(Found);
+}
+
 void PromptQuarantine::recordEnd(const ServerStart &Start,
                                  const std::string &Service,
                                  const PromptParts &Parts, base::Millis Now) {
@@ -449,7 +476,12 @@
   EvidenceByPart Found;
   // A part of one end alone is never enough.
   for (const std::uint64_t Part : m_RepeatedParts) {
-    const auto Served = lastServed(Service, Part, Now);
+    auto Served = lastServed(Service, Part, Now);
+    // While it is unknown whether a request was served, it counts as served.
+    if (const auto Probably = m_Unconfirmed.find(servedKey(Service, Part));
+        Probably != m_Unconfirmed.end() &&
+        Now - Probably->second < m_Settings.m_UnconfirmedTime)
+      Served = std::max(Served, std::optional(Probably->second));
     Evidence OfPart;
     for (const End &Each : m_Ends) {
       if (Each.m_Service != Service || (Served && *Served >= Each.m_At) ||
@@ -468,7 +500,11 @@
 
 bool PromptQuarantine::isEnough(const std::string &Service, std::uint64_t Part,
                                 const Evidence &Found, base::Millis Now) const {
-  return lastServed(Service, Part, Now)
+  const auto Probably = m_Unconfirmed.find(servedKey(Service, Part));
+  const bool IsProbablyServed =
+      Probably != m_Unconfirmed.end() &&
+      Now - Probably->second < m_Settings.m_UnconfirmedTime;
+  return IsProbablyServed || lastServed(Service, Part, Now)
              ? Found.m_Times >= m_Settings.m_MinEndsOfServed
              : Found.m_Ends.size() >= m_Settings.m_MinEnds;
 }
--- a/Source/Direct/PromptQuarantine.h
+++ b/Source/Direct/PromptQuarantine.h
@@ -86,6 +86,10 @@
   /// each m_StatementInterval.
   base::Millis m_NewStatements = base::seconds(3);
   base::Millis m_StatementInterval = base::seconds(1);
+  /// Time for which a request that was probably served protects its parts: the
+  /// longest until it is confirmed, and a tick of the timer that does so.
+  base::Millis m_UnconfirmedTime = base::Millis(10'200);
+  std::size_t m_MaxUnconfirmedParts = 8192;
   // Limits of memory and messages. Callers choose the parts. A header section
   // of 16,384 bytes has up to 4,096 parts.
   std::size_t m_MaxServedParts = 65'536;
@@ -186,8 +190,18 @@
                                base::Millis Now) const;
 
   /// Records that a server runs or has run a request and has not ended.
+  /// \param ServedAt when that was, if it is known only later; a quarantine
+  /// that began after that remains unless the request contradicts it.
   void recordServed(const std::string &Service, const PromptParts &Parts,
-                    base::Millis Now);
+                    base::Millis Now,
+                    std::optional<base::Millis> ServedAt = std::nullopt);
+
+  /// Records that a request was probably served, which is confirmed or dropped
+  /// later. Until then its parts are not blamed for ends before \p At.
+  void recordUnconfirmed(const std::string &Service, const PromptParts &Parts,
+                         base::Millis At);
+  void dropUnconfirmed(const std::string &Service, const PromptParts &Parts,
+                       base::Millis At);
 
   /// Records that a server ended under a request of this entry.
   void recordEnd(const ServerStart &Start, const std::string &Service,
@@ -225,7 +239,8 @@
   };
   /// Compares keys without copying the name of the service.
   struct PartKeyOrder {
-    using is_transparent = void;
+    // The standard library looks for this name.
+    using is_transparent = void; // NOLINT(readability-identifier-naming)
     using View = std::pair<std::string_view, std::uint64_t>;
 
     static View view(const PartKey &Key) { return {Key.m_Service, Key.m_Part}; }
@@ -331,6 +346,8 @@
   /// half, so that the oldest are dropped first.
   std::unordered_map<std::uint64_t, base::Millis> m_Served;
   std::unordered_map<std::uint64_t, base::Millis> m_EarlierServed;
+  /// When requests with a part were probably served last.
+  std::unordered_map<std::uint64_t, base::Millis> m_Unconfirmed;
   base::Millis m_LastStatements{};
   std::function<void(const Change &)> m_OnChange;
   std::function<void()> m_OnNews;
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -32,12 +32,43 @@
   return Host.substr(0, Host.find(':'));
 }
 
+/// Interval between two looks at the records of servers whose responses ended
+/// with their connections, a fifth of the interval at which records are read.
+constexpr base::Millis UnframedInterval{100};
+
 } // namespace
 
 RequestForwarder::RequestForwarder(Dependencies Objects, RequestCodec Codec,
                                    std::size_t MaxResponseBytes)
     : m_Dependencies(Objects), m_Codec(std::move(Codec)),
-      m_ResponseMemory(MaxResponseBytes), m_QueueTimer(Objects.m_Context),
+      m_ResponseMemory(MaxResponseBytes),
+      m_UnframedResponses(
+          [this](const std::string &Server) -> std::optional<std::uint64_t> {
+            const ServerNotices &Notices = m_Dependencies.m_Pool.notices();
+            if (!Notices.isListed(Server))
+              return std::nullopt;
+            return Notices.startTime(Server);
+          },
+          [this](const UnframedResponse &Ended, ServerEnds::Callback Done) {
+            m_Dependencies.m_ServerEnds.connectionClosed(
+                Ended.m_Start, Ended.m_Address,
+                [this, Done = std::move(Done)](ServerLife Life) {
+                  Done(Life);
+                  armUnframedTimer();
+                });
+          },
+          [this](const UnframedResponse &Ended) {
+            m_Dependencies.m_Quarantine.recordServed(
+                Ended.m_Service, Ended.m_Parts, m_Clock.now(), Ended.m_EndedAt);
+          },
+          [this](const UnframedResponse &Ended) {
+            PromptQuarantine &Quarantine = m_Dependencies.m_Quarantine;
+            Quarantine.dropUnconfirmed(Ended.m_Service, Ended.m_Parts,
+                                       Ended.m_EndedAt);
+            Quarantine.recordEnd(Ended.m_Start, Ended.m_Service, Ended.m_Parts,
+                                 m_Clock.now());
+          }),
+      m_UnframedTimer(Objects.m_Context), m_QueueTimer(Objects.m_Context),
       m_Requests(Objects.m_Metrics.counter("corneldeck_requests_total",
                                            "Requests received from callers.")),
       m_Refused(Objects.m_Metrics.counter(
@@ -371,6 +402,29 @@
   });
 }
 
+void RequestForwarder::recordUnframed(UnframedResponse Ended, ServerLife Life) {
+  if (Life == ServerLife::Alive)
+    m_Dependencies.m_Quarantine.recordUnconfirmed(
+        Ended.m_Service, Ended.m_Parts, Ended.m_EndedAt);
+  m_UnframedResponses.checked(std::move(Ended), Life);
+  armUnframedTimer();
+}
+
+void RequestForwarder::armUnframedTimer() {
+  if (m_UnframedResponses.size() == 0 ||
+      std::exchange(m_UnframedTimerArmed, true))
+    return;
+  m_UnframedTimer.expires_after(
+      std::chrono::milliseconds(UnframedInterval.count()));
+  m_UnframedTimer.async_wait([this](const boost::system::error_code &Code) {
+    if (Code)
+      return;
+    m_UnframedTimerArmed = false;
+    m_UnframedResponses.decide(m_Clock.now());
+    armUnframedTimer();
+  });
+}
+
 void RequestForwarder::recordProgress(const std::string &Service,
                                       const std::string &Server) {
   m_Progress[Service][Server] = m_Clock.now();
--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -13,6 +13,7 @@
 #include "Direct/ServerRateLimits.h"
 #include "Direct/SharedRetryBudget.h"
 #include "Direct/ShutdownPolicy.h"
+#include "Direct/UnframedResponses.h"
 #include "Metrics/Registry.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpExchange.h"
@@ -171,6 +172,10 @@
   /// Returns the retry-after time of a request that is refused during a stop.
   [[nodiscard]] base::Millis stoppingRetryAfter() const;
   void armQueueTimer();
+  /// Records the result of the check of a server whose response ended with its
+  /// connection.
+  void recordUnframed(UnframedResponse Ended, ServerLife Life);
+  void armUnframedTimer();
   /// Records that a request holds \p Bytes of its response from \p Server. Ends
   /// the largest responses of the servers that hold most if all together exceed
   /// the limit.
@@ -192,6 +197,9 @@
   std::uint64_t m_NextToken = 1;
   ResponseMemory m_ResponseMemory;
   ShutdownPolicy m_ShutdownPolicy;
+  UnframedResponses m_UnframedResponses;
+  boost::asio::steady_timer m_UnframedTimer;
+  bool m_UnframedTimerArmed = false;
   boost::asio::steady_timer m_QueueTimer;
   bool m_QueueTimerArmed = false;
   /// When data last arrived, by service and server.
--- a/Source/Direct/ServerEnds.cpp
+++ b/Source/Direct/ServerEnds.cpp
@@ -25,10 +25,21 @@
 void ServerEnds::connectionBroken(const ServerStart &Start,
                                   const std::string &Address,
                                   Callback Decided) {
+  check(Start, Address, std::move(Decided), m_Settings.m_ResultLifetime);
+}
+
+void ServerEnds::connectionClosed(const ServerStart &Start,
+                                  const std::string &Address,
+                                  Callback Decided) {
+  check(Start, Address, std::move(Decided), base::Millis(0));
+}
+
+void ServerEnds::check(const ServerStart &Start, const std::string &Address,
+                       Callback Decided, base::Millis MaxResultAge) {
   const auto [Found, IsNew] = m_Starts.try_emplace(Start);
   State &Known = Found->second;
   const bool IsRecent =
-      !IsNew && m_Clock.now() - Known.m_CheckedAt < m_Settings.m_ResultLifetime;
+      !IsNew && m_Clock.now() - Known.m_CheckedAt < MaxResultAge;
   if (!Known.m_IsChecking && (IsRecent || Known.m_Life == ServerLife::Ended)) {
     Decided(Known.m_Life);
     return;
--- a/Source/Direct/ServerEnds.h
+++ b/Source/Direct/ServerEnds.h
@@ -67,6 +67,11 @@
   void connectionBroken(const ServerStart &Start, const std::string &Address,
                         Callback Decided);
 
+  /// The same, but a result that found no end is not used again: a server may
+  /// have ended since.
+  void connectionClosed(const ServerStart &Start, const std::string &Address,
+                        Callback Decided);
+
 private:
   struct State {
     ServerLife m_Life = ServerLife::Unknown;
@@ -75,6 +80,8 @@
     std::vector<Callback> m_Waiting;
   };
 
+  void check(const ServerStart &Start, const std::string &Address,
+             Callback Decided, base::Millis MaxResultAge);
   void checked(const ServerStart &Start, ServerLife Life);
   /// Removes the oldest result if there are too many.
   void limitStarts();
--- a/Source/Direct/ServerNotices.h
+++ b/Source/Direct/ServerNotices.h
@@ -124,6 +124,9 @@
 
   /// Returns the latest start of a listed server; 0 if unknown.
   [[nodiscard]] std::uint64_t startTime(const std::string &Server) const;
+  [[nodiscard]] bool isListed(const std::string &Server) const {
+    return m_StartTimes.contains(Server);
+  }
   /// Returns whether the latest start of the server leaves.
   [[nodiscard]] bool isLeaving(const std::string &Server) const;
   /// Returns the time left of a server's pause; zero if there is none.
--- a/Tests/Direct/PromptQuarantineTest.cpp
+++ b/Tests/Direct/PromptQuarantineTest.cpp
@@ -309,6 +309,48 @@
   EXPECT_EQ(check(3, {Fatal}), Verdict::Permitted);
 }
 
+// Failure: a stream whose end was confirmed late released a quarantine that
+// later ends had led to.
+TEST_F(PromptQuarantineTest, ServingBeforeTheEndsDoesNotReleaseAPart) {
+  const base::Millis Before = m_Now;
+  pass(base::seconds(1));
+  quarantineFatal();
+  entry(0).confirmTrial(Service, Fatal);
+  for (int End = 0; End < 3; ++End) {
+    endServer(0, {{Fatal}});
+    pass(base::seconds(1));
+  }
+  entry(2).recordServed(Service, {Fatal}, m_Now, Before);
+  EXPECT_EQ(check(2, {Fatal}), Verdict::Refused);
+  entry(2).recordServed(Service, {Fatal}, m_Now, m_Now - base::Millis(100));
+  EXPECT_EQ(check(2, {Fatal}), Verdict::Permitted);
+}
+
+// Failure: what sound requests share was blamed after two ends while their
+// responses were not confirmed yet, and the part at fault never if servers were
+// back at once.
+TEST_F(PromptQuarantineTest, AnUnconfirmedPartIsNotBlamed) {
+  const auto EndTwo = [this](const PromptParts &Parts) {
+    endServer(0, {Parts});
+    m_Now += base::Millis(300);
+    endServer(0, {Parts});
+  };
+  entry(0).recordUnconfirmed(Service, {Common, Fatal}, m_Now);
+  const base::Millis FatalEnd = m_Now;
+  m_Now += base::Millis(300);
+  EndTwo({Common, Fatal});
+  EXPECT_EQ(check(0, {Common, Fatal}), Verdict::Permitted);
+  entry(0).recordUnconfirmed(Service, {Common}, m_Now);
+  entry(0).dropUnconfirmed(Service, {Common, Fatal}, FatalEnd);
+  endServer(0, {{Fatal}});
+  EXPECT_EQ(check(0, {Fatal}), Verdict::Refused);
+  EXPECT_EQ(check(0, {Common}), Verdict::Permitted);
+  // Without a confirmation, the protection ends.
+  m_Now += base::seconds(11);
+  EndTwo({Common, 0x55});
+  EXPECT_EQ(check(0, {Common}), Verdict::Refused);
+}
+
 // Failure: callers choose the parts, so they could use up the memory.
 TEST_F(PromptQuarantineTest, MemoryAndMessagesAreBounded) {
   std::uint64_t Part = 1;
--- a/Tests/Direct/ServerEndsTest.cpp
+++ b/Tests/Direct/ServerEndsTest.cpp
@@ -49,6 +49,25 @@
   EXPECT_EQ(m_Decided.size(), 2U);
 }
 
+// Failure: a server that had ended after a check was taken for alive by the
+// result of that check.
+TEST_F(ServerEndsTest, AClosedConnectionIsCheckedAfterItsEnd) {
+  const auto Close = [this] {
+    m_Ends.connectionClosed({"a", 1}, "10.0.0.1:1", [this](ServerLife Life) {
+      m_Decided.push_back(Life);
+    });
+  };
+  Close();
+  m_Checks[0](ServerLife::Alive);
+  Close();
+  ASSERT_EQ(m_Checks.size(), 2U);
+  m_Checks[1](ServerLife::Ended);
+  Close();
+  EXPECT_EQ(m_Checks.size(), 2U);
+  EXPECT_THAT(m_Decided, ElementsAre(ServerLife::Alive, ServerLife::Ended,
+                                     ServerLife::Ended));
+}
+
 // Failure: a server that was restarted under its old id was taken for ended.
 TEST_F(ServerEndsTest, ALaterStartIsCheckedAnew) {
   breakConnection({"a", 1});
--- a/Tests/Platform/PromptQuarantineTest.cpp
+++ b/Tests/Platform/PromptQuarantineTest.cpp
@@ -45,6 +45,7 @@
               m_Loop, "i-" + std::to_string(m_Servers.size()), "svc"));
           m_Servers.back()->listen();
           prepareServer(*m_Servers.back());
+          m_Servers.back()->m_Behavior = m_Mode;
           m_Store.put("keyed.servers", m_Servers.back()->id(),
                       m_Servers.back()->record());
         });
@@ -125,6 +126,8 @@
 
   std::set<std::string> m_FatalParts = {FatalPart};
   milliseconds m_RestartTime{300};
+  /// How servers that replace others handle requests.
+  Behavior m_Mode = Behavior::Serve;
   std::vector<steady_clock::time_point> m_EndedAt;
   std::vector<AnswerPtr> m_Sound;
   std::vector<AnswerPtr> m_Fatal;
@@ -154,6 +157,25 @@
     EXPECT_NE(Each->m_Status, 200);
 }
 
+// Failure: a stream without a length and chunks that ended between two events,
+// since its server had ended, counted as served, so that its parts were never
+// blamed.
+TEST_F(PlatformPromptQuarantine, UnframedStreamsThatEndServersAreKeptAway) {
+  constexpr std::size_t MaxEnds = 5;
+  setAll(Behavior::UnframedStream);
+  m_Mode = Behavior::UnframedStream;
+  warmUp();
+  sendMixed(milliseconds(6000), milliseconds(150));
+  EXPECT_LE(m_EndedAt.size(), MaxEnds);
+  const auto Served =
+      std::count_if(m_Sound.begin(), m_Sound.end(), [](const AnswerPtr &Each) {
+        return Each->m_Status == 200;
+      });
+  EXPECT_GE(2 * Served, static_cast<long>(m_Sound.size()));
+  for (int Entry = 0; Entry < m_EntryCount; ++Entry)
+    EXPECT_EQ(metric(Entry, "corneldeck_quarantined_parts"), 1) << Entry;
+}
+
 // Failure: an entry that started later, or that had seen no end, sent requests
 // with the part on, or responded with a short retry-after time.
 TEST_F(PlatformPromptQuarantine, AllEntriesRefuseAndNameTheQuarantinedPart) {
--- a/Tests/Platform/StandinServer.cpp
+++ b/Tests/Platform/StandinServer.cpp
@@ -116,10 +116,14 @@
     return IsFatal;
   }
 
-  /// Sends the head of a response and ends the server.
+  /// Sends the head of a response, and one event if the stream ends with its
+  /// connection, and ends the server.
   void end() {
-    m_Out = signedHead(200, "Content-Type: text/event-stream\r\n"
-                            "Transfer-Encoding: chunked\r\n\r\n");
+    m_Out = m_Server.m_Behavior == Behavior::UnframedStream
+                ? signedHead(200, "Content-Type: text/event-stream\r\n\r\n") +
+                      eventText(1)
+                : signedHead(200, "Content-Type: text/event-stream\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n");
     asio::async_write(m_Socket, asio::buffer(m_Out),
                       [Self = shared_from_this()](
                           const boost::system::error_code &, std::size_t) {
