--- a/Tests/Net/HttpFixture.h
+++ b/Tests/Net/HttpFixture.h
@@ -20,7 +20,7 @@
   using Socket = boost::asio::ip::tcp::socket;
 
   void serve(HttpServer::Handler Handle, HttpServerOptions Options = {}) {
-    m_Server.emplace(m_Context, Options, std::move(Handle));
+    m_Server.emplace(m_Context, std::move(Options), std::move(Handle));
     const auto Address = m_Server->listen("127.0.0.1:0");
     ASSERT_TRUE(Address) << Address.error().m_Message;
     m_Address = *Address;
--- a/Tests/Net/MemoryAccountTest.cpp
+++ b/Tests/Net/MemoryAccountTest.cpp
@@ -89,7 +89,7 @@
     base::Random Numbers(Seed);
     MemoryAccount Account(Bound);
     std::vector<std::unique_ptr<Connection>> Open;
-    for (int Step = 0; Step < 40; ++Step) {
+    for (std::int64_t Step = 0; Step < 40; ++Step) {
       const base::Millis Now(Step * 10);
       if (Open.empty() || Numbers.below(3) == 0)
         Open.push_back(std::make_unique<Connection>(Account));
