--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -49,6 +49,7 @@
                        [Memory = std::move(Memory)](std::size_t Bytes) {
                          Memory->setResponseBytes(Bytes);
                        }),
+      m_ClassReport(Objects.m_AdmissionQueue, Objects.m_Metrics),
       m_UnframedResponses(
           [this](const std::string &Server) -> std::optional<std::uint64_t> {
             const ServerNotices &Notices = m_Dependencies.m_Pool.notices();
@@ -76,7 +77,6 @@
                                  m_Clock.now());
           }),
       m_UnframedTimer(Objects.m_Context),
-      m_ClassReport(Objects.m_AdmissionQueue, Objects.m_Metrics),
       m_QueueTimer(Objects.m_Context),
       m_Requests(Objects.m_Metrics.counter("corneldeck_requests_total",
                                            "Requests received from callers.")),
