--- a/Source/Direct/ConcurrencyLimiter.cpp
+++ b/Source/Direct/ConcurrencyLimiter.cpp
@@ -48,7 +48,8 @@
       Estimate.m_Mean = m_Settings.m_InitialRatio;
   }
   m_UpdatedAt[Group] = Now;
-  Estimate.m_Recent.add(Ratio);
+  if (m_Settings.m_Estimate == PassTimeEstimate::Distribution)
+    Estimate.m_Recent.add(Ratio);
   const double Deviation = Ratio - Estimate.m_Mean;
   Estimate.m_Mean += m_Settings.m_SmoothingFactor * Deviation;
   Estimate.m_Variance += m_Settings.m_SmoothingFactor *
@@ -59,6 +60,7 @@
 void ConcurrencyLimiter::recordStream(const RankGroup &Group,
                                       double LargestRatio) {
   if (const auto Found = m_LocalRatios.find(Group);
+      m_Settings.m_Estimate == PassTimeEstimate::Distribution &&
       Found != m_LocalRatios.end() && LargestRatio > 0)
     Found->second.m_Streams.add(LargestRatio);
 }
--- a/Source/Direct/ConcurrencyLimiter.h
+++ b/Source/Direct/ConcurrencyLimiter.h
@@ -18,7 +18,7 @@
 
 /// Settings of ConcurrencyLimiter.
 struct ConcurrencyLimiterSettings {
-  PassTimeEstimate m_Estimate = PassTimeEstimate::Distribution;
+  PassTimeEstimate m_Estimate = PassTimeEstimate::Smoothed;
   /// Time after which an interval counts 1/e in the distribution. If passes
   /// become longer for good, the limit follows within half a second; in the
   /// second that an expert map takes to follow a shift, it falls little.
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -76,8 +76,7 @@
             Quarantine.recordEnd(Ended.m_Start, Ended.m_Service, Ended.m_Parts,
                                  m_Clock.now());
           }),
-      m_UnframedTimer(Objects.m_Context),
-      m_QueueTimer(Objects.m_Context),
+      m_UnframedTimer(Objects.m_Context), m_QueueTimer(Objects.m_Context),
       m_Requests(Objects.m_Metrics.counter("corneldeck_requests_total",
                                            "Requests received from callers.")),
       m_Refused(Objects.m_Metrics.counter(
--- a/Tests/Direct/PassTimeDistributionTest.cpp
+++ b/Tests/Direct/PassTimeDistributionTest.cpp
@@ -21,6 +21,12 @@
   return Engine;
 }
 
+ConcurrencyLimiterSettings distribution() {
+  ConcurrencyLimiterSettings Settings;
+  Settings.m_Estimate = PassTimeEstimate::Distribution;
+  return Settings;
+}
+
 /// An entry with four streams of one group.
 class PassTimeDistribution : public ::testing::Test {
 protected:
@@ -56,7 +62,7 @@
   base::Millis m_AdvancedAt = m_Now;
   std::size_t m_Passes = 0;
   std::array<double, 4> m_Largest{};
-  ConcurrencyLimiter m_Limiter;
+  ConcurrencyLimiter m_Limiter{distribution()};
 };
 
 } // namespace
@@ -115,7 +121,7 @@
   ASSERT_LT(limit(), 10);
   run(base::seconds(40), 1.1);
   const auto Recent = m_Limiter.localRatios();
-  ConcurrencyLimiter Idle;
+  ConcurrencyLimiter Idle(distribution());
   Idle.setPeerRatios("a", Others);
   EXPECT_LT(Idle.limit({"s"}, engine(), Target), 8);
   Idle.setPeerRatios("a", Recent);
--- a/Tests/Gateway/GroupExchangeTest.cpp
+++ b/Tests/Gateway/GroupExchangeTest.cpp
@@ -15,6 +15,12 @@
   return Settings;
 }
 
+direct::ConcurrencyLimiterSettings distribution() {
+  direct::ConcurrencyLimiterSettings Settings;
+  Settings.m_Estimate = direct::PassTimeEstimate::Distribution;
+  return Settings;
+}
+
 direct::EngineProfile engine() {
   direct::EngineProfile Engine;
   Engine.m_Capacity = 10;
@@ -212,7 +218,7 @@
 TEST_F(GroupExchangeTest, DistributionsAreExchangedByGroup) {
   m_Exchange.handleAgent(agent("10.0.0.1:80", "g"), m_Now);
   m_Exchange.handleAgent(agent("10.0.0.2:80", "h"), m_Now);
-  m_Limiter = direct::ConcurrencyLimiter();
+  m_Limiter = direct::ConcurrencyLimiter(distribution());
   // Ratios of 1 and 2.4.
   for (int Count = 0; Count < 100; ++Count) {
     m_Limiter.recordInterval({"s", "g"}, engine(), base::Millis(56), 10, m_Now);
@@ -237,11 +243,11 @@
     EXPECT_LT(m_Limiter.limit({"s", "h"}, engine(), base::Millis(120)), 7.8);
   };
 
-  m_Limiter = direct::ConcurrencyLimiter();
+  m_Limiter = direct::ConcurrencyLimiter(distribution());
   m_Exchange.handleRatios(Beat);
   m_Exchange.handleRatios(Beat);
   ExpectLimits();
-  m_Limiter = direct::ConcurrencyLimiter();
+  m_Limiter = direct::ConcurrencyLimiter(distribution());
   m_Exchange.handleSummary("all", Summary, m_Now);
   ExpectLimits();
   ASSERT_EQ(Summary.stretches_size(), 2);
