--- a/Tests/Net/HttpClientTest.cpp
+++ b/Tests/Net/HttpClientTest.cpp
@@ -65,7 +65,7 @@
     Call.m_Address = m_Address;
     HttpCallbacks Hooks;
     Hooks.m_MaySend = [MaySend] { return MaySend; };
-    Hooks.m_OnEnd = [&](base::Result<void> Result) { Outcome = Result; };
+    Hooks.m_OnEnd = [&](const base::Result<void> &Result) { Outcome = Result; };
     m_Client.request(std::move(Call), std::move(Hooks));
     runUntil([&] { return Outcome.has_value(); });
     return *Outcome;
