--- a/Tests/Soak/SoakQuarantine.cpp
+++ b/Tests/Soak/SoakQuarantine.cpp
@@ -17,9 +17,9 @@
   std::string Prompt = Planned.m_Parts;
   if (Planned.m_HasFatalPart && m_HasFaults)
     Prompt += std::string(FatalPart) + ":100,";
-  // Entries ignore a list with a repeated part.
+  // Entries cannot decode a list with a malformed element.
   if (m_Settings.m_Plant == Plant::FatalPartHidden)
-    Prompt += "c:1,c:1,";
+    Prompt += "c:x,";
   return Prompt + std::to_string(1'000'000 + m_NextRequest) + ":250";
 }
 
