Direct: no bound for customers in a service with one class

Cause: customers above the level of their class are refused while the service is overloaded, also where requests of a single class are served in the order of arrival. A service with one class has to be served as before.

Change: the level and the order by customer apply to services with several classes only.

--- a/Source/Direct/AdmissionQueue.cpp
+++ b/Source/Direct/AdmissionQueue.cpp
@@ -60,6 +60,9 @@
 
 CustomerShares::ClassLoad AdmissionQueue::loadOf(const Division &Divided,
                                                  int Class) {
+  // A service with one class is served as if it had no classes.
+  if (!Divided.m_IsShared)
+    return {};
   for (const ClassShares::Share &Each : Divided.m_Classes)
     if (Each.m_Class == Class && Each.m_Allocated > 0 && Each.m_Need > 0)
       return {Each.m_Allocated / Each.m_Need, Divided.m_HasSlack};
@@ -198,7 +201,7 @@
     std::size_t Best = Begin;
     std::size_t Index = Begin;
     for (; Index < None && Queue.m_Waiting[Index].m_Priority == Class; ++Index)
-      if (ClassMayStart &&
+      if (ClassMayStart && Divided.m_IsShared &&
           m_CustomerShares.precedes(Service, Class,
                                     Queue.m_Waiting[Index].m_Customer,
                                     Queue.m_Waiting[Best].m_Customer))
