--- a/Source/Direct/ServerPool.cpp
+++ b/Source/Direct/ServerPool.cpp
@@ -29,10 +29,13 @@
                        std::uint64_t FirstTokenNumber)
     : m_Zone(std::move(Zone)), m_Settings(Settings),
       m_Groups(Settings.m_Groups), m_Notices(Settings.m_Notices),
-      m_RateTokens(m_RateLimits, Settings.m_RateTokens, FirstTokenNumber) {}
+      m_WarmUp(Settings.m_WarmUp),
+      m_RateTokens(m_RateLimits, Settings.m_RateTokens, FirstTokenNumber) {
+  m_RateTokens.useWarmUp(m_WarmUp);
+}
 
 void ServerPool::replaceServers(const std::vector<BackendServer> &Servers,
-                                base::Millis Now) {
+                                base::Millis Now, std::uint64_t WallTime) {
   std::map<std::string, ServerState, std::less<>> Next;
   for (const BackendServer &Each : Servers) {
     ServerState &Added = Next[Each.m_Id];
@@ -50,13 +53,20 @@
   m_ByService.clear();
   std::map<std::string, std::uint64_t> StartTimes;
   std::map<std::string, ServerRateLimits::Instance> Instances;
+  std::map<std::string, WarmUpLimits::Listed> Listed;
   for (auto &[Id, Each] : m_States) {
     m_ByService[Each.m_Server.m_Service].push_back(&Each);
     StartTimes[Id] = Each.m_Server.m_StartTime;
     Instances[Id] = {Each.m_Server.m_Address, Each.m_Server.m_StartTime};
+    const BackendServer &Server = Each.m_Server;
+    Listed[Id] = {Server.m_Service,   Server.m_Zone, Server.m_Address,
+                  Server.m_StartTime, std::nullopt,  Server.m_WarmUpRecord};
+    if (Server.m_NamesWarmUp)
+      Listed[Id].m_Remaining = Server.m_WarmUpRemaining;
   }
   m_Notices.replaceServers(std::move(StartTimes), Now);
   m_RateLimits.replaceServers(std::move(Instances), Now);
+  m_WarmUp.replaceServers(Listed, Now, WallTime);
 }
 
 const std::vector<ServerPool::ServerState *> &
@@ -79,31 +89,13 @@
   if (Candidate.m_Server.m_Draining || !m_Notices.permits(Id, Now) ||
       m_EvacuatedZones.contains(Candidate.m_Server.m_Zone))
     return ServerAvailability::Unavailable;
-  const bool HasToken = m_RateTokens.permits(Id);
+  const bool HasToken = m_RateTokens.permits(Id, Now);
   if (Candidate.m_Health.m_BackoffUntil > Now)
     return HasToken ? ServerAvailability::InBackoff
                     : ServerAvailability::Unavailable;
   return HasToken ? ServerAvailability::Available : ServerAvailability::NoToken;
 }
 
-std::vector<EvacuatedZones::Change>
-ServerPool::evacuate(const std::set<std::string> &Zones, base::Millis Now) {
-  return m_EvacuatedZones.replace(Zones, Now);
-}
-
-bool ServerPool::isEvacuated(const std::string &Id) const {
-  const auto Found = m_States.find(Id);
-  return Found != m_States.end() &&
-         m_EvacuatedZones.contains(Found->second.m_Server.m_Zone);
-}
-
-std::size_t ServerPool::serversInZone(const std::string &Zone) const {
-  return static_cast<std::size_t>(std::count_if(
-      m_States.begin(), m_States.end(), [&Zone](const auto &Each) {
-        return Each.second.m_Server.m_Zone == Zone;
-      }));
-}
-
 bool ServerPool::isStopping(const std::string &Id) const {
   const auto Found = m_States.find(Id);
   return (Found != m_States.end() && Found->second.m_Server.m_Draining) ||
@@ -147,6 +139,9 @@
     m_RateTokens.request(BestLimited.m_Server->m_Server.m_Id, Now);
   if (Permitted.empty())
     return FirstAvailable ? &FirstAvailable->m_Server : nullptr;
+  double Unreported = unreportedRequests(Service, Now);
+  if (m_Groups.isDivided(Service))
+    Unreported = keepBestGroup(Service, Permitted, Unreported, Rng);
   const ServerState &Best =
       *std::min_element(Permitted.begin(), Permitted.end(),
                         [](const Candidate &A, const Candidate &B) {
@@ -154,40 +149,14 @@
                         })
            ->m_Server;
   // No other entry can use this entry's token.
-  if (m_RateLimits.limit(Best.m_Server.m_Id))
+  if (m_RateTokens.limit(Best.m_Server.m_Id))
     return &Best.m_Server;
-  return &draw(std::move(Permitted), unreportedRequests(Service, Now), Rng)
-              .m_Server;
-}
-
-const ServerPool::ServerState &
-ServerPool::draw(std::vector<Candidate> Candidates, double Unreported,
-                 base::Random &Rng) {
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const Candidate &A, const Candidate &B) {
-              return A.m_Score < B.m_Score;
-            });
-  // The score up to which the unreported requests raise the best servers.
-  double Level = 0;
-  double RequestsPerScore = 0;
-  double BaseRequests = 0;
-  std::size_t Count = 0;
-  for (const Candidate &Each : Candidates) {
-    if (Count > 0 && Each.m_Score >= Level)
-      break;
-    RequestsPerScore += 1 / Each.m_ScorePerRequest;
-    BaseRequests += Each.m_Score / Each.m_ScorePerRequest;
-    Level = (Unreported + BaseRequests) / RequestsPerScore;
-    ++Count;
-  }
-  double Drawn = Unreported * Rng.uniform();
-  for (std::size_t Index = 0; Index + 1 < Count; ++Index) {
-    const Candidate &Each = Candidates[Index];
-    Drawn -= (Level - Each.m_Score) / Each.m_ScorePerRequest;
-    if (Drawn <= 0)
-      return *Each.m_Server;
-  }
-  return *Candidates[Count - 1].m_Server;
+  std::vector<LoadOption> Options;
+  Options.reserve(Permitted.size());
+  for (const Candidate &Each : Permitted)
+    Options.push_back({Each.m_Score, Each.m_ScorePerRequest});
+  const std::size_t Drawn = drawByLevel(Options, Unreported, Rng).m_Index;
+  return &Permitted[Drawn].m_Server->m_Server;
 }
 
 void ServerPool::recordArrival(const std::string &Service, base::Millis Now) {
@@ -246,17 +215,17 @@
     PerRequest *=
         std::clamp(Latency / MeanLatency, m_Settings.m_MinLatencyRatio,
                    m_Settings.m_MaxLatencyRatio);
-  double Score =
+  const double Score =
       PerRequest * (Load.m_Requests +
                     Load.m_PromptTokens / m_Settings.m_TokensPerRequest + 1);
-  Score += failureRate(State, Now) * m_Settings.m_FailurePenalty;
+  double Penalty = failureRate(State, Now) * m_Settings.m_FailurePenalty;
   if (State.m_WarmUpUntil > Now)
-    Score += WarmUpPenalty;
+    Penalty += WarmUpPenalty;
   if (Server.m_Zone != m_Zone)
-    Score += m_Settings.m_OtherZonePenalty;
-  if (m_RateLimits.limit(Server.m_Id))
-    Score -= TokenPreference;
-  return {&Rated, Score, PerRequest};
+    Penalty += m_Settings.m_OtherZonePenalty;
+  if (m_RateTokens.limit(Server.m_Id))
+    Penalty -= TokenPreference;
+  return {&Rated, Score + Penalty, PerRequest, Penalty};
 }
 
 void ServerPool::attemptStarted(const std::string &Id, double PromptTokens,
@@ -433,13 +402,14 @@
     case ServerAvailability::NoToken:
       break;
     }
-    const auto Limit = m_RateLimits.limit(Id);
+    const auto Limit = m_RateTokens.limit(Id);
     if (!Limit) {
       ++Usage.m_Servers;
       Usage.m_Capacity += IsOnTrial ? 1 : Server.m_Capacity;
       continue;
     }
     ++Usage.m_LimitedServers;
+    Usage.m_ColdServers += m_WarmUp.limit(Id) ? 1 : 0;
     Usage.m_LimitPerSecond += *Limit;
     const bool HasPlace = InFlight < Server.m_Capacity;
     Usage.m_LimitedCapacity +=
@@ -449,24 +419,6 @@
   return Usage;
 }
 
-const std::string &ServerPool::groupOf(const ServerState &Member) const {
-  return m_Groups.groupOf(Member.m_Server.m_Service, Member.m_AddressHash);
-}
-
-const std::string *ServerPool::groupOf(const std::string &Id) const {
-  const auto Found = m_States.find(Id);
-  return Found == m_States.end() ? nullptr : &groupOf(Found->second);
-}
-
-std::set<std::string> ServerPool::groupsOf(std::string_view Service) const {
-  std::set<std::string> Groups;
-  if (!m_Groups.isDivided(Service))
-    return {std::string()};
-  for (const ServerState *Each : serversOf(Service))
-    Groups.insert(groupOf(*Each));
-  return Groups;
-}
-
 void ServerPool::addNotice(ServiceUsage &Usage, const std::string &Id,
                            base::Millis Now) const {
   ++Usage.m_ServersWithNotice;
--- a/Source/Direct/ServerPool.h
+++ b/Source/Direct/ServerPool.h
@@ -4,6 +4,7 @@
 #include "Base/Random.h"
 #include "Direct/Configuration.h"
 #include "Direct/EvacuatedZones.h"
+#include "Direct/LevelDraw.h"
 #include "Direct/RankGroups.h"
 #include "Direct/RateTokens.h"
 #include "Direct/ServerNotices.h"
@@ -33,6 +34,11 @@
   bool m_Draining = false;
   /// Remaining warm-up time when the record was read.
   base::Millis m_WarmUpRemaining{};
+  /// Whether the record names a remaining warm-up time.
+  bool m_NamesWarmUp = false;
+  /// Number of a record that names a time left, so that one that names the same
+  /// time again differs; otherwise 0.
+  std::uint64_t m_WarmUpRecord = 0;
   /// Wall-clock time of its start in milliseconds; 0 if unknown.
   std::uint64_t m_StartTime = 0;
   /// Version of its software; 0 if unknown.
@@ -71,6 +77,16 @@
               ///< was just on trial.
 };
 
+/// Load of the servers of a rank group over all entries.
+struct GroupLoad {
+  /// Requests in flight at all servers; unprocessed prompt tokens count as
+  /// requests, too.
+  double m_Requests = 0;
+  /// Number and capacity of the servers that may be chosen.
+  unsigned m_Servers = 0;
+  unsigned m_Capacity = 0;
+};
+
 /// Settings of ServerPool.
 struct ServerPoolSettings {
   /// Smoothing factor of the failure rate. After two consecutive failures a
@@ -107,6 +123,7 @@
   base::Millis m_InitialBackoff = base::Millis(500);
   base::Millis m_MaxBackoff = base::seconds(4);
   RateTokenSettings m_RateTokens;
+  WarmUpBounds m_WarmUp;
   ServerNoticeSettings m_Notices;
   RankGroupSettings m_Groups;
 };
@@ -124,6 +141,10 @@
 /// server is drawn with a probability in proportion to its part. With recent
 /// reports or few requests this is the server with the lowest score.
 ///
+/// In a service that is divided into rank groups, the group is drawn first in
+/// the same way, and then one of its servers: a request lengthens the passes of
+/// all ranks of its group.
+///
 /// Unreachable and silent servers are not chosen during an exponential backoff.
 /// If all servers of a service are in backoff, the one whose backoff ends first
 /// is chosen, so that a service is never left without a server. A server with a
@@ -142,8 +163,10 @@
 
   /// Replaces the list of servers. The health state of servers whose id and
   /// address are unchanged is kept.
+  /// \param WallTime wall-clock time in milliseconds, by which the age of the
+  /// servers is known; 0 if unknown.
   void replaceServers(const std::vector<BackendServer> &Servers,
-                      base::Millis Now);
+                      base::Millis Now, std::uint64_t WallTime = 0);
 
   /// Replaces the zones to whose servers nothing may be sent.
   /// \returns the evacuations that have ended or begun.
@@ -172,6 +195,15 @@
                                     const std::vector<std::string> &Excluded,
                                     base::Millis Now, base::Random &Rng);
 
+  /// Rates a rank group for the next request. The group with the lowest score
+  /// costs the requests that run there least.
+  /// \returns nothing if the group must not be used.
+  using RateGroup = std::function<std::optional<LoadOption>(
+      const RankGroup &Group, const GroupLoad &Load)>;
+  /// Sets the rating of rank groups. Without one, their requests in flight
+  /// relative to their capacity count.
+  void setGroupRating(RateGroup Rate) { m_RateGroup = std::move(Rate); }
+
   /// Requests a token of one of the servers of \p Service that have a rate
   /// limit and no token here, for a request that waits.
   void requestToken(std::string_view Service, base::Millis Now,
@@ -215,6 +247,8 @@
   /// Returns the rank groups of the servers.
   [[nodiscard]] RankGroups &groups() { return m_Groups; }
   [[nodiscard]] const RankGroups &groups() const { return m_Groups; }
+  /// Returns the limits of the cold servers.
+  [[nodiscard]] WarmUpLimits &warmUp() { return m_WarmUp; }
   /// Returns the tokens of the servers with a rate limit.
   [[nodiscard]] RateTokens &rateTokens() { return m_RateTokens; }
   [[nodiscard]] const RateTokens &rateTokens() const { return m_RateTokens; }
@@ -230,12 +264,15 @@
     unsigned m_Servers = 0;
     unsigned m_Capacity = 0;
     unsigned m_InFlight = 0;
-    /// Servers with a rate limit that neither drain nor are in backoff.
+    /// Servers with a rate limit, named or as a cold server, that neither drain
+    /// nor are in backoff.
     unsigned m_LimitedServers = 0;
     /// Requests in flight at these, and those that this entry's tokens permit.
     unsigned m_LimitedCapacity = 0;
     /// Sum of their limits, in requests per second.
     double m_LimitPerSecond = 0;
+    /// Cold servers with a limit among them.
+    unsigned m_ColdServers = 0;
     /// Servers in backoff.
     unsigned m_ServersInBackoff = 0;
     /// Servers that leave, are in a pause or were just on trial.
@@ -304,6 +341,8 @@
     double m_Score = 0;
     /// Increase of the score by one more request.
     double m_ScorePerRequest = 0;
+    /// The part of the score that does not depend on its load.
+    double m_Penalty = 0;
   };
   /// Decaying count of the attempts at a service.
   struct ArrivalCount {
@@ -343,10 +382,13 @@
   /// changed since the last reports of the other entries.
   [[nodiscard]] double unreportedRequests(std::string_view Service,
                                           base::Millis Now) const;
-  /// Draws one of \p Candidates.
+  /// Keeps the candidates of one rank group, drawn in proportion to what each
+  /// takes of the unreported requests.
   /// \param Unreported see unreportedRequests().
-  static const ServerState &draw(std::vector<Candidate> Candidates,
-                                 double Unreported, base::Random &Rng);
+  /// \returns the unreported requests of this group.
+  double keepBestGroup(std::string_view Service,
+                       std::vector<Candidate> &Candidates, double Unreported,
+                       base::Random &Rng) const;
 
   const std::string m_Zone;
   const ServerPoolSettings m_Settings;
@@ -370,8 +412,10 @@
   base::Millis m_NextExpiry{};
   EvacuatedZones m_EvacuatedZones;
   RankGroups m_Groups;
+  RateGroup m_RateGroup;
   ServerNotices m_Notices;
   ServerRateLimits m_RateLimits;
+  WarmUpLimits m_WarmUp;
   RateTokens m_RateTokens;
 };
 
