--- a/Source/Direct/ForwardedRequest.cpp
+++ b/Source/Direct/ForwardedRequest.cpp
@@ -90,7 +90,7 @@
         Limits.m_Deadline = m_Parameters.m_Deadline;
         return Limits;
       }()),
-      m_Body(m_Exchange->takeBody()),
+      m_Body(std::make_shared<const std::string>(m_Exchange->takeBody())),
       m_Timer(Forwarder.m_Dependencies.m_Context),
       m_TrialTimer(Forwarder.m_Dependencies.m_Context) {}
 
@@ -244,7 +244,7 @@
   Call.m_Address = Chosen->m_Address;
   Call.m_Host = m_Parameters.m_Request.m_Host;
   Call.m_Headers = m_Forwarder.m_Codec.m_EncodeRequest(*m_Exchange, Metadata);
-  Call.m_Body = m_Body;
+  Call.m_SharedBody = m_Body;
   Call.m_Timeout = base::Millis(0);
   Call.m_NeedsNewConnection = m_WasSilent;
 
@@ -357,7 +357,8 @@
 
 void ForwardedRequest::releaseBody() {
   m_Forwarder.m_ResponseMemory.remove(m_Parameters.m_Token);
-  m_ResponseBody = {};
+  // Assigning an empty string would keep the memory.
+  std::string().swap(m_ResponseBody);
   m_DiscardedBytes = 0;
 }
 
@@ -378,7 +379,9 @@
   } else {
     const base::Millis Pause = now() - m_LastForwardedAt;
     m_LongestPause = std::max(m_LongestPause, Pause);
-    m_Forwarder.recordEventInterval(m_Parameters.m_Service, m_Server, Pause);
+    m_LargestRatio =
+        std::max(m_LargestRatio, m_Forwarder.recordEventInterval(
+                                     m_Parameters.m_Service, m_Server, Pause));
   }
   m_LastForwardedAt = now();
   if (m_UnprocessedPromptTokens > 0) {
@@ -722,6 +725,9 @@
   m_Timer.cancel();
   m_TrialTimer.cancel();
   releaseBody();
+  if (m_LargestRatio > 0)
+    m_Forwarder.m_GroupCapacity.recordStream(m_Parameters.m_Service, m_Server,
+                                             m_LargestRatio);
   const base::Millis Now = now();
   const base::Millis Waited =
       (m_Queued ? Now : std::max(m_AdmittedAt, m_Parameters.m_ArrivalTime)) -
--- a/Source/Direct/ForwardedRequest.h
+++ b/Source/Direct/ForwardedRequest.h
@@ -113,7 +113,7 @@
   std::shared_ptr<net::HttpExchange> m_Exchange;
   const Parameters m_Parameters;
   AttemptTracker m_Tracker;
-  const std::string m_Body;
+  const std::shared_ptr<const std::string> m_Body;
   boost::asio::steady_timer m_Timer;
   boost::asio::steady_timer m_TrialTimer;
 
@@ -144,6 +144,8 @@
   /// between two writes of events.
   base::Millis m_FirstEventDelay{};
   base::Millis m_LongestPause{};
+  /// Largest pass time ratio of its intervals; 0 if there are none.
+  double m_LargestRatio = 0;
   /// Media type of the stream whose head was forwarded.
   std::string m_MediaType;
   bool m_Finished = false;
--- a/Source/Direct/RequestForwarder.cpp
+++ b/Source/Direct/RequestForwarder.cpp
@@ -35,11 +35,16 @@
 } // namespace
 
 RequestForwarder::RequestForwarder(Dependencies Objects, RequestCodec Codec,
-                                   std::size_t MaxResponseBytes)
+                                   std::size_t MaxResponseBytes,
+                                   std::shared_ptr<net::MemoryAccount> Memory)
     : m_Dependencies(Objects),
       m_GroupCapacity(Objects.m_Pool, Objects.m_Limiter,
                       Objects.m_GroupAvailability),
-      m_Codec(std::move(Codec)), m_ResponseMemory(MaxResponseBytes),
+      m_Codec(std::move(Codec)),
+      m_ResponseMemory(MaxResponseBytes,
+                       [Memory = std::move(Memory)](std::size_t Bytes) {
+                         Memory->setResponseBytes(Bytes);
+                       }),
       m_ClassReport(Objects.m_AdmissionQueue, Objects.m_Metrics),
       m_QueueTimer(Objects.m_Context),
       m_Requests(Objects.m_Metrics.counter("corneldeck_requests_total",
@@ -354,14 +359,15 @@
       m_Routes->targetEventInterval(Group.m_Service), m_Clock.now());
 }
 
-void RequestForwarder::recordEventInterval(const std::string &Service,
-                                           const std::string &Server,
-                                           base::Millis Interval) {
+double RequestForwarder::recordEventInterval(const std::string &Service,
+                                             const std::string &Server,
+                                             base::Millis Interval) {
   m_EventIntervals.record(static_cast<double>(Interval.count()));
   const direct::Service *Found = m_Routes->configuration().findService(Service);
-  if (Found && Found->m_Engine)
-    m_GroupCapacity.recordInterval(Service, Server, *Found->m_Engine, Interval,
-                                   m_Clock.now());
+  if (!Found || !Found->m_Engine)
+    return 0;
+  return m_GroupCapacity.recordInterval(Service, Server, *Found->m_Engine,
+                                        Interval, m_Clock.now());
 }
 
 bool RequestForwarder::holdResponse(std::uint64_t Token,
