--- a/Source/Direct/RequestForwarder.h
+++ b/Source/Direct/RequestForwarder.h
@@ -15,6 +15,7 @@
 #include "Direct/ServerRateLimits.h"
 #include "Direct/SharedRetryBudget.h"
 #include "Direct/ShutdownPolicy.h"
+#include "Direct/UnframedResponses.h"
 #include "Metrics/Registry.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpExchange.h"
@@ -188,6 +189,10 @@
   /// Returns the retry-after time of a request that is refused during a stop.
   [[nodiscard]] base::Millis stoppingRetryAfter() const;
   void armQueueTimer();
+  /// Records the result of the check of a server whose response ended with its
+  /// connection.
+  void recordUnframed(UnframedResponse Ended, ServerLife Life);
+  void armUnframedTimer();
   /// Records that a request holds \p Bytes of its response from \p Server. Ends
   /// the largest responses of the servers that hold most if all together exceed
   /// the limit.
@@ -216,6 +221,9 @@
   ResponseMemory m_ResponseMemory;
   ClassUsageReport m_ClassReport;
   ShutdownPolicy m_ShutdownPolicy;
+  UnframedResponses m_UnframedResponses;
+  boost::asio::steady_timer m_UnframedTimer;
+  bool m_UnframedTimerArmed = false;
   boost::asio::steady_timer m_QueueTimer;
   bool m_QueueTimerArmed = false;
   /// When data last arrived, by service and server.
