Tests/Net: wait for the clock in the event loop

ClosesTheLongestIdleConnectionAtTheLimit put the thread to sleep for 5 ms between two connections, so that their times differ. It waits in the event loop now, on the same clock; the check is the same.

--- a/Tests/Net/HttpHostileTest.cpp
+++ b/Tests/Net/HttpHostileTest.cpp
@@ -92,7 +92,9 @@
   Socket First = connect();
   runUntil([&] { return m_Server->connections() == 1; });
   // The order of idle connections is known to the millisecond.
-  std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  const auto Next =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(5);
+  runUntil([&] { return std::chrono::steady_clock::now() >= Next; });
   const Socket Second = connect();
   runUntil([&] { return m_Server->connections() == 2; });
   const std::string Text =
