--- a/Tests/Net/HttpHostileTest.cpp
+++ b/Tests/Net/HttpHostileTest.cpp
@@ -1,7 +1,6 @@
 #include "Net/HttpFixture.h"
 
 #include <chrono>
-#include <thread>
 #include <vector>
 
 namespace corneldeck::net {
