--- a/review/standins-2/SlowPaths.cpp
+++ b/review/standins-2/SlowPaths.cpp
@@ -1,6 +1,7 @@
-// Ordinary callers send requests, while a crowd of other callers asks for long
-// paths, each on one connection and one at a time. Their requests stay within
-// the limits; no route matches them.
+// Ordinary callers send requests, while a crowd of other callers sends requests
+// whose heads are long, each on one connection and one at a time. Their heads
+// stay within the limits. "paths": a path of slashes, which no route matches;
+// "fields": many fields beside a long Connection field, on a public route.
 
 #include "World.h"
 
@@ -20,9 +21,13 @@
 constexpr int DeadlineMs = 4000;
 constexpr long SlackMs = 500;
 constexpr int CrowdPerEntry = 300;
+constexpr int Fields = 1500;
+constexpr int Elements = 4000;
 /// The head stays within max-header-bytes, 16384.
 constexpr std::size_t PathBytes = 15900;
-/// A site grows by as many at once (big_config).
+/// Routes of a small site beside the one in use, and as many as a site grows by
+/// at once (big_config).
+constexpr int IdleRoutes = 8;
 constexpr int FurtherRoutes = 350;
 
 struct Tally {
@@ -97,14 +102,28 @@
   }
 }
 
+std::string longPath() {
+  return "GET " + std::string(PathBytes, '/') +
+         " HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: x\r\n"
+         "Deadline-Ms: 4000\r\n\r\n";
+}
+
+std::string manyFields() {
+  std::string Request =
+      "GET /app/crowd HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: x\r\n"
+      "Deadline-Ms: 4000\r\n";
+  for (int Index = 0; Index < Fields; ++Index)
+    Request += "a:b\r\n";
+  Request += "Connection: ";
+  for (int Index = 0; Index < Elements; ++Index)
+    Request += "x,";
+  return Request + "y\r\n\r\n";
+}
+
 /// Sends one request after the other on each of \p Size connections to each
 /// entry; each waits for its answer before it sends the next.
-void runCrowd(const std::vector<std::string> &Addresses, Clock::time_point End,
-              Record &Log) {
-  const std::string Request =
-      "GET " + std::string(PathBytes, '/') +
-      " HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: x\r\n"
-      "Deadline-Ms: 4000\r\n\r\n";
+void runCrowd(const std::vector<std::string> &Addresses,
+              const std::string &Request, Clock::time_point End, Record &Log) {
   struct Member {
     Socket m_Connection;
     std::string m_Address;
@@ -158,6 +177,7 @@
 
 int main(int, char **Arguments) {
   const std::string Folder = Arguments[1];
+  const bool HasLongPaths = std::string(Arguments[3]) == "paths";
   raiseDescriptors();
   Record Log(Folder + "/record.txt");
   World System(Log, Arguments[2]);
@@ -165,7 +185,9 @@
   Replica Second(Log, "i-2", "app", System.ip());
   for (const Replica *Each : {&First, &Second})
     System.put("keyed.servers", Each->id(), Each->record());
-  System.publish({{"app", "idempotent"}}, FurtherRoutes, TimeoutMs);
+  System.publish({{"app", "idempotent"}},
+                 HasLongPaths ? IdleRoutes + FurtherRoutes : IdleRoutes,
+                 TimeoutMs);
   for (int Index = 0; Index < Entries; ++Index)
     System.startEntry({});
   if (!System.awaitReady(Millis(20000))) {
@@ -187,7 +209,9 @@
     std::vector<std::string> Targets;
     for (const EntryAddresses &Each : System.m_Entries)
       Targets.push_back(Each.m_Ingress);
-    Threads.emplace_back(runCrowd, Targets, End, std::ref(Log));
+    Threads.emplace_back(runCrowd, Targets,
+                         HasLongPaths ? longPath() : manyFields(), End,
+                         std::ref(Log));
   }
   for (std::thread &Each : Threads)
     Each.join();
