--- a/review/standins-2/CutUploads.cpp
+++ b/review/standins-2/CutUploads.cpp
@@ -37,14 +37,14 @@
     if (!IsOpen) {
       Rest.clear();
       // The first request makes it a kept connection.
-      IsOpen = Connection.connect(Address, Millis(1000)) &&
-               Connection.sendAll("GET /app/small HTTP/1.1\r\n"
-                                  "Host: ficu95.example\r\nAttempt-Id: " +
-                                      Caller + "-small-" +
-                                      std::to_string(Count) +
-                                      "\r\nDeadline-Ms: 4000\r\n\r\n",
-                                  Millis(1000)) &&
-               readResponse(Connection, Rest, Millis(4000)).m_Status == 200;
+      IsOpen =
+          Connection.connect(Address, Millis(1000)) &&
+          Connection.sendAll("GET /app/small HTTP/1.1\r\n"
+                             "Host: ficu95.example\r\nAttempt-Id: " +
+                                 Caller + "-small-" + std::to_string(Count) +
+                                 "\r\nDeadline-Ms: 4000\r\n\r\n",
+                             Millis(1000)) &&
+          readResponse(Connection, Rest, Millis(4000)).m_Status == 200;
       if (!IsOpen) {
         std::this_thread::sleep_for(Millis(300));
         continue;
@@ -100,9 +100,9 @@
         continue;
       }
       if (Done < Begin.size()) {
-        const ssize_t Now = ::send(Connection.handle(), Begin.data() + Done,
-                                   Begin.size() - Done,
-                                   MSG_DONTWAIT | MSG_NOSIGNAL);
+        const ssize_t Now =
+            ::send(Connection.handle(), Begin.data() + Done,
+                   Begin.size() - Done, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (Now > 0)
           Done += static_cast<std::size_t>(Now);
       }
@@ -159,8 +159,9 @@
       Log.line("replica " + Server->id() + " ran " + Each.m_Id + " (" +
                std::to_string(Each.m_Bytes) + " bytes) from " +
                std::to_string(Each.m_At) + " ms on, " +
-               (Each.m_IsAnswered ? "answered" : "dropped: its connection was "
-                                                 "closed"));
+               (Each.m_IsAnswered ? "answered"
+                                  : "dropped: its connection was "
+                                    "closed"));
     }
   int Uploads = 0;
   int Answered = 0;
@@ -174,15 +175,16 @@
       if (Each.m_Answer.m_Status == 0 && Each.m_Answer.m_End != "timeout" &&
           PassedOn.contains(Each.m_Id)) {
         ++Lost;
-        Log.line("LOST: " + Each.m_Id + " was passed on to a replica, and its "
-                                        "connection was closed without an "
-                                        "answer");
+        Log.line("LOST: " + Each.m_Id +
+                 " was passed on to a replica, and its "
+                 "connection was closed without an "
+                 "answer");
       }
     }
   const std::string Summary =
       std::to_string(Uploads) + " uploads of ordinary callers, " +
-      std::to_string(Answered) + " answered with 200, " +
-      std::to_string(Lost) + " passed on and cut off without an answer" +
+      std::to_string(Answered) + " answered with 200, " + std::to_string(Lost) +
+      " passed on and cut off without an answer" +
       (System.m_Processes[0]->isRunning() ? "" : "; the entry has ended");
   Log.line(Summary);
   std::cout << Summary << '\n';
--- a/review/standins-2/SlowPaths.cpp
+++ b/review/standins-2/SlowPaths.cpp
@@ -62,8 +62,7 @@
                                std::to_string(DeadlineMs) + "\r\n\r\n",
                            Millis(1000))) {
       Each.m_At = Log.now();
-      const Response Got =
-          readResponse(Connection, Rest, Millis(DeadlineMs));
+      const Response Got = readResponse(Connection, Rest, Millis(DeadlineMs));
       Each.m_Status = Got.m_IsComplete ? Got.m_Status : 0;
       if (Each.m_Status != 0)
         Each.m_Ms = Log.now() - Each.m_At;
@@ -141,17 +140,16 @@
       Socket &Connection = Each.m_Connection;
       // At most 50 new ones in a round of 10 ms.
       if (Connection.handle() < 0) {
-        if (++Opened > 50 ||
-            !Connection.connect(Each.m_Address, Millis(100))) {
+        if (++Opened > 50 || !Connection.connect(Each.m_Address, Millis(100))) {
           Connection.close();
           continue;
         }
         Each.m_Sent = 0;
       }
       if (Each.m_Sent < Request.size()) {
-        const ssize_t Count = ::send(
-            Connection.handle(), Request.data() + Each.m_Sent,
-            Request.size() - Each.m_Sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+        const ssize_t Count =
+            ::send(Connection.handle(), Request.data() + Each.m_Sent,
+                   Request.size() - Each.m_Sent, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (Count > 0) {
           Each.m_Sent += static_cast<std::size_t>(Count);
           Bytes += static_cast<std::size_t>(Count);
@@ -169,8 +167,8 @@
     }
     std::this_thread::sleep_for(Millis(10));
   }
-  Log.line("the crowd got " + std::to_string(Answered) +
-           " answers and sent " + std::to_string(Bytes / 1024) + " KiB");
+  Log.line("the crowd got " + std::to_string(Answered) + " answers and sent " +
+           std::to_string(Bytes / 1024) + " KiB");
 }
 
 } // namespace
--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -35,9 +35,9 @@
 }
 
 long millisUntil(Clock::time_point Due) {
-  return std::max(0L, static_cast<long>(std::chrono::duration_cast<Millis>(
-                                            Due - Clock::now())
-                                            .count()));
+  return std::max(
+      0L, static_cast<long>(
+              std::chrono::duration_cast<Millis>(Due - Clock::now()).count()));
 }
 
 std::string lower(std::string Text) {
@@ -214,8 +214,8 @@
   const int One = 1;
   ::setsockopt(m_Listener, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
   const sockaddr_in At = parse(m_Address);
-  if (::bind(m_Listener, reinterpret_cast<const sockaddr *>(&At),
-             sizeof(At)) != 0 ||
+  if (::bind(m_Listener, reinterpret_cast<const sockaddr *>(&At), sizeof(At)) !=
+          0 ||
       ::listen(m_Listener, 256) != 0)
     std::exit(2);
   m_Accepting = std::thread([this] {
@@ -246,10 +246,14 @@
 }
 
 std::string Replica::record() const {
-  return json{{"backend", m_Service},         {"address", m_Address},
-              {"zone", "a"},                  {"version", 1},
-              {"capacity", 12},               {"lifecycle-state", "ready"},
-              {"warmup-remaining-ms", 0},     {"sequence", 1},
+  return json{{"backend", m_Service},
+              {"address", m_Address},
+              {"zone", "a"},
+              {"version", 1},
+              {"capacity", 12},
+              {"lifecycle-state", "ready"},
+              {"warmup-remaining-ms", 0},
+              {"sequence", 1},
               {"born", 1}}
       .dump();
 }
@@ -318,12 +322,12 @@
       if (IsGone || m_Stopped)
         goto ended;
       const std::string Body = "done " + Id + "\n";
-      if (!Connection.sendAll("HTTP/1.1 200 OK\r\nAttempt-Id: " + Id +
-                                  "\r\nResponse-Signature: " + m_Id + "." +
-                                  Id + "\r\nContent-Length: " +
-                                  std::to_string(Body.size()) + "\r\n\r\n" +
-                                  Body,
-                              Millis(2000)))
+      if (!Connection.sendAll(
+              "HTTP/1.1 200 OK\r\nAttempt-Id: " + Id +
+                  "\r\nResponse-Signature: " + m_Id + "." + Id +
+                  "\r\nContent-Length: " + std::to_string(Body.size()) +
+                  "\r\n\r\n" + Body,
+              Millis(2000)))
         goto ended;
       const std::lock_guard Lock(m_Mutex);
       m_Runs[Index].m_IsAnswered = true;
@@ -453,8 +457,8 @@
 void World::startEntry(const Machine &Given) {
   const std::string Number = std::to_string(m_Entries.size() + 1);
   // All machines of a day use the same ports at addresses of their own.
-  const std::string Ip =
-      m_Ip.substr(0, m_Ip.rfind('.') + 1) + std::to_string(10 + m_Entries.size());
+  const std::string Ip = m_Ip.substr(0, m_Ip.rfind('.') + 1) +
+                         std::to_string(10 + m_Entries.size());
   EntryAddresses Of{freeAddress(Ip), freeAddress(Ip), freeAddress(Ip)};
   static std::string PeerPort;
   static std::string Seed;
@@ -466,10 +470,10 @@
   const std::string Settings = m_Folder + "/entry-" + Number + ".yaml";
   std::ofstream(Settings)
       << "node: \"edge-a-" << Number << "\"\nzone: \"a\"\nip: \"" << Ip
-      << "\"\npeer_port: " << PeerPort << "\ncaller_address: \""
-      << Of.m_Ingress << "\"\nready_address: \"" << Of.m_Ready
-      << "\"\ndirectory_address: \"" << Of.m_Directory << "\"\nseeds: [\""
-      << Seed << "\"]\nlog: \"" << m_StoreAddress
+      << "\"\npeer_port: " << PeerPort << "\ncaller_address: \"" << Of.m_Ingress
+      << "\"\nready_address: \"" << Of.m_Ready << "\"\ndirectory_address: \""
+      << Of.m_Directory << "\"\nseeds: [\"" << Seed << "\"]\nlog: \""
+      << m_StoreAddress
       << "\"\nretries:\n  ratio: 0.2\n  window_s: 10\n  extra: 94\n"
          "warm_up:\naddress_lifetime_s: 5\ngrace_period_s: 8\n"
          "max_open_files: "
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -7,8 +7,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
-#include <functional>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
