--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,10 +9,10 @@
 mapfile -t Libraries < <(find target/Source target/platform -name 'lib*.a' | sort)
 Flags=(-std=c++20 -O1 -I. -ISource -ITests -Itarget)
 g++ "${Flags[@]}" -c -o target/review-2/World.o review/standins-2/World.cpp &
-g++ "${Flags[@]}" -c -o target/review-2/StandinStore.o \
-  Tests/Platform/StandinStore.cpp &
-wait %1
-wait %2
+for Source in StandinStore StandinServer; do
+  g++ "${Flags[@]}" -c -o "target/review-2/$Source.o" "Tests/Platform/$Source.cpp" &
+done
+for Job in $(jobs -p); do wait "$Job"; done
 
 Cases=("$@")
 if [ $# -eq 0 ]; then
@@ -24,6 +24,7 @@
 for Case in "${Cases[@]}"; do
   g++ "${Flags[@]}" -o "target/review-2/$Case" "review/standins-2/$Case.cpp" \
     target/review-2/World.o target/review-2/StandinStore.o \
+    target/review-2/StandinServer.o \
     -Wl,--start-group "${Libraries[@]}" -Wl,--end-group \
     -lxxhash -lprotobuf -lzstd -lpthread
 done
--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -348,6 +348,8 @@
   const int Out = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::dup2(Out, STDOUT_FILENO);
   ::dup2(Out, STDERR_FILENO);
+  // Listening sockets of stand-ins would stay open in it.
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
   // As the deploy page says, with the path of the settings and no more.
   const std::string File = "CORNELDECK_NODE_FILE=" + Settings;
   const char *Path = ::getenv("PATH");
@@ -406,9 +408,18 @@
 
 void World::put(const std::string &Topic, const std::string &Key,
                 const std::string &Value) {
+  runInLoop([&] { putInLoop(Topic, Key, Value); });
+}
+
+void World::putInLoop(const std::string &Topic, const std::string &Key,
+                      const std::string &Value) {
+  m_Store->put(Topic, Key, Value);
+}
+
+void World::runInLoop(const std::function<void()> &Do) {
   std::promise<void> Done;
   boost::asio::post(m_Loop, [&] {
-    m_Store->put(Topic, Key, Value);
+    Do();
     Done.set_value();
   });
   Done.get_future().wait();
@@ -545,7 +556,10 @@
   rlimit Limit{};
   ::getrlimit(RLIMIT_NOFILE, &Limit);
   Limit.rlim_cur = std::min<rlim_t>(Limit.rlim_max, 16384);
-  ::setrlimit(RLIMIT_NOFILE, &Limit);
+  // The largest crowd needs 1,900, and an entry as many for it.
+  constexpr rlim_t Needed = 2500;
+  if (::setrlimit(RLIMIT_NOFILE, &Limit) != 0 || Limit.rlim_cur < Needed)
+    std::exit(2);
 }
 
 bool hasTrouble() {
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -149,6 +149,13 @@
 
   void put(const std::string &Topic, const std::string &Key,
            const std::string &Value);
+  /// The loop of the stand-ins, which runs in a thread of its own.
+  boost::asio::io_context &loop() { return m_Loop; }
+  /// The same as put(), in that thread.
+  void putInLoop(const std::string &Topic, const std::string &Key,
+                 const std::string &Value);
+  /// Runs \p Do in that thread and waits for its end.
+  void runInLoop(const std::function<void()> &Do);
   /// Starts an entry with the command of the deploy file.
   void startEntry(const Machine &Given);
   /// \returns whether all entries answer /readyz with 200 in time.
@@ -180,7 +187,8 @@
 std::size_t unreadBytes(const std::string &Address);
 /// An address with a free port.
 std::string freeAddress(const std::string &Ip);
-/// Permits as many descriptors as the machine does.
+/// Permits as many descriptors as the machine does; the case can't run if they
+/// are too few.
 void raiseDescriptors();
 bool hasTrouble();
 
