--- a/review/standins-3/HeldPlaces.cpp
+++ b/review/standins-3/HeldPlaces.cpp
@@ -1,4 +1,4 @@
-// Case 13: one caller outside the operators' control holds all places of an entry
+// Case 15: one caller outside the operators' control holds all places of an entry
 // with requests whose bodies do not end.
 #include "Standins.h"
 
