--- a/review/standins-3/Standins.h
+++ b/review/standins-3/Standins.h
@@ -23,6 +23,7 @@
 #include <optional>
 #include <poll.h>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -514,7 +515,8 @@
         const std::string &Ip = "127.0.0.1", int MemoryMb = 260,
         int MaxOpenFiles = 4100)
       : m_Program(Program), m_Settings(Folder + "/" + Node + ".yaml"),
-        m_Output(Folder + "/" + Node + ".log") {
+        m_Output(Folder + "/" + Node + ".log"),
+        m_MaxOpenFiles(static_cast<rlim_t>(MaxOpenFiles)) {
     const int Peer = freePort(Ip);
     m_Caller = Ip + ":" + std::to_string(freePort(Ip));
     m_Ready = Ip + ":" + std::to_string(freePort(Ip));
@@ -545,9 +547,16 @@
   [[nodiscard]] pid_t process() const { return m_Process; }
 
   void start() {
+    // The entry may have as many descriptors as its settings say.
+    rlimit Files{};
+    ::getrlimit(RLIMIT_NOFILE, &Files);
+    if (Files.rlim_max < m_MaxOpenFiles)
+      giveUp("too few descriptors for the entry");
     m_Process = ::fork();
     if (m_Process != 0)
       return;
+    Files.rlim_cur = m_MaxOpenFiles;
+    ::setrlimit(RLIMIT_NOFILE, &Files);
     const int Out = ::open(m_Output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(Out, 1);
     ::dup2(Out, 2);
@@ -586,6 +595,7 @@
   const std::string m_Program;
   const std::string m_Settings;
   const std::string m_Output;
+  const rlim_t m_MaxOpenFiles;
   std::string m_Caller;
   std::string m_Ready;
   std::string m_Directory;
