--- a/review/standins-3/FatalPart.cpp
+++ b/review/standins-3/FatalPart.cpp
@@ -1,4 +1,4 @@
-// Case 11: a part of prompts that ends replicas, in lists that are written as HTTP
+// Case 12: a part of prompts that ends replicas, in lists that are written as HTTP
 // allows: with a space before the comma, or on two header lines.
 #include "Standins.h"
 
