--- a/review/standins-3/FatalPart.cpp
+++ b/review/standins-3/FatalPart.cpp
@@ -1,5 +1,4 @@
-// Case 12: a part of prompts that ends replicas, in lists that are written as HTTP
-// allows: with a space before the comma, or on two header lines.
+// Case 14: a part of prompts that ends replicas, in lists on two header lines.
 #include "Standins.h"
 
 using namespace review;
@@ -199,7 +198,7 @@
   if (Count == 3 && std::string(Arguments[1]) == "--server")
     return serverMain(Arguments[2]);
   Record::open(Arguments[3]);
-  // PLAIN=1 writes the same lists on one line without spaces.
+  // PLAIN=1 writes the same lists on one line.
   const bool IsPlain = std::getenv("PLAIN") != nullptr;
   Store Log;
   Log.put("keyed.op", "config",
@@ -227,13 +226,9 @@
       char Own[16];
       std::snprintf(Own, sizeof(Own), "%x", 0x5000 + Number);
       const std::string Last = std::string(Own) + ":250\r\n";
-      const std::string Lists[] = {
-          "Prefix-Hash: 5c1e07a2:40," + FatalId + ":800 ," + Last,
-          "Prefix-Hash: 5c1e07a2:40," + FatalId + ":800\r\nPrefix-Hash: " +
-              Last};
       const std::string Parts =
-          IsPlain ? "Prefix-Hash: 5c1e07a2:40," + FatalId + ":800," + Last
-                  : Lists[Number % 2];
+          "Prefix-Hash: 5c1e07a2:40," + FatalId + ":800" +
+          (IsPlain ? "," : "\r\nPrefix-Hash: ") + Last;
       const std::string Id = "fatal-" + std::to_string(Number);
       std::thread([Address = Node.caller(), Id, Parts] {
         call(Address, Id, Parts);
--- a/review/standins-3/KilledReplica.cpp
+++ b/review/standins-3/KilledReplica.cpp
@@ -1,4 +1,4 @@
-// Case 13: a replica is killed while it writes an answer that has neither a
+// Case 12: a replica is killed while it writes an answer that has neither a
 // length nor chunks.
 #include "Standins.h"
 
--- a/review/standins-3/SlowReaders.cpp
+++ b/review/standins-3/SlowReaders.cpp
@@ -1,4 +1,4 @@
-// Case 15: callers that read their answers slowly, for longer than the idle
+// Case 11: callers that read their answers slowly, for longer than the idle
 // timeout of the configuration.
 #include "Standins.h"
 
--- a/review/standins-3/SmuggledRequest.cpp
+++ b/review/standins-3/SmuggledRequest.cpp
@@ -1,4 +1,4 @@
-// Case 14: callers whose bodies are framed by a transfer coding other than
+// Case 13: callers whose bodies are framed by a transfer coding other than
 // "chunked".
 #include "Standins.h"
 
