--- a/review/standins-3/FatalPart.cpp
+++ b/review/standins-3/FatalPart.cpp
@@ -46,11 +46,11 @@
     sleepFor(0.03);
     if (IsFatal)
       ::_exit(1);
-    bool IsOpen = sendAll(
-        Connection, "HTTP/1.1 200 OK\r\nAttempt-Id: " + Id +
-                        "\r\nResponse-Signature: sig-" + Id +
-                        "\r\nContent-Type: text/event-stream\r\n"
-                        "Transfer-Encoding: chunked\r\n\r\n");
+    bool IsOpen =
+        sendAll(Connection, "HTTP/1.1 200 OK\r\nAttempt-Id: " + Id +
+                                "\r\nResponse-Signature: sig-" + Id +
+                                "\r\nContent-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n");
     for (int Event = 1; Event <= 5 && IsOpen; ++Event) {
       const std::string Text =
           "id: " + std::to_string(Event) + "\ndata: token\n\n";
@@ -226,9 +226,8 @@
       char Own[16];
       std::snprintf(Own, sizeof(Own), "%x", 0x5000 + Number);
       const std::string Last = std::string(Own) + ":250\r\n";
-      const std::string Parts =
-          "Prefix-Hash: 5c1e07a2:40," + FatalId + ":800" +
-          (IsPlain ? "," : "\r\nPrefix-Hash: ") + Last;
+      const std::string Parts = "Prefix-Hash: 5c1e07a2:40," + FatalId + ":800" +
+                                (IsPlain ? "," : "\r\nPrefix-Hash: ") + Last;
       const std::string Id = "fatal-" + std::to_string(Number);
       std::thread([Address = Node.caller(), Id, Parts] {
         call(Address, Id, Parts);
@@ -239,14 +238,15 @@
   for (int Number = 1; seconds() < End; ++Number) {
     char Own[16];
     std::snprintf(Own, sizeof(Own), "%x", 0x9000 + Number);
-    Calls.emplace_back([&, Number, Parts = "Prefix-Hash: 5c1e07a2:40," +
-                                           std::string(Own) + ":250\r\n"] {
-      const double At = seconds();
-      const bool HasBegun =
-          call(Node.caller(), "sound-" + std::to_string(Number), Parts);
-      const std::lock_guard Guard(Lock);
-      Sound.push_back({At, HasBegun});
-    });
+    Calls.emplace_back(
+        [&, Number,
+         Parts = "Prefix-Hash: 5c1e07a2:40," + std::string(Own) + ":250\r\n"] {
+          const double At = seconds();
+          const bool HasBegun =
+              call(Node.caller(), "sound-" + std::to_string(Number), Parts);
+          const std::lock_guard Guard(Lock);
+          Sound.push_back({At, HasBegun});
+        });
     sleepFor(0.1);
   }
   for (std::thread &Each : Calls)
@@ -272,9 +272,10 @@
     Record::line("%d requests with the fatal part reached replicas later than "
                  "%.0f s after the fifth end (at most 3)",
                  Late, StableWindow);
-    Record::line("%d sound requests from %.0f s after the fifth end on: %.2f of "
-                 "them served (at least %.2f)",
-                 Inside, 2 * StableWindow, Share, ShareOutside / 2);
+    Record::line(
+        "%d sound requests from %.0f s after the fifth end on: %.2f of "
+        "them served (at least %.2f)",
+        Inside, 2 * StableWindow, Share, ShareOutside / 2);
     if (Late > 3) {
       Record::line("BROKEN (BUDGET)");
       ++Broken;
--- a/review/standins-3/HeldPlaces.cpp
+++ b/review/standins-3/HeldPlaces.cpp
@@ -1,5 +1,5 @@
-// Case 15: one caller outside the operators' control holds all places of an entry
-// with requests whose bodies do not end.
+// Case 15: one caller outside the operators' control holds all places of an
+// entry with requests whose bodies do not end.
 #include "Standins.h"
 
 using namespace review;
@@ -23,8 +23,8 @@
   std::vector<pollfd> Open;
   const double End = seconds() + For;
   while (seconds() < End && ::getppid() != 1) {
-    for (int Count = 0;
-         Count < 50 && Open.size() < ConnectionsPerHolder; ++Count) {
+    for (int Count = 0; Count < 50 && Open.size() < ConnectionsPerHolder;
+         ++Count) {
       const int Socket = connectTo(Address, 0.2, "127.0.0.99");
       if (Socket < 0)
         break;
@@ -87,8 +87,8 @@
       int Number = 0;
       while (seconds() < Begin + Length) {
         const double At = seconds();
-        const std::string Id =
-            "ordinary-" + std::to_string(Caller) + "-" + std::to_string(++Number);
+        const std::string Id = "ordinary-" + std::to_string(Caller) + "-" +
+                               std::to_string(++Number);
         std::string Result = "no connection";
         const int Socket = connectTo(Node.caller(), 1,
                                      "127.0.0." + std::to_string(11 + Caller));
--- a/review/standins-3/KilledReplica.cpp
+++ b/review/standins-3/KilledReplica.cpp
@@ -28,11 +28,11 @@
     const bool IsStream = Request->target().starts_with("/draft/");
     std::printf("%s\n", Id.c_str());
     std::fflush(stdout);
-    sendAll(Connection,
-            "HTTP/1.1 200 OK\r\nAttempt-Id: " + Id +
-                "\r\nResponse-Signature: sig-" + Id + "\r\nContent-Type: " +
-                (IsStream ? "text/event-stream" : "text/plain") +
-                "\r\nConnection: close\r\n\r\n");
+    sendAll(Connection, "HTTP/1.1 200 OK\r\nAttempt-Id: " + Id +
+                            "\r\nResponse-Signature: sig-" + Id +
+                            "\r\nContent-Type: " +
+                            (IsStream ? "text/event-stream" : "text/plain") +
+                            "\r\nConnection: close\r\n\r\n");
     for (int Number = 1; Number <= Pieces; ++Number) {
       if (!sendAll(Connection, piece(IsStream, Number)))
         break;
@@ -131,8 +131,8 @@
   int Whole = 0;
   for (int Round = 1; Round <= Rounds; ++Round)
     for (const bool IsStream : {false, true}) {
-      const std::string Id = (IsStream ? "draft-" : "note-") +
-                             std::to_string(Round);
+      const std::string Id =
+          (IsStream ? "draft-" : "note-") + std::to_string(Round);
       Replica Server(Arguments[0], "i-" + Id, Log);
       if (Round == 1 && !IsStream)
         Node.waitUntilReady();
@@ -155,8 +155,9 @@
       for (int Number = 1; Number <= Pieces; ++Number)
         Expected += piece(IsStream, Number);
       const bool IsWhole = Answer && Answer->m_Body == Expected;
-      const bool HasEnd = Answer && (Answer->m_Fields.contains("content-length") ||
-                                     Answer->m_Fields.contains("transfer-encoding"));
+      const bool HasEnd =
+          Answer && (Answer->m_Fields.contains("content-length") ||
+                     Answer->m_Fields.contains("transfer-encoding"));
       Record::line("caller of %s gets %s, %d, %zu of %zu bytes, signature %s",
                    Id.c_str(), HasEnd ? "a complete answer" : "no whole answer",
                    Status, Answer ? Answer->m_Body.size() : 0, Expected.size(),
--- a/review/standins-3/SlowReaders.cpp
+++ b/review/standins-3/SlowReaders.cpp
@@ -74,16 +74,16 @@
   std::signal(SIGPIPE, SIG_IGN);
   Record::open(Arguments[3]);
   Store Log;
-  Server Backend("i-1", "app",
-                 [](Server &, int Connection, const Message &Request) {
-                   return sendAll(Connection,
-                                  Server::response(
-                                      Request, std::string(BodyBytes, 'b')));
-                 });
+  Server Backend(
+      "i-1", "app", [](Server &, int Connection, const Message &Request) {
+        return sendAll(Connection,
+                       Server::response(Request, std::string(BodyBytes, 'b')));
+      });
   // The limits are those of the small sites; idle-timeout-ms is 15,000.
   Log.put("keyed.op", "config",
-          configuration(1, route("album", "/album/", "non_idempotent", "app",
-                                 DeadlineMs, R"(,"public":true)"),
+          configuration(1,
+                        route("album", "/album/", "non_idempotent", "app",
+                              DeadlineMs, R"(,"public":true)"),
                         R"({"name":"app","max-connections":110})"));
   Log.put("keyed.servers", Backend.id(), Backend.record());
   Entry Node(Arguments[1], Arguments[2], "edge-1", Log);
@@ -99,9 +99,8 @@
       // One after the other: together they would need more than the memory for
       // responses.
       sleepFor(0.5 * Index);
-      Outcomes[static_cast<std::size_t>(Index)] =
-          readSlowly(Node.caller(), "reader-" + std::to_string(Index + 1),
-                     hasTrouble());
+      Outcomes[static_cast<std::size_t>(Index)] = readSlowly(
+          Node.caller(), "reader-" + std::to_string(Index + 1), hasTrouble());
     });
   for (std::thread &Each : Threads)
     Each.join();
--- a/review/standins-3/SmuggledRequest.cpp
+++ b/review/standins-3/SmuggledRequest.cpp
@@ -32,12 +32,12 @@
     Framed = Size + Body + "\r\n0\r\n\r\n";
   }
   const std::size_t Before = Backend.received().size();
-  Record::line("caller %s sends one request: id=%s, body of %zu bytes, %s",
-               Sent.m_Name.c_str(), Outer.c_str(), Body.size(),
-               Sent.m_Framing.empty() ? "Content-Length"
-                                      : Sent.m_Framing.substr(
-                                            0, Sent.m_Framing.find('\r'))
-                                            .c_str());
+  Record::line(
+      "caller %s sends one request: id=%s, body of %zu bytes, %s",
+      Sent.m_Name.c_str(), Outer.c_str(), Body.size(),
+      Sent.m_Framing.empty()
+          ? "Content-Length"
+          : Sent.m_Framing.substr(0, Sent.m_Framing.find('\r')).c_str());
   const int Socket = connectTo(Address);
   if (Socket < 0)
     giveUp("no connection to the entry");
@@ -92,9 +92,9 @@
                     {"gzip", "Transfer-Encoding: gzip\r\n", false}, 3);
     Broken += check(Backend, Node.caller(),
                     {"identity", "Transfer-Encoding: identity\r\n", false}, 4);
-    Broken += check(Backend, Node.caller(),
-                    {"not-last", "Transfer-Encoding: chunked, gzip\r\n", true},
-                    5);
+    Broken +=
+        check(Backend, Node.caller(),
+              {"not-last", "Transfer-Encoding: chunked, gzip\r\n", true}, 5);
   }
   Record::line("%d breaks of UNASKED", Broken);
   Node.end();
--- a/review/standins-3/Standins.h
+++ b/review/standins-3/Standins.h
@@ -3,8 +3,8 @@
 #ifndef REVIEW_STANDINS_3_H
 #define REVIEW_STANDINS_3_H
 
-#include <arpa/inet.h>
 #include <algorithm>
+#include <arpa/inet.h>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -305,7 +305,8 @@
 
   void accept() {
     for (;;) {
-      const int Connection = ::accept4(m_Socket, nullptr, nullptr, SOCK_CLOEXEC);
+      const int Connection =
+          ::accept4(m_Socket, nullptr, nullptr, SOCK_CLOEXEC);
       if (Connection >= 0)
         std::thread([this, Connection] { serve(Connection); }).detach();
     }
@@ -333,11 +334,11 @@
       std::string Type = "application/json";
       int Status = 200;
       const std::string Body = answer(*Call, Status, Type);
-      if (!sendAll(Connection,
-                   "HTTP/1.1 " + std::to_string(Status) +
-                       " Status\r\nContent-Type: " + Type +
-                       "\r\nStore-Era: 1\r\nContent-Length: " +
-                       std::to_string(Body.size()) + "\r\n\r\n" + Body))
+      if (!sendAll(Connection, "HTTP/1.1 " + std::to_string(Status) +
+                                   " Status\r\nContent-Type: " + Type +
+                                   "\r\nStore-Era: 1\r\nContent-Length: " +
+                                   std::to_string(Body.size()) + "\r\n\r\n" +
+                                   Body))
         break;
     }
     ::close(Connection);
@@ -373,9 +374,9 @@
       Type = "application/octet-stream";
       std::string Out = bigEndian(Topic.size(), 8) + bigEndian(0, 8);
       for (std::size_t At = From; At < Topic.size(); ++At) {
-        const std::string Content =
-            static_cast<char>(Topic[At].m_Key.size()) + Topic[At].m_Key +
-            Topic[At].m_Value.value_or(std::string());
+        const std::string Content = static_cast<char>(Topic[At].m_Key.size()) +
+                                    Topic[At].m_Key +
+                                    Topic[At].m_Value.value_or(std::string());
         Out += bigEndian(Content.size(), 4) + Content;
       }
       return Out;
@@ -387,8 +388,8 @@
         return "{\"end-offset\":" + std::to_string(Topic.size()) + "}";
       }
       const auto KeyBytes = static_cast<unsigned char>(Call.m_Body[4]);
-      Topic.push_back({Call.m_Body.substr(5, KeyBytes),
-                       Call.m_Body.substr(5U + KeyBytes)});
+      Topic.push_back(
+          {Call.m_Body.substr(5, KeyBytes), Call.m_Body.substr(5U + KeyBytes)});
       return "{\"offset\":" + std::to_string(Topic.size() - 1) +
              ",\"end-offset\":" + std::to_string(Topic.size()) + "}";
     }
@@ -447,7 +448,8 @@
 private:
   void accept() {
     for (;;) {
-      const int Connection = ::accept4(m_Socket, nullptr, nullptr, SOCK_CLOEXEC);
+      const int Connection =
+          ::accept4(m_Socket, nullptr, nullptr, SOCK_CLOEXEC);
       if (Connection >= 0)
         std::thread([this, Connection] { serve(Connection); }).detach();
     }
@@ -557,7 +559,8 @@
       return;
     Files.rlim_cur = m_MaxOpenFiles;
     ::setrlimit(RLIMIT_NOFILE, &Files);
-    const int Out = ::open(m_Output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    const int Out =
+        ::open(m_Output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(Out, 1);
     ::dup2(Out, 2);
     ::setenv("CORNELDECK_NODE_FILE", m_Settings.c_str(), 1);
